--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,18 @@
+package event
+
+import "github.com/go-logr/logr"
+
+//go:generate go tool -modfile=../../tools/go.mod stringer -type=ID -output=id_string.go
+
+// ID numbers a log event. Numbers are never reused.
+type ID int
+
+// Info logs the event at the default level with its number, its name and the given key-value pairs.
+func Info(log logr.Logger, id ID, keysAndValues ...any) {
+	log.Info(id.String(), append([]any{"Event", int(id)}, keysAndValues...)...)
+}
+
+// Error logs the event as an error with its number, its name and the given key-value pairs.
+func Error(log logr.Logger, err error, id ID, keysAndValues ...any) {
+	log.Error(err, id.String(), append([]any{"Event", int(id)}, keysAndValues...)...)
+}
--- /dev/null
+++ b/internal/process/engine/doc.go
@@ -0,0 +1,23 @@
+// Package engine speaks to the model engine beside an agent.
+//
+// The HTTP interface of an engine is (JSON bodies with Pascal-case fields):
+//
+//	POST   /generate              Request; a server-sent event stream of "accepted", "tokens" and "end" events; 429 when it
+//	                              cannot take more; 409 when Version is not loaded
+//	DELETE /generate/{RequestID}  cancels a run; 404 if there is none
+//	GET    /health                Health, current
+//	GET    /load                  LoadReport, some seconds old
+//	GET    /cache/events?After=n  CacheEvents after sequence number n; late, and numbers may be missing
+//	GET    /cache/blocks/{ID}     exports a block: its bytes and headers Version and Checksum; 404 if it was evicted
+//	PUT    /cache/blocks/{ID}     imports a block with headers Version and Checksum; 409 for another version, 507 if full
+//	POST   /orders                Order; 409 for an old Epoch if the engine checks fencing numbers
+//
+// A request carries the identities of its prompt's cache blocks; the engine uses them as opaque cache keys. The
+// identities are derived by package prefix, so that two organisations or two weight versions never share one.
+//
+// # Usage
+//
+//	c := engine.New(addr)
+//	h, err := c.Health(ctx)
+//	run, err := c.Generate(ctx, engine.Request{...})
+package engine
--- /dev/null
+++ b/internal/process/platform/doc.go
@@ -0,0 +1,23 @@
+// Package platform speaks the platform's versioned object API, the only durable state of the system.
+//
+// The HTTP interface of the platform is:
+//
+//	GET    /objects/{Kind}/{Name}          200 with header Version and the value; 404
+//	PUT    /objects/{Kind}/{Name}          header If-Version (0 creates); 200 with header Version; 409; 413
+//	DELETE /objects/{Kind}/{Name}          header If-Version; 200; 404; 409
+//	GET    /objects/{Kind}?Prefix=p        200 with a JSON list of Object without values
+//	GET    /watch/{Kind}?After=r&Wait=30s  200 with JSON {Events, Revision}; empty after Wait; 410 if r is too old
+//	GET    /instances                      200 with a JSON list of Instance
+//
+// Any call may be answered with 429 (no effect, over the rate) or 503 (no effect, outage). A write whose response does
+// not arrive may have taken effect.
+//
+// The package does no caching and decides nothing.
+//
+// # Usage
+//
+//	c := platform.New(addr)
+//	obj, err := c.Get(ctx, "Config", "Current")
+//	obj.Value = next
+//	version, err := c.Put(ctx, obj) // obj.Version is the expected version
+package platform
--- /dev/null
+++ b/pkg/settings/doc.go
@@ -0,0 +1,3 @@
+// Package settings holds the configuration of a deployment and reads it from INI: one base file with an overlay for
+// each site.
+package settings
