--- /dev/null
+++ b/pkg/prefix/id_test.go
@@ -0,0 +1,55 @@
+package prefix
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"primrosecourse/pkg/token"
+)
+
+// TestChainSeparates guards against a block of one organisation, weight version or prompt being taken for another's.
+func TestChainSeparates(t *testing.T) {
+	prompt := token.Encode("the first block and the second")
+	base := Chain("Org1", "v1", prompt, 10)
+	for _, tc := range []struct {
+		name         string
+		organisation string
+		version      string
+		prompt       []uint32
+	}{
+		{"organisation", "Org2", "v1", prompt},
+		{"version", "Org1", "v2", prompt},
+		{"boundary of the two names", "Org1v", "1", prompt},
+		{"first token", "Org1", "v1", append(token.Encode("T"), prompt[1:]...)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			other := Chain(tc.organisation, tc.version, tc.prompt, 10)
+			is.Equal(len(other), len(base))
+			for i := range other {
+				is.True(other[i] != base[i])
+			}
+		})
+	}
+}
+
+// TestChainIsStable guards against a prompt that grew losing the blocks that it shares with its earlier form.
+func TestChainIsStable(t *testing.T) {
+	is := is.New(t)
+	short := Chain("Org1", "v1", token.Encode("0123456789abc"), 5)
+	long := Chain("Org1", "v1", token.Encode("0123456789abcdefghi"), 5)
+	is.Equal(len(short), 2)
+	is.Equal(len(long), 3)
+	is.Equal(long[:2], short)
+	is.Equal(len(Chain("Org1", "v1", nil, 5)), 0)
+}
+
+func BenchmarkChain(b *testing.B) {
+	prompt := make([]uint32, 32<<10)
+	b.SetBytes(int64(4 * len(prompt)))
+	b.ReportAllocs()
+	for range b.N {
+		Chain("Org1", "v1", prompt, 1024)
+	}
+}
--- /dev/null
+++ b/pkg/retention/retention_test.go
@@ -0,0 +1,76 @@
+package retention
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestShouldFetch guards against fetching over a link that is slower than computing, and against overflow without one.
+func TestShouldFetch(t *testing.T) {
+	base := Costs{PrefillTokensPerSecond: 8000, LinkBytesPerSecond: 2e9, BytesPerToken: 131072}
+	for _, tc := range []struct {
+		name   string
+		tokens int
+		change func(*Costs)
+		want   bool
+	}{
+		{"fast link", 1024, func(*Costs) {}, true},
+		{"a tenth of the link", 1024, func(c *Costs) { c.LinkBytesPerSecond /= 10 }, false},
+		{"link queue", 1024, func(c *Costs) { c.QueuedBytes = 1e9 }, false},
+		{"no tokens", 0, func(*Costs) {}, false},
+		{"no link", 1024, func(c *Costs) { c.LinkBytesPerSecond = 0 }, false},
+		{"recomputing weighs more", 1024, func(c *Costs) { c.LinkBytesPerSecond = 9e8; c.RecomputeWeight = 4 }, true},
+		{"link weighs more", 1024, func(c *Costs) { c.LinkWeight = 9 }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := base
+			tc.change(&c)
+			is.Equal(c.ShouldFetch(tc.tokens), tc.want)
+		})
+	}
+}
+
+// TestShouldExport guards against exporting blocks that never come back and against losing blocks that do.
+func TestShouldExport(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	tr := New()
+	is.True(!tr.ShouldExport(1)) // unknown
+	tr.Use(1, now)
+	is.True(!tr.ShouldExport(1)) // used once, nothing known about gaps
+	tr.Use(1, now.Add(time.Hour))
+	is.True(tr.ShouldExport(1))
+	tr.Exported(1)
+	is.True(!tr.ShouldExport(1))
+	tr.Lost(1)
+	is.True(tr.ShouldExport(1))
+
+	tr.Use(2, now.Add(time.Hour))
+	is.True(!tr.ShouldExport(2))
+	tr.Evicted(1, now.Add(time.Hour+time.Minute)) // evicted after a minute, while uses are an hour apart
+	is.True(tr.ShouldExport(2))
+}
+
+// TestTrackerIsBounded guards against memory that grows with the number of prompts.
+func TestTrackerIsBounded(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	tr.Limit = 10
+	for id := range uint64(1000) {
+		tr.Use(id, time.Unix(int64(id), 0))
+	}
+	is.Equal(tr.Len(), 10)
+	is.Equal(len(tr.byID), 10)
+}
+
+func BenchmarkTrackerUse(b *testing.B) {
+	tr := New()
+	now := time.Unix(0, 0)
+	b.ReportAllocs()
+	for i := range b.N {
+		tr.Use(uint64(i%100_000), now)
+	}
+}
