--- a/internal/event/id_string.go
+++ b/internal/event/id_string.go
@@ -16,6 +16,11 @@
 	_ = x[EntryStopped-1001]
 	_ = x[OrderStarted-4000]
 	_ = x[OrderStopped-4001]
+	_ = x[AgentFetchDecided-2900]
+	_ = x[AgentFetchFailed-2901]
+	_ = x[AgentStoreFailed-2902]
+	_ = x[AgentExported-2903]
+	_ = x[AgentExportFailed-2904]
 	_ = x[StandinStarted-5000]
 	_ = x[StandinStopped-5001]
 }
@@ -23,17 +28,19 @@
 const (
 	_ID_name_0 = "EntryStartedEntryStopped"
 	_ID_name_1 = "AgentStartedAgentStopped"
-	_ID_name_2 = "ConfigStartedConfigStopped"
-	_ID_name_3 = "OrderStartedOrderStopped"
-	_ID_name_4 = "StandinStartedStandinStopped"
+	_ID_name_2 = "AgentFetchDecidedAgentFetchFailedAgentStoreFailedAgentExportedAgentExportFailed"
+	_ID_name_3 = "ConfigStartedConfigStopped"
+	_ID_name_4 = "OrderStartedOrderStopped"
+	_ID_name_5 = "StandinStartedStandinStopped"
 )
 
 var (
 	_ID_index_0 = [...]uint8{0, 12, 24}
 	_ID_index_1 = [...]uint8{0, 12, 24}
-	_ID_index_2 = [...]uint8{0, 13, 26}
-	_ID_index_3 = [...]uint8{0, 12, 24}
-	_ID_index_4 = [...]uint8{0, 14, 28}
+	_ID_index_2 = [...]uint8{0, 17, 33, 49, 62, 79}
+	_ID_index_3 = [...]uint8{0, 13, 26}
+	_ID_index_4 = [...]uint8{0, 12, 24}
+	_ID_index_5 = [...]uint8{0, 14, 28}
 )
 
 func (i ID) String() string {
@@ -44,15 +51,18 @@
 	case 2000 <= i && i <= 2001:
 		i -= 2000
 		return _ID_name_1[_ID_index_1[i]:_ID_index_1[i+1]]
+	case 2900 <= i && i <= 2904:
+		i -= 2900
+		return _ID_name_2[_ID_index_2[i]:_ID_index_2[i+1]]
 	case 3000 <= i && i <= 3001:
 		i -= 3000
-		return _ID_name_2[_ID_index_2[i]:_ID_index_2[i+1]]
+		return _ID_name_3[_ID_index_3[i]:_ID_index_3[i+1]]
 	case 4000 <= i && i <= 4001:
 		i -= 4000
-		return _ID_name_3[_ID_index_3[i]:_ID_index_3[i+1]]
+		return _ID_name_4[_ID_index_4[i]:_ID_index_4[i+1]]
 	case 5000 <= i && i <= 5001:
 		i -= 5000
-		return _ID_name_4[_ID_index_4[i]:_ID_index_4[i+1]]
+		return _ID_name_5[_ID_index_5[i]:_ID_index_5[i+1]]
 	default:
 		return "ID(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
