--- a/cmd/primrose-standin/kinds.go
+++ b/cmd/primrose-standin/kinds.go
@@ -8,4 +8,5 @@
 // kinds maps each -Kind to the function that serves it until ctx is done.
 var kinds = map[string]func(ctx context.Context, addr netip.AddrPort) error{
 	"kvstore": serveKVStore,
+	"weights": serveWeights,
 }
