--- /dev/null
+++ b/pkg/settings/canonical.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Encode returns the canonical JSON of d: defaults applied, slices sorted by Name, enums by name, durations in
+// nanoseconds, no white space. Two deployments that mean the same have the same encoding.
+func Encode(d Deployment) (content []byte, err error) {
+	defer func() { err = errors.Wrap(err, "settings: encode") }()
+	d = Normalise(d)
+	ApplyDefaults(&d)
+	return json.Marshal(d)
+}
+
+// Decode reads the JSON of a deployment. It rejects unknown fields, undefined enum names and trailing data, and
+// applies the defaults. It does not repeat the checks of Check, which an accepted configuration has passed.
+func Decode(content []byte) (d Deployment, err error) {
+	defer func() { err = errors.Wrap(err, "settings: decode") }()
+	if err = decodeStrict(content, &d); err != nil {
+		return Deployment{}, err
+	}
+	d = Normalise(d)
+	ApplyDefaults(&d)
+	return d, nil
+}
+
+func decodeStrict(content []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(content))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return err
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return errors.New("data after the JSON value")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/settings/problem.go
@@ -0,0 +1,65 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Problem is one reason why a configuration is rejected.
+type Problem struct {
+	// File and Line tell where the problem is. They are empty for a deployment that was not read from files.
+	File string
+	Line int
+	// Section is the header without brackets, such as Endpoint "Model1".
+	Section string
+	// Key is empty if the problem concerns the whole section or line.
+	Key string
+	// Text says what is wrong, Allowed what would be right.
+	Text    string
+	Allowed string
+}
+
+// String returns the problem in one line, led by file and line as compilers do.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.File != "" {
+		fmt.Fprintf(&b, "%s:%d: ", p.File, p.Line)
+	}
+	if p.Section != "" {
+		fmt.Fprintf(&b, "[%s] ", p.Section)
+	}
+	if p.Key != "" {
+		fmt.Fprintf(&b, "%s: ", p.Key)
+	}
+	b.WriteString(p.Text)
+	if p.Allowed != "" {
+		fmt.Fprintf(&b, "; allowed: %s", p.Allowed)
+	}
+	return b.String()
+}
+
+// Problems is the error of Load, Parse and Check: everything that is wrong, sorted by file and line.
+type Problems []Problem
+
+// Error returns one line per problem.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// err returns p sorted as an error, or nil if there is no problem.
+func (p Problems) err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(p, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Section, b.Section),
+			cmp.Compare(a.Key, b.Key))
+	})
+	return p
+}
--- /dev/null
+++ b/pkg/settings/value.go
@@ -0,0 +1,192 @@
+package settings
+
+import (
+	"encoding"
+	"fmt"
+	"math"
+	"net/netip"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+var (
+	number     = regexp.MustCompile(`^-?[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]+)?$`)
+	byteNumber = regexp.MustCompile(`^([0-9]+) ?([A-Za-z]*)$`)
+	byteUnits  = []struct {
+		name  string
+		bytes int64
+	}{
+		{"TiB", 1 << 40}, {"TB", 1e12}, {"GiB", 1 << 30}, {"GB", 1e9}, {"MiB", 1 << 20}, {"MB", 1e6}, {"KiB", 1 << 10},
+		{"kB", 1e3}, {"B", 1}, {"", 1},
+	}
+)
+
+// describe says in a few words which values a type takes.
+func describe(typ reflect.Type, size bool) string {
+	switch {
+	case typ == reflect.TypeFor[time.Duration]():
+		return "a duration with unit such as 500ms, 5s, 2m or 24h"
+	case typ == reflect.TypeFor[netip.AddrPort]():
+		return "IP:port such as 127.0.0.1:7000"
+	case typ == reflect.TypeFor[TargetState]():
+		return enumNames(targetStates)
+	case typ == reflect.TypeFor[EndpointKind]():
+		return enumNames(endpointKinds)
+	case size:
+		return "a number of bytes such as 512B, 64KiB, 1MiB or 1GB"
+	}
+	switch typ.Kind() {
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Bool:
+		return "true, false"
+	case reflect.Slice:
+		return "names separated by commas"
+	}
+	return "a name"
+}
+
+// parseValue sets v from the spelling of a value in INI. The error does not repeat the text, since it may be a
+// credential in the wrong place; the caller adds it where that is safe.
+func parseValue(v reflect.Value, size bool, text string) error {
+	switch p := v.Addr().Interface().(type) {
+	case *time.Duration:
+		d, err := time.ParseDuration(text)
+		if err != nil || !strings.ContainsAny(text, "hmsuµn") {
+			return fmt.Errorf("not a duration with unit")
+		}
+		*p = d
+		return nil
+	case *netip.AddrPort:
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return fmt.Errorf("not an IP address with port")
+		}
+		*p = addr
+		return nil
+	case encoding.TextUnmarshaler:
+		if p.UnmarshalText([]byte(text)) != nil {
+			return fmt.Errorf("not one of the names")
+		}
+		return nil
+	case *[]string:
+		for part := range strings.SplitSeq(text, ",") {
+			part = strings.TrimSpace(part)
+			if part == "" {
+				return fmt.Errorf("empty name in the list")
+			}
+			if slices.Contains(*p, part) {
+				return fmt.Errorf("name twice in the list")
+			}
+			*p = append(*p, part)
+		}
+		return nil
+	}
+	return parseScalar(v, size, text)
+}
+
+func parseScalar(v reflect.Value, size bool, text string) error {
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(text)
+	case reflect.Bool:
+		if text != "true" && text != "false" {
+			return fmt.Errorf("neither true nor false")
+		}
+		v.SetBool(text == "true")
+	case reflect.Float64:
+		f, err := strconv.ParseFloat(text, 64)
+		if err != nil || !number.MatchString(text) {
+			return fmt.Errorf("not a number")
+		}
+		v.SetFloat(f)
+	case reflect.Int, reflect.Int64:
+		n, err := strconv.ParseInt(text, 10, 64)
+		if size {
+			n, err = parseBytes(text)
+		}
+		if err != nil || v.OverflowInt(n) || strings.HasPrefix(text, "+") {
+			if size {
+				return fmt.Errorf("not a number of bytes")
+			}
+			return fmt.Errorf("not a whole number")
+		}
+		v.SetInt(n)
+	default:
+		return fmt.Errorf("unsupported type %s", v.Type())
+	}
+	return nil
+}
+
+func parseBytes(text string) (int64, error) {
+	m := byteNumber.FindStringSubmatch(text)
+	if m == nil {
+		return 0, strconv.ErrSyntax
+	}
+	n, err := strconv.ParseInt(m[1], 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	for _, unit := range byteUnits {
+		if unit.name != m[2] {
+			continue
+		}
+		if n > math.MaxInt64/unit.bytes {
+			return 0, strconv.ErrRange
+		}
+		return n * unit.bytes, nil
+	}
+	return 0, strconv.ErrSyntax
+}
+
+// formatValue is the inverse of parseValue; it returns the spelling of v in INI.
+func formatValue(v reflect.Value, size bool) string {
+	switch x := v.Interface().(type) {
+	case time.Duration:
+		return formatDuration(x)
+	case time.Time:
+		if x.IsZero() {
+			return "never"
+		}
+		return x.UTC().Format(time.RFC3339Nano)
+	case []string:
+		return strings.Join(x, ", ")
+	case fmt.Stringer:
+		return x.String()
+	case float64:
+		return strconv.FormatFloat(x, 'g', -1, 64)
+	case int64:
+		if size {
+			return formatBytes(x)
+		}
+	}
+	return fmt.Sprint(v.Interface())
+}
+
+// formatDuration leaves out the zero parts that Duration.String prints at the end.
+func formatDuration(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
+// formatBytes uses the largest unit that divides n.
+func formatBytes(n int64) string {
+	for _, unit := range byteUnits {
+		if unit.name != "" && n >= unit.bytes && n%unit.bytes == 0 {
+			return strconv.FormatInt(n/unit.bytes, 10) + unit.name
+		}
+	}
+	return strconv.FormatInt(n, 10) + "B"
+}
