--- a/internal/process/platform/doc.go
+++ b/internal/process/platform/doc.go
@@ -6,12 +6,17 @@
 //	PUT    /objects/{Kind}/{Name}          header If-Version (0 creates); 200 with header Version; 409; 413
 //	DELETE /objects/{Kind}/{Name}          header If-Version; 200; 404; 409
 //	GET    /objects/{Kind}?Prefix=p        200 with a JSON list of Object without values
-//	GET    /watch/{Kind}?After=r&Wait=30s  200 with JSON {Events, Revision}; empty after Wait; 410 if r is too old
+//	GET    /watch/{Kind}?After=r&Wait=30s  200 with JSON {Events, Revision}; empty after Wait; 410 with the current
+//	                                       Revision and no Events if r is too old
 //	GET    /instances                      200 with a JSON list of Instance
 //
 // Any call may be answered with 429 (no effect, over the rate) or 503 (no effect, outage). A write whose response does
 // not arrive may have taken effect.
 //
+// A name is one path segment: slashes in it are escaped. Versions of an object rise over its deletion too, so that a
+// version never stands for two values. Events of one kind come in the order of their revisions. An r above the current
+// Revision is answered like one that is too old, since the platform may have been restored.
+//
 // The package does no caching and decides nothing.
 //
 // # Usage
