--- /dev/null
+++ b/pkg/claim/segment.go
@@ -0,0 +1,136 @@
+package claim
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// ObjectKind is the kind of the platform objects that hold segments.
+const ObjectKind = "Claims"
+
+// SegmentBytes bounds an encoded segment. Each commit rewrites the last segment, so a larger bound costs bytes for each
+// commit and a smaller one costs objects.
+const SegmentBytes = 16 << 10
+
+// ErrMalformed says that a stored segment cannot be decoded. Its orders must not run.
+var ErrMalformed = errors.New("claim: malformed segment")
+
+// Segment is the value of one object of a claim log. It changes only by conditional update, a sealed segment never
+// changes, and segment N+1 is created only after N was sealed.
+type Segment struct {
+	// Term rises with each change of owner.
+	Term uint64
+	// Owner is the name of the endpoint whose agent owns the shard, Incarnation the start of that agent.
+	Owner       string
+	Incarnation uint64
+	Sealed      bool
+	Records     []Record
+}
+
+// Name returns the object name of a segment. Names of one shard sort by segment number.
+func Name(shard int, number uint64) string { return fmt.Sprintf("%s%010d", Prefix(shard), number) }
+
+// Prefix returns the prefix of the object names of all segments of a shard.
+func Prefix(shard int) string { return fmt.Sprintf("%04d/", shard) }
+
+// Number returns the segment number in an object name.
+func Number(name string) (n uint64, err error) {
+	_, digits, _ := strings.Cut(name, "/")
+	n, err = strconv.ParseUint(digits, 10, 64)
+	return n, errors.Wrapf(err, "claim: object name %q", name)
+}
+
+// Encode returns the msgpack form of s. Records are arrays, because field names would add about 70 bytes to each.
+func (s Segment) Encode() ([]byte, error) {
+	var b bytes.Buffer
+	err := msgpack.NewEncoder(&b).Encode(&s)
+	return b.Bytes(), errors.Wrap(err, "claim: encode segment")
+}
+
+// Decode returns the segment in value. The error is ErrMalformed.
+func Decode(value []byte) (s Segment, err error) {
+	if err = msgpack.Unmarshal(value, &s); err != nil {
+		return Segment{}, errors.Mark(errors.Wrap(err, "claim: decode segment"), ErrMalformed)
+	}
+	return s, nil
+}
+
+// recordFields is the number of array elements of a stored record.
+const recordFields = 10
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (r *Record) EncodeMsgpack(e *msgpack.Encoder) error {
+	return errors.CombineErrors(e.EncodeArrayLen(recordFields), e.EncodeMulti(uint8(r.Kind), r.Key[:],
+		r.Digest[:], r.Nonce.Incarnation, r.Nonce.Sequence, r.At.UnixMilli(), r.Status,
+		r.ContentType, r.Body, r.Dropped))
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (r *Record) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n != recordFields {
+		return errors.Newf("record of %d fields", n)
+	}
+	var kind uint8
+	var key, digest []byte
+	var at int64
+	err = d.DecodeMulti(&kind, &key, &digest, &r.Nonce.Incarnation, &r.Nonce.Sequence, &at,
+		&r.Status, &r.ContentType, &r.Body, &r.Dropped)
+	if err != nil {
+		return err
+	}
+	if len(key) != len(r.Key) || len(digest) != len(r.Digest) || kind < uint8(Claimed) || kind > uint8(Abandoned) {
+		return errors.New("record out of range")
+	}
+	r.Kind, r.At = Kind(kind), time.UnixMilli(at).UTC()
+	copy(r.Key[:], key)
+	copy(r.Digest[:], digest)
+	return nil
+}
+
+// Upper bounds of encoded sizes: 36 bytes for key and digest, five integers of up to 9 bytes, kind, array and the
+// lengths of content type and body.
+const (
+	recordOverhead  = 36 + 5*9 + 10
+	segmentOverhead = 256
+)
+
+func (r Record) size() int { return recordOverhead + len(r.ContentType) + len(r.Body) }
+
+// Append returns s with as many of pending, in order, as fit into SegmentBytes, and their number. The result is sealed
+// if one did not fit; the others go to the next segment. s is not changed.
+func (s Segment) Append(pending []Record) (next Segment, taken int) {
+	size := segmentOverhead + len(s.Owner)
+	for _, r := range s.Records {
+		size += r.size()
+	}
+	for _, r := range pending {
+		if size += r.size(); size > SegmentBytes {
+			s.Sealed = true
+			break
+		}
+		taken++
+	}
+	records := make([]Record, 0, len(s.Records)+taken)
+	s.Records = append(append(records, s.Records...), pending[:taken]...)
+	return s, taken
+}
+
+// Newest returns the time of the newest record, zero if there is none.
+func (s Segment) Newest() (at time.Time) {
+	for _, r := range s.Records {
+		if r.At.After(at) {
+			at = r.At
+		}
+	}
+	return at
+}
