--- /dev/null
+++ b/cmd/primrose-standin/kind_engine.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/netip"
+
+	"primrosecourse/internal/standin/engine"
+)
+
+var engineSettings engine.Settings
+
+func init() {
+	s := &engineSettings
+	flag.StringVar(&s.Model, "EngineModel", "", "engine: model that is loaded at the start")
+	flag.StringVar(&s.Version, "EngineVersion", "", "engine: weight version that is loaded at the start")
+	flag.IntVar(&s.BatchLimit, "EngineBatchLimit", 0, "engine: runs at a time when warm (0: 16)")
+	flag.IntVar(&s.ColdCapacity, "EngineColdCapacity", 0, "engine: runs at a time when cold (0: 2)")
+	flag.BoolVar(&s.WarmStart, "EngineWarmStart", false, "engine: starts warm")
+	flag.Float64Var(&s.PrefillRate, "EnginePrefillRate", 0, "engine: prompt tokens per second (0: 50e6)")
+	flag.Float64Var(&s.DecodeRate, "EngineDecodeRate", 0, "engine: generated tokens per second of a run (0: 20e3)")
+	flag.IntVar(&s.CacheBlocks, "EngineCacheBlocks", 0, "engine: bound of the prefix cache (0: 4096)")
+	flag.IntVar(&s.BlockTokens, "EngineBlockTokens", 0, "engine: tokens of a cache block (0: 1024)")
+	flag.DurationVar(&s.LoadTime, "EngineLoadTime", 0, "engine: time to load weights")
+	flag.BoolVar(&s.ChecksFencing, "EngineChecksFencing", false, "engine: refuses orders with an old epoch")
+	kinds["engine"] = serveEngine
+}
+
+func serveEngine(ctx context.Context, addr netip.AddrPort) error {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return err
+	}
+	fmt.Println("listening", l.Addr())
+	return engine.New(engineSettings).Serve(ctx, l)
+}
--- a/internal/process/engine/doc.go
+++ b/internal/process/engine/doc.go
@@ -12,6 +12,9 @@
 //	PUT    /cache/blocks/{ID}     imports a block with headers Version and Checksum; 409 for another version, 507 if full
 //	POST   /orders                Order; 409 for an old Epoch if the engine checks fencing numbers
 //
+// A 503 means that the engine is restarting. A run is cancelled when its connection closes. A stream that ends without
+// an "end" event was cut; the next Health tells by its Incarnation whether the engine crashed.
+//
 // A request carries the identities of its prompt's cache blocks; the engine uses them as opaque cache keys. The
 // identities are derived by package prefix, so that two organisations or two weight versions never share one.
 //
@@ -20,4 +23,6 @@
 //	c := engine.New(addr)
 //	h, err := c.Health(ctx)
 //	run, err := c.Generate(ctx, engine.Request{...})
+//	defer run.Close()
+//	event, err := run.Next() // engine.Tokens, or engine.End as the last one
 package engine
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,272 @@
+package engine
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"primrosecourse/internal/process/engine"
+	"primrosecourse/pkg/token"
+)
+
+// Engine is one engine. Its methods may be called from any number of goroutines.
+type Engine struct {
+	settings Settings
+	wake     chan struct{}
+	ordering sync.Mutex // held while an order is carried out
+
+	mu                   sync.Mutex
+	incarnation          uint64
+	model, version, role string
+	epoch                uint64
+	firstTokens          int // since the engine turned cold
+	downUntil            time.Time
+	paused               bool
+	arrivals             uint64
+	runs                 map[string]*run
+	batch                []*run // by priority, then arrival
+	cache                *cache
+	ledger               Ledger
+	samples              []sample
+}
+
+type sample struct {
+	at     time.Time
+	report engine.LoadReport
+}
+
+// run is a request under way. The engine's mutex guards it.
+type run struct {
+	engine.Request
+	fingerprint uint64
+	arrival     uint64
+	prefill     int // prompt tokens still to compute
+	next        int // index of the next token
+	cached      []*block
+	record      int // position in the ledger
+	crashes     bool
+
+	events []any
+	signal chan struct{} // has room for one; told when events grow or the run ended
+	ended  bool          // no event follows; a stream without End was cut
+}
+
+// New returns an engine, cold unless the settings say otherwise.
+func New(s Settings) *Engine {
+	s = s.withDefaults()
+	e := &Engine{
+		settings: s, wake: make(chan struct{}, 1), incarnation: rand.Uint64() | 1,
+		model: s.Model, version: s.Version, role: s.Role,
+		runs: map[string]*run{}, cache: newCache(s.CacheBlocks, s.EventHole),
+	}
+	if s.WarmStart {
+		e.firstTokens = s.WarmUpRuns
+	}
+	return e
+}
+
+// capacity returns the number of runs that the engine can bear now.
+func (e *Engine) capacity() int {
+	s := &e.settings
+	if e.firstTokens >= s.WarmUpRuns {
+		return s.BatchLimit
+	}
+	return s.ColdCapacity + (s.BatchLimit-s.ColdCapacity)*e.firstTokens/s.WarmUpRuns
+}
+
+func (e *Engine) warm() bool { return e.firstTokens >= e.settings.WarmUpRuns }
+
+// submit takes a request or returns engine.ErrBusy, engine.ErrWrongVersion or engine.ErrBadRequest.
+func (e *Engine) submit(req engine.Request, now time.Time) (*run, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if req.RequestID == "" || e.runs[req.RequestID] != nil || req.MaxTokens <= len(req.Given) {
+		return nil, engine.ErrBadRequest
+	}
+	if len(e.runs) >= e.capacity() {
+		e.ledger.Excess++
+		if !e.warm() {
+			e.ledger.ExcessCold++
+		}
+		return nil, engine.ErrBusy
+	}
+	if req.Model != e.model || req.Version != e.version {
+		return nil, engine.ErrWrongVersion
+	}
+	e.arrivals++
+	r := &run{
+		Request: req, fingerprint: Fingerprint(req.Prompt), arrival: e.arrivals, next: len(req.Given),
+		cached: e.cache.use(req.Blocks), signal: make(chan struct{}, 1),
+		crashes: strings.Contains(token.Decode(req.Prompt), e.settings.CrashMarker),
+	}
+	cachedTokens := min(len(r.cached)*e.settings.BlockTokens, len(req.Prompt))
+	r.prefill = len(req.Prompt) - cachedTokens + len(req.Given)
+	foreign := 0
+	for _, b := range r.cached {
+		if b.version != req.Version {
+			foreign++
+		}
+	}
+	r.record = len(e.ledger.Runs)
+	e.ledger.Runs = append(e.ledger.Runs, RunRecord{
+		RequestID: req.RequestID, Fingerprint: r.fingerprint, Version: req.Version, Incarnation: e.incarnation,
+		Started: now, Given: len(req.Given), CachedTokens: cachedTokens, ForeignBlocks: foreign,
+	})
+	e.runs[req.RequestID] = r
+	if !e.warm() {
+		e.ledger.MaxRunningCold = max(e.ledger.MaxRunningCold, len(e.runs))
+	}
+	e.enqueue(r)
+	r.emit(engine.Accepted{CachedTokens: cachedTokens, Incarnation: e.incarnation})
+	e.poke()
+	return r, nil
+}
+
+func (e *Engine) poke() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *run) emit(event any) {
+	r.events = append(r.events, event)
+	r.tell()
+}
+
+func (r *run) tell() {
+	select {
+	case r.signal <- struct{}{}:
+	default:
+	}
+}
+
+// finish ends a run with an End event, or cuts its stream if finish is empty.
+func (e *Engine) finish(r *run, finish string, now time.Time) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	if finish != "" {
+		r.events = append(r.events, engine.End{Finish: finish})
+	}
+	r.tell()
+	e.cache.release(r.cached)
+	delete(e.runs, r.RequestID)
+	record := &e.ledger.Runs[r.record]
+	record.Finished, record.Finish = now, finish
+}
+
+// Cancel ends a run and reports whether there was one.
+func (e *Engine) Cancel(requestID string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.runs[requestID]
+	if r != nil {
+		e.finish(r, "Cancelled", time.Now())
+	}
+	return r != nil
+}
+
+// abandon ends a run whose reader left.
+func (e *Engine) abandon(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.finish(r, "Cancelled", time.Now())
+}
+
+// TurnCold restarts the engine's worker without warning: running streams are cut and the cache is empty.
+func (e *Engine) TurnCold() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.turnCold(time.Now())
+}
+
+func (e *Engine) turnCold(now time.Time) {
+	e.cutAll(now)
+	e.incarnation++
+	e.firstTokens = 0
+	sequence := e.cache.sequence
+	e.cache = newCache(e.settings.CacheBlocks, e.settings.EventHole)
+	e.cache.sequence = sequence
+}
+
+// Cut cuts the running streams.
+func (e *Engine) Cut() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cutAll(time.Now())
+}
+
+func (e *Engine) cutAll(now time.Time) {
+	for _, r := range e.runs {
+		e.finish(r, "", now)
+	}
+}
+
+// Pause stops the steps of the batch until it is called with false.
+func (e *Engine) Pause(paused bool) {
+	e.mu.Lock()
+	e.paused = paused
+	e.mu.Unlock()
+	e.poke()
+}
+
+// Set changes what is loaded without an order; empty values stay.
+func (e *Engine) Set(model, version, role string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.set(model, version, role)
+}
+
+func (e *Engine) set(model, version, role string) {
+	for _, change := range []struct {
+		field *string
+		value string
+	}{{&e.model, model}, {&e.version, version}, {&e.role, role}} {
+		if change.value != "" {
+			*change.field = change.value
+		}
+	}
+}
+
+// Ledger returns a copy of the ledger.
+func (e *Engine) Ledger() Ledger {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.ledger
+	l.Incarnation = e.incarnation
+	l.Runs = append([]RunRecord(nil), l.Runs...)
+	l.Orders = append([]OrderRecord(nil), l.Orders...)
+	return l
+}
+
+// Order carries out an order and returns engine.ErrOldEpoch if the engine refuses it.
+func (e *Engine) Order(ctx context.Context, o engine.Order) error {
+	e.ordering.Lock()
+	defer e.ordering.Unlock()
+	e.mu.Lock()
+	refused := e.settings.ChecksFencing && o.Epoch < e.epoch
+	if !refused {
+		e.epoch = o.Epoch
+	}
+	e.ledger.Orders = append(e.ledger.Orders, OrderRecord{Order: o, At: time.Now(), Refused: refused})
+	e.mu.Unlock()
+	if refused {
+		return engine.ErrOldEpoch
+	}
+	if o.Kind == "LoadVersion" {
+		select {
+		case <-time.After(e.settings.LoadTime):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		e.Set(o.Model, o.Version, "")
+	}
+	if o.Kind == "SetRole" {
+		e.Set("", "", o.Role)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/engine/http.go
@@ -0,0 +1,257 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"primrosecourse/internal/process/engine"
+)
+
+// maxBodyBytes bounds a request; a prompt of 128k tokens takes about 1 MB of JSON.
+const maxBodyBytes = 64 << 20
+
+// Serve answers on the listener until ctx is done, and closes it. Open streams are cut then.
+func (e *Engine) Serve(ctx context.Context, l net.Listener) (err error) {
+	defer func() { err = errors.Wrap(err, "engine stand-in") }()
+	worked := make(chan struct{})
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer close(worked)
+		e.work(ctx)
+	}()
+	server := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	select {
+	case <-ctx.Done():
+		err = server.Close()
+		<-served
+	case err = <-served:
+	}
+	cancel()
+	<-worked
+	e.Cut()
+	return err
+}
+
+// Handler returns the HTTP interface. It generates nothing unless Serve runs.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Ledger()) })
+	admin := func(path string, act func(r *http.Request)) {
+		mux.HandleFunc("POST /admin/"+path, func(_ http.ResponseWriter, r *http.Request) { act(r) })
+	}
+	admin("cold", func(*http.Request) { e.TurnCold() })
+	admin("cut", func(*http.Request) { e.Cut() })
+	admin("pause", func(*http.Request) { e.Pause(true) })
+	admin("resume", func(*http.Request) { e.Pause(false) })
+	admin("set", func(r *http.Request) { e.Set(r.FormValue("Model"), r.FormValue("Version"), r.FormValue("Role")) })
+
+	handle := func(pattern string, h http.HandlerFunc) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			if e.down(time.Now()) {
+				http.Error(w, "restarting", http.StatusServiceUnavailable)
+				return
+			}
+			h(w, r)
+		})
+	}
+	handle("POST /generate", e.handleGenerate)
+	handle("DELETE /generate/{RequestID}", func(w http.ResponseWriter, r *http.Request) {
+		if !e.Cancel(r.PathValue("RequestID")) {
+			http.Error(w, "no such run", http.StatusNotFound)
+		}
+	})
+	handle("GET /health", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Health()) })
+	handle("GET /load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.load(time.Now())) })
+	handle("GET /cache/events", e.handleEvents)
+	handle("GET /cache/blocks/{ID}", e.handleExport)
+	handle("PUT /cache/blocks/{ID}", e.handleImport)
+	handle("POST /orders", e.handleOrder)
+	return mux
+}
+
+func (e *Engine) down(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Before(e.downUntil)
+}
+
+// Health returns the current state.
+func (e *Engine) Health() engine.Health {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return engine.Health{
+		Incarnation: e.incarnation, Warm: e.warm(), Capacity: e.capacity(), Running: len(e.runs),
+		Model: e.model, Version: e.version, Role: e.role, Epoch: e.epoch,
+	}
+}
+
+func (e *Engine) handleGenerate(w http.ResponseWriter, r *http.Request) {
+	var req engine.Request
+	if !readJSON(w, r, &req) {
+		return
+	}
+	run, err := e.submit(req, time.Now())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	defer e.abandon(run)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for {
+		events, ended := e.take(run)
+		for _, event := range events {
+			if err := writeEvent(w, event); err != nil {
+				return
+			}
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+		if ended {
+			if n := len(events); n == 0 || !isEnd(events[n-1]) {
+				panic(http.ErrAbortHandler) // closes the connection without a proper end
+			}
+			return
+		}
+		select {
+		case <-run.signal:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func isEnd(event any) bool {
+	_, ok := event.(engine.End)
+	return ok
+}
+
+func (e *Engine) take(r *run) (events []any, ended bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	events, r.events = r.events, nil
+	return events, r.ended
+}
+
+func writeEvent(w io.Writer, event any) error {
+	name := engine.EventTokens
+	switch event.(type) {
+	case engine.Accepted:
+		name = engine.EventAccepted
+	case engine.End:
+		name = engine.EventEnd
+	}
+	data, err := json.Marshal(event)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "event: %s\ndata: %s\n\n", name, data)
+	return err
+}
+
+func (e *Engine) handleEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.FormValue("After"), 10, 64)
+	if err != nil {
+		writeError(w, engine.ErrBadRequest)
+		return
+	}
+	e.mu.Lock()
+	page := e.cache.after(after, time.Now().Add(-e.settings.EventDelay))
+	page.Incarnation = e.incarnation
+	e.mu.Unlock()
+	writeJSON(w, page)
+}
+
+func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("ID")
+	e.mu.Lock()
+	b := e.cache.blocks[id]
+	e.mu.Unlock()
+	if b == nil {
+		writeError(w, engine.ErrNotFound)
+		return
+	}
+	data := b.data
+	if data == nil {
+		data = blockData(id, e.settings.BlockBytes)
+	}
+	w.Header().Set(engine.HeaderVersion, b.version)
+	w.Header().Set(engine.HeaderChecksum, engine.Checksum(data))
+	_, _ = w.Write(data)
+}
+
+// blockData returns bytes that depend only on the identity.
+func blockData(id string, n int) []byte {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, id)
+	var seed [32]byte
+	h.Sum(seed[:0])
+	data := make([]byte, n)
+	_, _ = rand.NewChaCha8(seed).Read(data)
+	return data
+}
+
+func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil || r.Header.Get(engine.HeaderChecksum) != engine.Checksum(data) {
+		writeError(w, engine.ErrBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case r.Header.Get(engine.HeaderVersion) != e.version:
+		writeError(w, engine.ErrWrongVersion)
+	case !e.cache.put(r.PathValue("ID"), e.version, data, time.Now()):
+		writeError(w, engine.ErrFull)
+	}
+}
+
+func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var o engine.Order
+	if !readJSON(w, r, &o) {
+		return
+	}
+	if err := e.Order(r.Context(), o); err != nil {
+		writeError(w, err)
+	}
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	status := http.StatusInternalServerError
+	for target, s := range map[error]int{
+		engine.ErrBusy: http.StatusTooManyRequests, engine.ErrWrongVersion: http.StatusConflict,
+		engine.ErrOldEpoch: http.StatusConflict, engine.ErrNotFound: http.StatusNotFound,
+		engine.ErrFull: http.StatusInsufficientStorage, engine.ErrBadRequest: http.StatusBadRequest,
+	} {
+		if errors.Is(err, target) {
+			status = s
+		}
+	}
+	http.Error(w, err.Error(), status)
+}
