--- a/pkg/ring/ring.go
+++ b/pkg/ring/ring.go
@@ -48,26 +48,33 @@
 // Ring is an immutable set of endpoints with an order of preference for each key.
 type Ring struct {
 	endpoints []Endpoint
+	byName    map[string]int
 	circles   []circle
+	// circleOf holds the index of the circle of each endpoint.
+	circleOf []int32
 }
 
 // New returns the ring of the endpoints. Endpoints that must get no work are left out by the caller.
 func New(domains []Domain, endpoints []Endpoint) *Ring {
-	r := &Ring{endpoints: slices.Clone(endpoints)}
-	byName := make(map[string]int)
+	r := &Ring{endpoints: slices.Clone(endpoints), byName: make(map[string]int, len(endpoints))}
+	byDomain := make(map[string]int)
 	members := make(map[string][]int32)
 	for i, e := range r.endpoints {
+		r.byName[e.Name] = i
 		members[e.FailureDomain] = append(members[e.FailureDomain], int32(i))
 	}
 	for _, e := range r.endpoints {
-		if _, ok := byName[e.FailureDomain]; ok {
+		if _, ok := byDomain[e.FailureDomain]; ok {
 			continue
 		}
-		byName[e.FailureDomain] = len(r.circles)
+		byDomain[e.FailureDomain] = len(r.circles)
 		r.circles = append(r.circles, newCircle(e.FailureDomain, r.endpoints, members[e.FailureDomain]))
 	}
+	for _, e := range r.endpoints {
+		r.circleOf = append(r.circleOf, int32(byDomain[e.FailureDomain]))
+	}
 	for _, d := range domains {
-		if i, ok := byName[d.Name]; ok {
+		if i, ok := byDomain[d.Name]; ok {
 			r.circles[i].domain = d
 		}
 	}
@@ -83,6 +90,15 @@
 // Endpoint returns the endpoint with index i, from 0 to Len()-1, in the order given to New.
 func (r *Ring) Endpoint(i int) Endpoint { return r.endpoints[i] }
 
+// Find returns the index of the endpoint with the given name.
+func (r *Ring) Find(name string) (i int, ok bool) {
+	i, ok = r.byName[name]
+	return i, ok
+}
+
+// Share returns the ramped share of the failure domain of endpoint i.
+func (r *Ring) Share(i int, now time.Time) float64 { return r.circles[r.circleOf[i]].domain.Share(now) }
+
 // Append appends the indexes of the first n endpoints for key to dst, fewer if the ring has fewer. The cost grows with
 // the number of failure domains and with n squared, not with the number of endpoints. It allocates only when dst is too
 // short or when the ring has more than 32 domains.
--- /dev/null
+++ b/pkg/routing/doc.go
@@ -0,0 +1,23 @@
+// Package routing chooses the endpoint for a prompt among a short list of candidates.
+//
+// The placement key of a prompt is the caller's prompt_cache_key, else the chain identity of the first cache block after
+// the part that all prompts of the organisation share, else its last full block, else none. The candidates are the first
+// endpoints of the ring for the key, the endpoint that the hint table names for the longest known prefix, and two random
+// endpoints. Each candidate gets a cost:
+//
+//	FirstTokenWeight * expected first token + RecomputeWeight * recompute seconds + LinkWeight * link seconds
+//
+// The expected first token is the expected wait, an allowance for a cold endpoint, the time to read cached blocks from a
+// store where that is faster than computing them, and the time to compute the rest. A load report counts less with age:
+// after LoadHalfLife half of the expected wait comes from the report and half from PriorWait.
+//
+// Nothing in the package overrules an agent: a wrong estimate costs an attempt, never a wrong answer. The package does no
+// input or output and reads no clock. Hints, Loads and Affinity are safe for concurrent use; a Router is immutable.
+//
+// # Usage
+//
+//	rings := routing.Rings(deployment, "Region1", nil)
+//	r := &routing.Router{Ring: rings.Models["Model"], Hints: hints, Loads: loads, Affinity: affinity, Costs: costs}
+//	decision := r.Route(now, routing.Prompt{Key: key, Chain: chain, Tokens: len(tokens), Random: rand.Uint64()}, nil)
+//	for _, w := range decision.Weighed { ... } // in order of preference
+package routing
--- /dev/null
+++ b/pkg/routing/loads.go
@@ -0,0 +1,68 @@
+package routing
+
+import (
+	"sync"
+	"time"
+
+	"primrosecourse/pkg/wire"
+)
+
+// Observation is what an entry knows of the load of an endpoint.
+type Observation struct {
+	Load wire.LoadState
+	// At is when the report arrived; the zero time means that there was none.
+	At time.Time
+	// Unreported counts the requests sent since the report, UnreportedTokens their prompt tokens.
+	Unreported       int
+	UnreportedTokens int
+}
+
+// Loads holds the last observation of each endpoint.
+type Loads struct {
+	mu     sync.Mutex
+	byName map[string]Observation
+}
+
+// NewLoads returns an empty table.
+func NewLoads() *Loads { return &Loads{byName: make(map[string]Observation)} }
+
+// Report records a load state that arrived at the given time.
+func (l *Loads) Report(endpoint string, load wire.LoadState, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.byName[endpoint] = Observation{Load: load, At: now}
+}
+
+// Down records that the endpoint does not answer. The next report replaces it.
+func (l *Loads) Down(endpoint string, now time.Time) {
+	l.Report(endpoint, wire.LoadState{State: wire.StateDown}, now)
+}
+
+// Sent records that a request with the given prompt tokens was sent, so that requests sent before the next report do not
+// all go to the same endpoint.
+func (l *Loads) Sent(endpoint string, tokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.byName[endpoint]
+	o.Unreported++
+	o.UnreportedTokens += tokens
+	l.byName[endpoint] = o
+}
+
+// Get returns the observation of an endpoint.
+func (l *Loads) Get(endpoint string) Observation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byName[endpoint]
+}
+
+// Keep drops the endpoints for which keep returns false, after a change of the configuration.
+func (l *Loads) Keep(keep func(endpoint string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name := range l.byName {
+		if !keep(name) {
+			delete(l.byName, name)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/routing/rings.go
@@ -0,0 +1,99 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"primrosecourse/pkg/ring"
+	"primrosecourse/pkg/settings"
+)
+
+// RingSet holds the ring of each model and of each service for the entries of one region. It is immutable.
+type RingSet struct {
+	Models   map[string]*ring.Ring
+	Services map[string]*ring.Ring
+	// Endpoints holds the endpoints of the deployment by name.
+	Endpoints map[string]settings.Endpoint
+	sources   map[string]source
+}
+
+// source is what a ring was built from.
+type source struct {
+	domains   []ring.Domain
+	endpoints []ring.Endpoint
+}
+
+// Rings returns the rings of a deployment for the entries of a region: the active endpoints in active failure domains of
+// the region or, for a model or service that has none there, of all regions. A ring of previous, which may be nil, is used
+// again if nothing it was built from changed, since most changes of a configuration touch no endpoint.
+func Rings(d *settings.Deployment, region string, previous *RingSet) *RingSet {
+	s := &RingSet{
+		Models:    make(map[string]*ring.Ring),
+		Services:  make(map[string]*ring.Ring),
+		Endpoints: make(map[string]settings.Endpoint, len(d.Endpoints)),
+		sources:   make(map[string]source),
+	}
+	domains := make(map[string]settings.FailureDomain)
+	var ramps []ring.Domain
+	for _, f := range d.FailureDomains {
+		domains[f.Name] = f
+		if !f.ReturnedAt.IsZero() {
+			ramps = append(ramps, ring.Domain{Name: f.Name, ReturnedAt: f.ReturnedAt, RampTime: d.Limits.RampTime})
+		}
+	}
+	type group struct{ near, all []ring.Endpoint }
+	groups := make(map[string]*group)
+	for _, e := range d.Endpoints {
+		s.Endpoints[e.Name] = e
+		key := "Model/" + e.Model
+		if e.Kind == settings.ServiceEndpoint {
+			key = "Service/" + e.Service
+		}
+		g := groups[key]
+		if g == nil {
+			g = &group{}
+			groups[key] = g
+		}
+		f := domains[e.FailureDomain]
+		if e.State == settings.Leaving || f.State == settings.Leaving {
+			continue
+		}
+		member := ring.Endpoint{Name: e.Name, FailureDomain: e.FailureDomain, Weight: float64(cmp.Or(e.BatchLimit, 16)) / 16}
+		g.all = append(g.all, member)
+		if f.Region == region {
+			g.near = append(g.near, member)
+		}
+	}
+	get := func(key string, g *group) *ring.Ring {
+		from := source{ramps, g.near}
+		if len(g.near) == 0 {
+			from.endpoints = g.all
+		}
+		s.sources[key] = from
+		if previous != nil {
+			if old, ok := previous.sources[key]; ok && slices.Equal(old.domains, from.domains) &&
+				slices.Equal(old.endpoints, from.endpoints) {
+				return previous.ring(key)
+			}
+		}
+		return ring.New(from.domains, from.endpoints)
+	}
+	for _, m := range d.Models {
+		key := "Model/" + m.Name
+		s.Models[m.Name] = get(key, cmp.Or(groups[key], &group{}))
+	}
+	for _, v := range d.Services {
+		key := "Service/" + v.Name
+		s.Services[v.Name] = get(key, cmp.Or(groups[key], &group{}))
+	}
+	return s
+}
+
+func (s *RingSet) ring(key string) *ring.Ring {
+	if name, ok := strings.CutPrefix(key, "Model/"); ok {
+		return s.Models[name]
+	}
+	name, _ := strings.CutPrefix(key, "Service/")
+	return s.Services[name]
+}
