--- a/pkg/settings/canonical.go
+++ b/pkg/settings/canonical.go
@@ -12,9 +12,7 @@
 // nanoseconds, no white space. Two deployments that mean the same have the same encoding.
 func Encode(d Deployment) (content []byte, err error) {
 	defer func() { err = errors.Wrap(err, "settings: encode") }()
-	d = Normalise(d)
-	ApplyDefaults(&d)
-	return json.Marshal(d)
+	return json.Marshal(canonical(d))
 }
 
 // Decode reads the JSON of a deployment. It rejects unknown fields, undefined enum names and trailing data, and
@@ -24,9 +22,14 @@
 	if err = decodeStrict(content, &d); err != nil {
 		return Deployment{}, err
 	}
+	return canonical(d), nil
+}
+
+// canonical returns d in canonical order with its defaults applied; the argument is left as it is.
+func canonical(d Deployment) Deployment {
 	d = Normalise(d)
 	ApplyDefaults(&d)
-	return d, nil
+	return d
 }
 
 func decodeStrict(content []byte, v any) error {
--- /dev/null
+++ b/pkg/settings/fuzz_test.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// FuzzParse guards against input that crashes the parser, problems without a line of the file, and an accepted
+// deployment that does not pass Check or does not survive its canonical JSON.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(smallest), []byte("[Limits]\nMaxTokens = 20\n"))
+	f.Add([]byte(smallest), []byte("[Endpoint \"Model1\"]\nState = Leaving ; later\n[Endpoint \"Model1\"]\n"))
+	f.Add([]byte("\xef\xbb\xbf[Site]\r\nName = 'a]'\r\n"), []byte("Key = %(Name)s\\\n[Policy] # x]\nCandidates = \"4\"\n"))
+	files, _ := filepath.Glob("../../examples/*/*.ini")
+	for _, file := range files {
+		if content, err := os.ReadFile(file); err == nil {
+			f.Add(content, []byte(nil))
+		}
+	}
+	f.Fuzz(func(t *testing.T, base, overlay []byte) {
+		d, err := Parse(Source{File: "base.ini", Content: base}, Source{File: "site.ini", Content: overlay})
+		if err != nil {
+			var problems Problems
+			if !errors.As(err, &problems) || len(problems) == 0 {
+				t.Fatalf("error without problems: %v", err)
+			}
+			for _, p := range problems {
+				if p.File == "" || p.Line < 1 || p.Text == "" || p.Allowed == "" {
+					t.Fatalf("incomplete problem: %#v", p)
+				}
+			}
+			return
+		}
+		if err := Check(d); err != nil {
+			t.Fatalf("parsed, but: %v", err)
+		}
+		content, err := Encode(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := Decode(content)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := Diff(d, back); len(diff) > 0 {
+			t.Fatalf("changed by the round trip: %v", diff)
+		}
+	})
+}
+
+// TestIndexAgreesWithLibrary guards against a key that the line index sees and the INI library reads as another one.
+func TestIndexAgreesWithLibrary(t *testing.T) {
+	for _, line := range []string{
+		`Name = a # b`, `Name = a;b`, `Name = "a # b"`, `Name = 'a`, `Name = a\`, `Name=%(Other)s`, "Name =\ta\t# b", `Name = "a"b"`,
+	} {
+		m := merge([]Source{{File: "base.ini", Content: []byte("[Site]\n" + line + "\n[Policy]\n")}})
+		if _, ok := m.values[keyID{sectionID{kind: "Site"}, "Name"}]; !ok || len(m.problems) > 0 || len(m.order) != 2 {
+			t.Errorf("%q: %v %v", line, m.values, m.problems)
+		}
+	}
+}
