--- /dev/null
+++ b/pkg/settings/examples_test.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestExamples guards against examples that no longer load or do not have the sizes of the design page.
+func TestExamples(t *testing.T) {
+	for _, c := range []struct {
+		dir, site                                  string
+		models, services, stores, serviceEndpoints int
+	}{
+		{"kleinkloof", "Kleinkloof Keepsake Labs", 12, 1, 1, 3},
+		{"lakeshore", "Lakeshore Cardworks", 9, 2, 2, 3},
+	} {
+		t.Run(c.dir, func(t *testing.T) {
+			is := is.New(t)
+			dir := "../../examples/" + c.dir + "/"
+			d, err := Load(dir+"base.ini", dir+"site.ini")
+			is.NoErr(err)
+			is.Equal(d.Site, c.site)
+			is.Equal(len(d.FailureDomains), 3)
+			is.Equal(len(d.Organisations), 10)
+			is.Equal(len(d.Services), c.services)
+			is.Equal(len(d.Stores), c.stores)
+			count := map[EndpointKind]int{}
+			domains := map[string]map[string]bool{}
+			for _, e := range d.Endpoints {
+				count[e.Kind]++
+				is.True(e.Address.Addr().IsLoopback())
+				if domains[e.Model] == nil {
+					domains[e.Model] = map[string]bool{}
+				}
+				domains[e.Model][e.FailureDomain] = true
+			}
+			is.Equal(count, map[EndpointKind]int{ModelEndpoint: c.models, ServiceEndpoint: c.serviceEndpoints})
+			for _, m := range d.Models {
+				is.Equal(len(domains[m.Name]), 3) // each model survives the loss of two failure domains
+			}
+			// The base file tells readers which credentials belong to the hashes.
+			for _, o := range d.Organisations {
+				sum := sha256.Sum256([]byte("local-" + strings.ToLower(o.Name)))
+				is.Equal(o.CredentialHash, hex.EncodeToString(sum[:]))
+			}
+		})
+	}
+}
