--- /dev/null
+++ b/cmd/primrosectl/command.go
@@ -0,0 +1,283 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"primrosecourse/internal/process/operator"
+)
+
+// trait tells which flags a command has.
+type trait int
+
+const (
+	files   trait = iota // reads settings files
+	changes              // changes the configuration
+	reads                // only reads the configuration, so an entry can serve it
+	repeats              // prints again and again
+	online               // needs the platform or an entry
+)
+
+// command is one command of the command line.
+type command struct {
+	name      string
+	arguments string
+	summary   string
+	details   string
+	examples  []string
+	traits    []trait
+	// streams means that run prints its reports itself.
+	streams bool
+	run     func(ctx context.Context, inv *invocation, emit func(operator.Report)) (operator.Report, error)
+}
+
+func (c *command) has(t trait) bool { return slices.Contains(c.traits, t) }
+
+// once wraps a command that reports once.
+func once(f func(ctx context.Context, inv *invocation, o *operator.Operator) (operator.Report, error)) func(
+	context.Context, *invocation, func(operator.Report)) (operator.Report, error) {
+	return func(ctx context.Context, inv *invocation, _ func(operator.Report)) (operator.Report, error) {
+		return f(ctx, inv, inv.connect())
+	}
+}
+
+const (
+	platformExample = "-Platform 10.0.0.1:7000"
+	filesExample    = "-Base examples/kleinkloof/base.ini -Overlay examples/kleinkloof/site.ini"
+)
+
+var commands = []*command{
+	{
+		name:    "check",
+		summary: "check settings files and list every problem",
+		details: "Needs no platform. Each problem is printed with file, line, key and what is allowed.",
+		examples: []string{
+			"primrosectl check " + filesExample,
+			"primrosectl check -Format json " + filesExample,
+		},
+		traits: []trait{files},
+		run: once(func(_ context.Context, inv *invocation, o *operator.Operator) (operator.Report, error) {
+			return o.Check(inv.files)
+		}),
+	},
+	{
+		name:    "diff",
+		summary: "show what applying settings files would change",
+		details: "The exit code is 0 with and without changes.",
+		examples: []string{
+			"primrosectl diff " + platformExample + " " + filesExample,
+		},
+		traits: []trait{files, online},
+		run: once(func(ctx context.Context, inv *invocation, o *operator.Operator) (operator.Report, error) {
+			return o.Diff(ctx, inv.files)
+		}),
+	},
+	{
+		name:    "apply",
+		summary: "accept the configuration in settings files",
+		details: "Shows the changes, accepts them with a conditional update and pushes the new version to the entries.\n" +
+			"Failure domains and endpoints keep the state that commands gave them, unless the files state it.",
+		examples: []string{
+			"primrosectl apply " + platformExample + " " + filesExample + " -DryRun",
+			"primrosectl apply " + platformExample + " " + filesExample + " -Wait",
+		},
+		traits: []trait{files, changes, online},
+		run: once(func(ctx context.Context, inv *invocation, o *operator.Operator) (operator.Report, error) {
+			return o.Apply(ctx, inv.files, inv.options)
+		}),
+	},
+	{
+		name:    "get",
+		summary: "print the accepted configuration",
+		details: "The text format is INI that check and apply read.",
+		examples: []string{
+			"primrosectl get " + platformExample + " > current.ini",
+			"primrosectl get -Entry 10.0.1.1:20001 -Format json",
+		},
+		traits: []trait{reads, online},
+		run: once(func(ctx context.Context, _ *invocation, o *operator.Operator) (operator.Report, error) {
+			return o.Get(ctx)
+		}),
+	},
+	{
+		name:    "status",
+		summary: "show failure domains, endpoints and entries",
+		details: "Pings every entry and agent. Parts that do not answer are listed with the error; the exit code is 0.",
+		examples: []string{
+			"primrosectl status " + platformExample,
+			"primrosectl status -Entry 10.0.1.1:20001 -Format json",
+		},
+		traits: []trait{reads, online},
+		run: once(func(ctx context.Context, _ *invocation, o *operator.Operator) (operator.Report, error) {
+			return o.Status(ctx)
+		}),
+	},
+	{
+		name:    "watch",
+		summary: "refresh status until interrupted",
+		details: "With -Format json each refresh is one line. A refresh that fails is reported and the next one tried.",
+		examples: []string{
+			"primrosectl watch " + platformExample,
+			"primrosectl watch " + platformExample + " -Interval 5s -Count 12 -Format json",
+		},
+		traits:  []trait{reads, repeats, online},
+		streams: true,
+		run:     watch,
+	},
+	{
+		name:      "domain leave",
+		arguments: "NAME",
+		summary:   "take a failure domain out",
+		details: "Entries stop choosing the domain; its agents refuse new work and finish what runs. The last active\n" +
+			"failure domain cannot leave.",
+		examples: []string{
+			"primrosectl domain leave Soweto " + platformExample + " -Wait",
+		},
+		traits: []trait{changes, online},
+		run: once(func(ctx context.Context, inv *invocation, o *operator.Operator) (operator.Report, error) {
+			return o.LeaveDomain(ctx, inv.arguments[0], inv.options.Options)
+		}),
+	},
+	{
+		name:      "domain return",
+		arguments: "NAME",
+		summary:   "put a failure domain back",
+		details:   "Its share of the load grows over RampTime.",
+		examples: []string{
+			"primrosectl domain return Soweto " + platformExample + " -Wait",
+		},
+		traits: []trait{changes, online},
+		run: once(func(ctx context.Context, inv *invocation, o *operator.Operator) (operator.Report, error) {
+			return o.ReturnDomain(ctx, inv.arguments[0], inv.options.Options)
+		}),
+	},
+	{
+		name:      "endpoint drain",
+		arguments: "NAME",
+		summary:   "take an endpoint out",
+		details:   "Its agent refuses new work and finishes what runs. status shows when nothing runs any more.",
+		examples: []string{
+			"primrosectl endpoint drain Model3 " + platformExample + " -Wait",
+		},
+		traits: []trait{changes, online},
+		run: once(func(ctx context.Context, inv *invocation, o *operator.Operator) (operator.Report, error) {
+			return o.DrainEndpoint(ctx, inv.arguments[0], inv.options.Options)
+		}),
+	},
+	{
+		name:      "endpoint return",
+		arguments: "NAME",
+		summary:   "put an endpoint back",
+		examples: []string{
+			"primrosectl endpoint return Model3 " + platformExample + " -Wait",
+		},
+		traits: []trait{changes, online},
+		run: once(func(ctx context.Context, inv *invocation, o *operator.Operator) (operator.Report, error) {
+			return o.ReturnEndpoint(ctx, inv.arguments[0], inv.options.Options)
+		}),
+	},
+	{
+		name:      "version swap",
+		arguments: "MODEL VERSION",
+		summary:   "put a version of a model's weights in force",
+		details:   "The agents load it, at most two at a time in a site. Runs under way keep their version.",
+		examples: []string{
+			"primrosectl version swap Notes 2026-12 " + platformExample + " -Wait",
+		},
+		traits: []trait{changes, online},
+		run: once(func(ctx context.Context, inv *invocation, o *operator.Operator) (operator.Report, error) {
+			return o.SwapVersion(ctx, inv.arguments[0], inv.arguments[1], inv.options.Options)
+		}),
+	},
+}
+
+// watch prints the status until the count is reached or ctx is done. An interrupt is the usual end.
+func watch(ctx context.Context, inv *invocation, emit func(operator.Report)) (operator.Report, error) {
+	o := inv.connect()
+	for i := 1; ; i++ {
+		r, err := o.Status(ctx)
+		if ctx.Err() != nil {
+			return operator.Report{}, nil
+		}
+		if err != nil && i == inv.count {
+			return r, err
+		}
+		if err != nil {
+			r.Outcome, r.Error = operator.CodeOf(err), err.Error()
+		}
+		emit(r)
+		if i == inv.count {
+			return operator.Report{}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return operator.Report{}, nil
+		case <-time.After(inv.interval):
+		}
+	}
+}
+
+// find returns the command that args begin with, or nil.
+func find(args []string) *command {
+	for _, c := range commands {
+		words := strings.Fields(c.name)
+		if len(args) >= len(words) && slices.Equal(args[:len(words)], words) {
+			return c
+		}
+	}
+	return nil
+}
+
+func commandNames() []string {
+	names := make([]string, len(commands))
+	for i, c := range commands {
+		names[i] = c.name
+	}
+	return names
+}
+
+// overview is the help of the whole command line.
+func overview() string {
+	var b strings.Builder
+	b.WriteString("primrosectl changes and shows the configuration of a deployment.\n\n" +
+		"Usage: primrosectl COMMAND [ARGUMENTS] [FLAGS]\n\nCommands:\n")
+	for _, c := range commands {
+		fmt.Fprintf(&b, "  %-31s%s\n", strings.TrimSpace(c.name+" "+c.arguments), c.summary)
+	}
+	fs := newFlagSet()
+	(&invocation{format: "text", timeout: 10 * time.Second}).common(fs)
+	b.WriteString("\nFlags of all commands:\n" + usageOf(fs) + exitCodes +
+		"\nprimrosectl help COMMAND shows the flags and examples of a command.\n")
+	return b.String()
+}
+
+const exitCodes = `
+Exit codes:
+  0  done
+  1  rejected: problems in the settings, or another operator's change came first
+  2  usage: the command line was not understood
+  3  platform unavailable; nothing was changed
+  4  outcome unknown: the change may have been accepted
+  5  accepted, but not yet in force everywhere
+`
+
+// help is the help of one command.
+func (c *command) help() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %s\n\nUsage: primrosectl %s [FLAGS]\n", c.name, c.summary,
+		strings.TrimSpace(c.name+" "+c.arguments))
+	if c.details != "" {
+		fmt.Fprintf(&b, "\n%s\n", c.details)
+	}
+	b.WriteString("\nExamples:\n")
+	for _, example := range c.examples {
+		fmt.Fprintf(&b, "  %s\n", example)
+	}
+	fs := newFlagSet()
+	(&invocation{format: "text", timeout: 10 * time.Second}).flags(fs, c)
+	b.WriteString("\nFlags:\n" + usageOf(fs) + exitCodes)
+	return b.String()
+}
--- /dev/null
+++ b/cmd/primrosectl/parse.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os/user"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"primrosecourse/internal/process/operator"
+	"primrosecourse/internal/process/platform"
+)
+
+// invocation is a parsed command line.
+type invocation struct {
+	command   *command
+	arguments []string
+	// help is printed instead of running the command if it is not empty.
+	help string
+
+	platform netip.AddrPort
+	entry    netip.AddrPort
+	format   string
+	timeout  time.Duration
+	operator string
+	files    operator.Files
+	options  operator.ApplyOptions
+	interval time.Duration
+	count    int
+}
+
+// common registers the flags of all commands.
+func (inv *invocation) common(fs *flag.FlagSet) {
+	fs.TextVar(&inv.platform, "Platform", inv.platform, "`address` of the platform, IP:port")
+	fs.StringVar(&inv.format, "Format", inv.format, "output `format`, text or json")
+	fs.DurationVar(&inv.timeout, "Timeout", inv.timeout, "`bound` of each phase: agreement with the platform, push, wait")
+}
+
+// flags registers the flags of a command.
+func (inv *invocation) flags(fs *flag.FlagSet, c *command) {
+	inv.common(fs)
+	if c.has(files) {
+		fs.StringVar(&inv.files.Base, "Base", "", "base settings `file`")
+		fs.StringVar(&inv.files.Overlay, "Overlay", "", "overlay `file` of the site, whose keys replace those of the base")
+	}
+	if c.has(changes) {
+		fs.StringVar(&inv.operator, "Operator", userName(), "`name` that is recorded with the change")
+		fs.BoolVar(&inv.options.DryRun, "DryRun", false, "show the changes and accept nothing")
+		fs.BoolVar(&inv.options.Wait, "Wait", false, "wait until every entry and agent reports the version")
+	}
+	if c.has(files) && c.has(changes) {
+		fs.BoolVar(&inv.options.ChangeClaimShards, "ChangeClaimShards", false,
+			"permit another ClaimShards; only before the first order")
+	}
+	if c.has(reads) {
+		fs.TextVar(&inv.entry, "Entry", netip.AddrPort{}, "read the configuration from the entry at this `address`, not from the platform")
+	}
+	if c.has(repeats) {
+		fs.DurationVar(&inv.interval, "Interval", 2*time.Second, "`time` between two refreshes")
+		fs.IntVar(&inv.count, "Count", 0, "`number` of refreshes, 0 for no end")
+	}
+}
+
+// parse reads a command line. The error is marked ErrUsage.
+func parse(args []string) (inv *invocation, err error) {
+	inv = &invocation{format: "text", timeout: 10 * time.Second}
+	defer func() { err = errors.Mark(err, operator.ErrUsage) }()
+	fs := newFlagSet()
+	inv.common(fs)
+	if err = fs.Parse(args); err != nil {
+		return inv.helpOr(err, nil)
+	}
+	args = fs.Args()
+	if len(args) > 0 && args[0] == "help" {
+		return inv.helpOr(flag.ErrHelp, find(args[1:]))
+	}
+	c := find(args)
+	if c == nil {
+		if len(args) == 0 {
+			return inv, errors.New("no command given")
+		}
+		if slices.ContainsFunc(args, isHelp) {
+			return inv.helpOr(flag.ErrHelp, nil)
+		}
+		return inv, errors.Newf("unknown command %q; allowed: %s", strings.Join(args, " "), strings.Join(commandNames(), ", "))
+	}
+	inv.command = c
+	args = args[len(strings.Fields(c.name)):]
+	fs = newFlagSet()
+	inv.flags(fs, c)
+	// Flags may stand before and after the arguments.
+	for {
+		if err = fs.Parse(args); err != nil {
+			return inv.helpOr(err, c)
+		}
+		if fs.NArg() == 0 {
+			return inv, inv.validate()
+		}
+		inv.arguments = append(inv.arguments, fs.Arg(0))
+		args = fs.Args()[1:]
+	}
+}
+
+func newFlagSet() *flag.FlagSet {
+	fs := flag.NewFlagSet("primrosectl", flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+	return fs
+}
+
+func isHelp(arg string) bool { return slices.Contains([]string{"-h", "-help", "--help", "--h"}, arg) }
+
+// helpOr turns a request for help into the help text of c, or of all commands, and passes on other errors.
+func (inv *invocation) helpOr(err error, c *command) (*invocation, error) {
+	if !errors.Is(err, flag.ErrHelp) {
+		return inv, err
+	}
+	inv.help = overview()
+	if c != nil {
+		inv.help = c.help()
+	}
+	return inv, nil
+}
+
+// validate checks what the flag package cannot.
+func (inv *invocation) validate() error {
+	c := inv.command
+	if want := strings.Fields(c.arguments); len(inv.arguments) != len(want) {
+		if len(want) == 0 {
+			return errors.Newf("%s takes no arguments, not %q", c.name, inv.arguments)
+		}
+		return errors.Newf("%s takes %s, not %q", c.name, c.arguments, inv.arguments)
+	}
+	switch {
+	case inv.format != "text" && inv.format != "json":
+		return errors.Newf("-Format %q; allowed: text, json", inv.format)
+	case inv.timeout <= 0:
+		return errors.Newf("-Timeout %s; allowed: above 0", inv.timeout)
+	case c.has(repeats) && inv.interval <= 0:
+		return errors.Newf("-Interval %s; allowed: above 0", inv.interval)
+	case inv.count < 0:
+		return errors.Newf("-Count %d; allowed: 0 and more", inv.count)
+	case c.has(files) && inv.files.Base == "":
+		return errors.New("-Base is missing; allowed: the base settings file")
+	case c.has(changes) && strings.TrimSpace(inv.operator) == "":
+		return errors.New("-Operator is empty; allowed: the name that is recorded with the change")
+	case c.has(online) && !inv.platform.IsValid() && !inv.entry.IsValid():
+		return errors.New("-Platform is missing; allowed: the IP:port of the platform")
+	}
+	return nil
+}
+
+// connect returns the operator that runs the command.
+func (inv *invocation) connect() *operator.Operator {
+	o := &operator.Operator{Name: inv.operator, Timeout: inv.timeout, Entry: inv.entry}
+	if inv.platform.IsValid() {
+		client := platform.New(inv.platform)
+		client.Timeout = inv.timeout
+		o.Platform = client
+	}
+	return o
+}
+
+func userName() string {
+	if u, err := user.Current(); err == nil && u.Username != "" {
+		return u.Username
+	}
+	return "unknown"
+}
+
+// usageOf lists the flags of a set in the order of their names.
+func usageOf(fs *flag.FlagSet) string {
+	var b strings.Builder
+	fs.VisitAll(func(f *flag.Flag) {
+		name, usage := flag.UnquoteUsage(f)
+		if name != "" {
+			name = " " + name
+		}
+		fmt.Fprintf(&b, "  -%s%s\n        %s", f.Name, name, usage)
+		if f.DefValue != "" && f.DefValue != "false" && f.DefValue != "0" && f.DefValue != "invalid AddrPort" {
+			fmt.Fprintf(&b, " (default %s)", f.DefValue)
+		}
+		b.WriteByte('\n')
+	})
+	return b.String()
+}
--- /dev/null
+++ b/internal/process/operator/operator.go
@@ -0,0 +1,152 @@
+package operator
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"primrosecourse/internal/process/platform"
+	"primrosecourse/pkg/settings"
+)
+
+// The object that holds the accepted configuration.
+const (
+	ConfigKind = "Config"
+	ConfigName = "Current"
+)
+
+const (
+	defaultTimeout = 10 * time.Second
+	// mostCalls bounds the connections to entries and agents at a time. 64 calls of a few ms each reach 11,300
+	// processes within seconds and stay below the usual limit of open files.
+	mostCalls = 64
+)
+
+// Platform is what the package needs of the platform's client.
+type Platform interface {
+	Get(ctx context.Context, kind, name string) (platform.Object, error)
+	Put(ctx context.Context, obj platform.Object) (uint64, error)
+}
+
+// Operator runs commands. The exported fields are set before the first command.
+type Operator struct {
+	// Platform is needed by every command but Check.
+	Platform Platform
+	// Name is recorded with each change.
+	Name string
+	// Timeout bounds each phase of a command: agreement with the platform, push, wait. Default 10 s.
+	Timeout time.Duration
+	// Entry, if valid, is the entry to read the configuration from instead of the platform, for commands that only
+	// read. In an outage of the platform the entries still have it.
+	Entry netip.AddrPort
+	// Dial connects to entries and agents. Default TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Now is the clock. Default time.Now.
+	Now func() time.Time
+}
+
+func (o *Operator) timeout() time.Duration {
+	if o.Timeout > 0 {
+		return o.Timeout
+	}
+	return defaultTimeout
+}
+
+func (o *Operator) now() time.Time {
+	if o.Now != nil {
+		return o.Now()
+	}
+	return time.Now()
+}
+
+func (o *Operator) dial(ctx context.Context, address string) (net.Conn, error) {
+	if o.Dial != nil {
+		return o.Dial(ctx, address)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Current is the configuration in force: the version and the value as stored, decoded.
+type Current struct {
+	// Version is 0 if no configuration was accepted yet.
+	Version  uint64
+	Content  []byte
+	Accepted settings.Accepted
+	// ConfirmedAt is when the platform last confirmed that Version is current.
+	ConfirmedAt time.Time
+}
+
+// read reads the accepted configuration. The Version is 0 if there is none.
+func (o *Operator) read(ctx context.Context) (c Current, err error) {
+	defer func() { err = errors.Wrap(err, "read the accepted configuration") }()
+	ctx, cancel := context.WithTimeout(ctx, o.timeout())
+	defer cancel()
+	if o.Entry.IsValid() {
+		return o.readEntry(ctx)
+	}
+	var object platform.Object
+	for attempt := 0; ; attempt++ {
+		object, err = o.get(ctx)
+		if err == nil {
+			break
+		}
+		if errors.Is(err, platform.ErrNotFound) {
+			return Current{}, nil
+		}
+		if !pause(ctx, attempt) {
+			return Current{}, mark(err, ErrUnavailable)
+		}
+	}
+	c, err = decode(object)
+	c.ConfirmedAt = o.now()
+	return c, err
+}
+
+// decode reads the stored value. A value that this version of the command does not understand must not be changed by
+// it, so the outcome is Rejected.
+func decode(object platform.Object) (Current, error) {
+	accepted, err := settings.DecodeAccepted(object.Value)
+	if err != nil {
+		return Current{}, err
+	}
+	return Current{Version: object.Version, Content: object.Value, Accepted: accepted}, nil
+}
+
+// mustRead is read for commands that need an accepted configuration.
+func (o *Operator) mustRead(ctx context.Context) (Current, error) {
+	c, err := o.read(ctx)
+	if err == nil && c.Version == 0 {
+		err = mark(errors.New("no configuration was accepted yet; run apply first"), ErrRejected)
+	}
+	return c, err
+}
+
+// get and put bound one call, so that a slow spell leaves time to try again.
+func (o *Operator) get(ctx context.Context) (platform.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.timeout()/3)
+	defer cancel()
+	return o.Platform.Get(ctx, ConfigKind, ConfigName)
+}
+
+func (o *Operator) put(ctx context.Context, object platform.Object) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.timeout()/3)
+	defer cancel()
+	return o.Platform.Put(ctx, object)
+}
+
+// pause waits before the next attempt, 50 ms at first and up to 1 s. It returns false if ctx ends first.
+func pause(ctx context.Context, attempt int) bool {
+	wait := min(50*time.Millisecond<<min(attempt, 5), time.Second)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/process/operator/status_test.go
@@ -0,0 +1,123 @@
+package operator
+
+import (
+	"bytes"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"primrosecourse/internal/process/platform"
+	"primrosecourse/internal/standin/fault"
+	"primrosecourse/pkg/settings"
+	"primrosecourse/pkg/wire"
+)
+
+// TestStatus guards against sums and tables that do not follow what the parts report.
+func TestStatus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		r.peers.versions["127.0.0.1:7000"] = 1
+		r.peers.versions["127.0.0.1:7100"] = 1
+		r.peers.down["127.0.0.1:7101"] = true
+		report, err := r.Status(t.Context())
+		is.NoErr(err)
+		s := report.Status
+		is.Equal([]int{s.InForce, s.Behind, s.Unreachable}, []int{2, 1, 1})
+		is.Equal(s.FailureDomains, []DomainStatus{
+			{Name: "North", Region: "R", Entries: 1, EntriesInAll: 1, Endpoints: 1, EndpointsInAll: 1, Running: 3, Queued: 1},
+			{Name: "South", Region: "R", Entries: 1, EntriesInAll: 1, EndpointsInAll: 1},
+		})
+		var out, errs bytes.Buffer
+		report.WriteText(&out, &errs)
+		for _, want := range []string{
+			"Test: version 1, accepted by bob at 2000-01-01T00:00:00Z",
+			"in force at 2, behind at 1, no answer from 1 entries and agents",
+			"ModelNorth  North   Notes@V1  Active  Warm   3        1       16         1        -",
+			"ModelSouth  South   Notes@V1  Active  Down   0        0       0          0        connect to 127.0.0.1:7101: connection refused",
+			"EntrySouth  South   Warm   3        0        -",
+		} {
+			if !strings.Contains(out.String(), want) {
+				t.Errorf("lacks %q:\n%s", want, out.String())
+			}
+		}
+		is.Equal(errs.String(), "")
+	})
+}
+
+// TestReadFromEntry guards against status and get that need the platform in its outage.
+func TestReadFromEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		r.fake.Faults.Set(fault.Rule{Kind: fault.Outage})
+		_, err := r.Get(t.Context())
+		is.Equal(CodeOf(err), Unavailable)
+		stored := r.stored(t)
+		r.peers.content = wire.ConfigPush{Version: 1, Content: stored.Content}
+		r.Entry = netip.MustParseAddrPort("127.0.0.1:7000")
+		report, err := r.Get(t.Context())
+		is.NoErr(err)
+		is.Equal(*report.Deployment, deployment())
+		is.Equal(report.Version, uint64(1))
+		_, err = r.Status(t.Context())
+		is.NoErr(err)
+	})
+}
+
+// TestClaimShards guards against a changed number of claim logs, which would let orders run again.
+func TestClaimShards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		files := Files{Base: "../../../examples/kleinkloof/base.ini", Overlay: "../../../examples/kleinkloof/site.ini"}
+		other := deployment()
+		other.Limits.ClaimShards = 8
+		r.rival(t, 1, other)
+		_, err := r.Apply(t.Context(), files, ApplyOptions{})
+		is.Equal(CodeOf(err), Rejected)
+		is.True(strings.Contains(err.Error(), "ClaimShards would change from 8 to 16"))
+		report, err := r.Apply(t.Context(), files, ApplyOptions{ChangeClaimShards: true})
+		is.NoErr(err)
+		// The entries that the change drops are told as well.
+		is.Equal(r.peers.versions["127.0.0.1:7000"], report.Version)
+		is.Equal(r.peers.versions["127.0.0.1:20001"], report.Version)
+	})
+}
+
+// TestForeignValue guards against overwriting a configuration that this version of the command does not understand.
+func TestForeignValue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		_, err := r.fake.Store.Put(platform.Object{Kind: ConfigKind, Name: ConfigName, Version: 1,
+			Value: []byte(`{"Operator":"eve","Deployment":{"Colour":1}}`)})
+		is.NoErr(err)
+		_, err = r.LeaveDomain(t.Context(), "South", Options{})
+		is.Equal(CodeOf(err), Rejected)
+	})
+}
+
+// TestFilesKeepState guards against an apply that undoes a domain leave, and one that returns a domain without a ramp.
+func TestFilesKeepState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		files := Files{Base: "../../../examples/kleinkloof/base.ini", Overlay: "../../../examples/kleinkloof/site.ini"}
+		_, err := r.Apply(t.Context(), files, ApplyOptions{})
+		is.NoErr(err)
+		_, err = r.LeaveDomain(t.Context(), "Soweto", Options{})
+		is.NoErr(err)
+		report, err := r.Apply(t.Context(), files, ApplyOptions{})
+		is.NoErr(err)
+		is.Equal(len(report.Changes), 0)
+		old := r.stored(t).Accepted.Deployment
+		next := settings.Normalise(old)
+		next.FailureDomains[2].State = settings.Active
+		r.markReturned(old, &next)
+		is.True(!next.FailureDomains[2].ReturnedAt.IsZero())
+	})
+}
--- /dev/null
+++ b/internal/process/operator/text.go
@@ -0,0 +1,117 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"primrosecourse/pkg/settings"
+)
+
+// WriteText writes the result of a command to out, and what went wrong to errs, for a reader.
+func (r Report) WriteText(out, errs io.Writer) {
+	for _, p := range r.Problems {
+		fmt.Fprintln(errs, p)
+	}
+	switch {
+	case r.Deployment != nil:
+		fmt.Fprintf(out, "# version %d, accepted by %s at %s\n%s", r.Version, r.Operator, stamp(r.At),
+			settings.Format(*r.Deployment))
+	case r.Status != nil:
+		r.Status.writeText(out)
+	default:
+		r.writeChanges(out)
+	}
+	for _, p := range r.NotPushed {
+		fmt.Fprintf(errs, "not pushed to %s\n", p)
+	}
+	for _, p := range r.NotInForce {
+		fmt.Fprintf(errs, "not in force at %s\n", p)
+	}
+	if r.InForce {
+		fmt.Fprintf(out, "version %d is in force at every entry and agent\n", r.Version)
+	}
+	if w := r.Winner; w != nil {
+		fmt.Fprintf(errs, "version %d, accepted by %s at %s, changed:\n", w.Version, w.Operator, stamp(w.At))
+		for _, c := range w.Changes {
+			fmt.Fprintln(errs, " ", c)
+		}
+		if len(w.Changes) == 0 {
+			fmt.Fprintln(errs, "  nothing")
+		}
+	}
+}
+
+func (r Report) writeChanges(out io.Writer) {
+	for _, c := range r.Changes {
+		fmt.Fprintln(out, c)
+	}
+	switch {
+	case r.Outcome != Done && r.Outcome != NotInForce:
+	case r.DryRun:
+		fmt.Fprintf(out, "%d changes to version %d; nothing was accepted\n", len(r.Changes), r.Version)
+	case r.Version == 0:
+		fmt.Fprintln(out, "no problems")
+	case len(r.Changes) == 0:
+		fmt.Fprintf(out, "no change to version %d, accepted by %s at %s\n", r.Version, r.Operator, stamp(r.At))
+	default:
+		fmt.Fprintf(out, "accepted as version %d by %s at %s\n", r.Version, r.Operator, stamp(r.At))
+	}
+}
+
+func (p Part) String() string {
+	text := fmt.Sprintf("%s %s at %s", p.Kind, p.Name, p.Address)
+	if p.ConfigVersion > 0 {
+		text += fmt.Sprintf(", which has version %d", p.ConfigVersion)
+	}
+	if p.Error != "" {
+		text += ": " + oneLine(p.Error)
+	}
+	return text
+}
+
+func (s *Status) writeText(out io.Writer) {
+	fmt.Fprintf(out, "%s: version %d, accepted by %s at %s\n", s.Site, s.Version, s.Operator, stamp(s.At))
+	fmt.Fprintf(out, "in force at %d, behind at %d, no answer from %d entries and agents\n\n", s.InForce, s.Behind,
+		s.Unreachable)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	row := func(cells ...any) {
+		text := make([]string, len(cells))
+		for i, c := range cells {
+			text[i] = fmt.Sprint(c)
+		}
+		fmt.Fprintln(w, strings.Join(text, "\t"))
+	}
+	row("DOMAIN", "REGION", "TARGET", "ENTRIES", "ENDPOINTS", "RUNNING", "QUEUED")
+	for _, d := range s.FailureDomains {
+		row(d.Name, d.Region, d.State, fmt.Sprintf("%d/%d", d.Entries, d.EntriesInAll),
+			fmt.Sprintf("%d/%d", d.Endpoints, d.EndpointsInAll), d.Running, d.Queued)
+	}
+	_ = w.Flush()
+	fmt.Fprintln(out)
+	row("ENDPOINT", "DOMAIN", "SERVES", "TARGET", "STATE", "RUNNING", "QUEUED", "ALLOWANCE", "VERSION", "ERROR")
+	for _, p := range s.Endpoints {
+		row(p.Name, p.FailureDomain, p.Serves, p.Target, p.State, p.Running, p.Queued, p.Allowance, p.ConfigVersion,
+			dash(p.Error))
+	}
+	_ = w.Flush()
+	fmt.Fprintln(out)
+	row("ENTRY", "DOMAIN", "STATE", "RUNNING", "VERSION", "ERROR")
+	for _, p := range s.Entries {
+		row(p.Name, p.FailureDomain, p.State, p.Running, p.ConfigVersion, dash(p.Error))
+	}
+	_ = w.Flush()
+}
+
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return oneLine(text)
+}
+
+func oneLine(text string) string { return strings.Join(strings.Fields(text), " ") }
+
+func stamp(at time.Time) string { return at.UTC().Format(time.RFC3339) }
--- /dev/null
+++ b/pkg/settings/format.go
@@ -0,0 +1,54 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// Format returns d as INI in canonical order with every key that has a value. Parse reads it back, but for
+// FailureDomain.ReturnedAt, which only commands set.
+func Format(d Deployment) []byte {
+	d = canonical(d)
+	var b bytes.Buffer
+	formatSection(&b, sectionID{kind: "Site"}, reflect.ValueOf(siteSection{Name: d.Site}))
+	forEachSection(reflect.ValueOf(d), func(kind string, section reflect.Value) {
+		id := sectionID{kind: kind}
+		if sectionKinds[kind].named() {
+			id.name = section.FieldByName("Name").String()
+		}
+		formatSection(&b, id, section)
+	})
+	return b.Bytes()
+}
+
+func formatSection(b *bytes.Buffer, id sectionID, section reflect.Value) {
+	if b.Len() > 0 {
+		b.WriteByte('\n')
+	}
+	fmt.Fprintf(b, "[%s]\n", id)
+	kind := sectionKinds[id.kind]
+	for i := range section.NumField() {
+		key, v := section.Type().Field(i).Name, section.Field(i)
+		rule, ok := kind.keys[key]
+		if !ok || isEmpty(v) {
+			continue
+		}
+		fmt.Fprintf(b, "%s = %s\n", key, quote(formatValue(v, rule.size)))
+	}
+}
+
+// quote puts a value in quotes if it would otherwise be read as a comment or lose its own quotes.
+func quote(text string) string {
+	if !strings.Contains(text, " #") && !strings.Contains(text, " ;") && !strings.ContainsAny(text[:1], "'\"`#; ") &&
+		!strings.HasSuffix(text, " ") {
+		return text
+	}
+	for _, q := range []string{`"`, `'`} {
+		if !strings.Contains(text, q) {
+			return q + text + q
+		}
+	}
+	return text
+}
--- a/pkg/settings/fuzz_test.go
+++ b/pkg/settings/fuzz_test.go
@@ -47,6 +47,10 @@
 		if diff := Diff(d, back); len(diff) > 0 {
 			t.Fatalf("changed by the round trip: %v", diff)
 		}
+		again, err := Parse(Source{File: "base.ini", Content: Format(d)})
+		if diff := Diff(d, again); err != nil || len(diff) > 0 {
+			t.Fatalf("changed by Format: %v %v", diff, err)
+		}
 	})
 }
 
