--- /dev/null
+++ b/internal/connection/peer/client.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"primrosecourse/pkg/wire"
+)
+
+const dialTimeout = 2 * time.Second
+
+// Dial connects to a peer address over TCP.
+func Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", addr.String())
+}
+
+// Client is one subscription to a peer. Fields are set before Run.
+type Client struct {
+	Name          string
+	FailureDomain string
+	Incarnation   uint64
+	Address       netip.AddrPort
+	Config        Config
+	// Marks relays marks; optional.
+	Marks *Relay
+	Log   logr.Logger
+	// Dial connects. Default Dial.
+	Dial func(context.Context, netip.AddrPort) (net.Conn, error)
+	// OnHello is called with the peer's greeting, OnPush with each push that was offered to Config. Both are optional
+	// and must not block.
+	OnHello func(wire.Hello)
+	OnPush  func(wire.ConfigPush)
+}
+
+// Run connects once and serves the connection until it ends or ctx is done. The error tells why it ended: that of the
+// dial, ErrGoodbye, ErrProtocol, ErrSlow or that of the connection.
+func (c *Client) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrapf(err, "peer: %s", c.Address) }()
+	dial := c.Dial
+	if dial == nil {
+		dial = Dial
+	}
+	netConn, err := dial(ctx, c.Address)
+	if err != nil {
+		return err
+	}
+	conn := wire.NewConn(netConn)
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	own := wire.Hello{
+		Protocol: wire.ProtocolVersion, Name: c.Name, FailureDomain: c.FailureDomain, Incarnation: c.Incarnation,
+		ConfigVersion: c.Config.Version(),
+	}
+	hello, err := greet(conn, own, true)
+	if !stop() {
+		return errors.WithStack(ctx.Err())
+	}
+	if err != nil {
+		return err
+	}
+	if c.OnHello != nil {
+		c.OnHello(hello)
+	}
+	session := &session{
+		conn: conn, peer: hello, config: c.Config, marks: c.Marks, log: c.Log, heard: c.OnPush,
+	}
+	return session.run(ctx)
+}
--- a/internal/event/id_string.go
+++ b/internal/event/id_string.go
@@ -12,6 +12,17 @@
 	_ = x[AgentStopped-2001]
 	_ = x[ConfigStarted-3000]
 	_ = x[ConfigStopped-3001]
+	_ = x[ConfigReady-3002]
+	_ = x[ConfigAccepted-3003]
+	_ = x[ConfigInvalid-3004]
+	_ = x[ConfigReadFailed-3005]
+	_ = x[ConfigWatchGap-3006]
+	_ = x[ConfigDirectRead-3007]
+	_ = x[ConfigWatching-3008]
+	_ = x[PeerConnected-3009]
+	_ = x[PeerClosed-3010]
+	_ = x[PeerRefused-3011]
+	_ = x[PeerContentSent-3012]
 	_ = x[EntryStarted-1000]
 	_ = x[EntryStopped-1001]
 	_ = x[OrderStarted-4000]
@@ -29,7 +40,7 @@
 	_ID_name_0 = "EntryStartedEntryStopped"
 	_ID_name_1 = "AgentStartedAgentStopped"
 	_ID_name_2 = "AgentFetchDecidedAgentFetchFailedAgentStoreFailedAgentExportedAgentExportFailed"
-	_ID_name_3 = "ConfigStartedConfigStopped"
+	_ID_name_3 = "ConfigStartedConfigStoppedConfigReadyConfigAcceptedConfigInvalidConfigReadFailedConfigWatchGapConfigDirectReadConfigWatchingPeerConnectedPeerClosedPeerRefusedPeerContentSent"
 	_ID_name_4 = "OrderStartedOrderStopped"
 	_ID_name_5 = "StandinStartedStandinStopped"
 )
@@ -38,7 +49,7 @@
 	_ID_index_0 = [...]uint8{0, 12, 24}
 	_ID_index_1 = [...]uint8{0, 12, 24}
 	_ID_index_2 = [...]uint8{0, 17, 33, 49, 62, 79}
-	_ID_index_3 = [...]uint8{0, 13, 26}
+	_ID_index_3 = [...]uint8{0, 13, 26, 37, 51, 64, 80, 94, 110, 124, 137, 147, 158, 173}
 	_ID_index_4 = [...]uint8{0, 12, 24}
 	_ID_index_5 = [...]uint8{0, 14, 28}
 )
@@ -54,7 +65,7 @@
 	case 2900 <= i && i <= 2904:
 		i -= 2900
 		return _ID_name_2[_ID_index_2[i]:_ID_index_2[i+1]]
-	case 3000 <= i && i <= 3001:
+	case 3000 <= i && i <= 3012:
 		i -= 3000
 		return _ID_name_3[_ID_index_3[i]:_ID_index_3[i+1]]
 	case 4000 <= i && i <= 4001:
