--- /dev/null
+++ b/internal/connection/agent/pool_test.go
@@ -0,0 +1,221 @@
+package agent_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"primrosecourse/internal/connection/agent"
+	"primrosecourse/pkg/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Guards against answers that are short, repeated or mixed up when messages are duplicated, crossed or late.
+func TestStreamTakesOnlyItsOwnMessagesInTurn(t *testing.T) {
+	run(t, func(_ *testing.T, n *network) {
+		stream, c, sent := n.submit(wire.Submit{Given: []uint32{1, 2}, Model: "M"})
+		n.is.Equal(sent.ConfigVersion, uint64(5))
+		id, load := sent.Stream, wire.LoadState{State: wire.StateWarm, Running: 3}
+		n.write(c,
+			wire.Tokens{Stream: id, Index: 2, Tokens: []uint32{'x'}, Text: "x"}, // before Accepted
+			wire.Accepted{Stream: id, CachedTokens: 7, Load: load},
+			wire.Accepted{Stream: id, CachedTokens: 8},
+			wire.Reply{Stream: id},
+			wire.Tokens{Stream: 99, Index: 2, Tokens: []uint32{'y'}, Text: "y"}, // of no stream
+			wire.Tokens{Stream: id, Index: 2, Tokens: []uint32{'a', 'b'}, Text: "ab"},
+			wire.Tokens{Stream: id, Index: 2, Tokens: []uint32{'a', 'b'}, Text: "ab"},
+			wire.Tokens{Stream: id, Index: 3, Tokens: []uint32{'b', 'c'}, Text: "bc"},
+			wire.End{Stream: id, Finish: wire.FinishStop},
+			wire.End{Stream: id, Finish: wire.FinishLost},
+			wire.Tokens{Stream: id, Index: 5, Tokens: []uint32{'z'}, Text: "z"},
+		)
+		n.is.Equal(n.next(stream).(wire.Accepted).CachedTokens, 7)
+		n.is.Equal(n.next(stream).(wire.Tokens).Text, "ab")
+		n.is.Equal(n.next(stream).(wire.Tokens).Text, "c")
+		n.is.Equal(n.next(stream).(wire.End).Finish, wire.FinishStop)
+		n.is.Equal(n.count("AgentMessagesLate"), int64(3))
+		n.is.Equal(n.count("AgentMessagesOutOfTurn"), int64(4))
+		n.is.Equal(n.loads.Get("Model1").Load.Running, 3)
+	})
+}
+
+// Guards against an answer with a hole, and against an entry whose memory a slow caller fills.
+func TestStreamEndsAtGapOrSlowReader(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		batch   []uint32
+		step    int
+		want    error
+		counter string
+	}{
+		{"gap", []uint32{'a'}, 2, agent.ErrGap, "AgentStreamsGap"},
+		{"slow reader", make([]uint32, 500), 500, agent.ErrSlowReader, "AgentStreamsSlowReader"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, func(_ *testing.T, n *network) {
+				stream, c, sent := n.submit(wire.Submit{})
+				got := drain(c)
+				n.write(c, wire.Accepted{Stream: sent.Stream})
+				for i := range 4 {
+					n.write(c, wire.Tokens{Stream: sent.Stream, Index: i * test.step, Tokens: test.batch})
+				}
+				var err error
+				for err == nil {
+					_, err = stream.Next(context.Background())
+				}
+				n.is.True(errors.Is(err, test.want) && errors.Is(err, agent.ErrMayHaveArrived))
+				n.is.Equal(got()[wire.TypeCancel], 1) // the run is stopped, not only its answer
+				n.is.Equal(n.count(test.counter), int64(1))
+			})
+		})
+	}
+}
+
+// Guards against an order counted as not sent although its bytes may have left, and against a caller told "unknown" though
+// nothing was sent.
+func TestFateOfRequest(t *testing.T) {
+	run(t, func(_ *testing.T, n *network) {
+		call := func(ctx context.Context) error {
+			_, err := n.pool.Call(ctx, target, wire.Call{IdempotencyKey: "k"})
+			return err
+		}
+		n.down.Store(true)
+		n.is.True(errors.Is(call(context.Background()), agent.ErrNotSent)) // dial refused
+		n.is.True(errors.Is(call(context.Background()), agent.ErrDown))    // fails at once while it is probed
+		n.down.Store(false)
+		time.Sleep(second)
+		c := <-n.conns
+		results := make(chan error, 2)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { results <- call(ctx) }()
+		synctest.Wait() // the writer is blocked in the first call, of which the agent has read nothing
+		go func() { results <- call(ctx) }()
+		synctest.Wait()
+		cancel()
+		first, second := <-results, <-results
+		if errors.Is(first, agent.ErrNotSent) {
+			first, second = second, first
+		}
+		n.is.True(errors.Is(first, agent.ErrMayHaveArrived) && !errors.Is(first, agent.ErrNotSent))
+		n.is.True(errors.Is(second, agent.ErrNotSent) && !errors.Is(second, agent.ErrMayHaveArrived))
+		got := drain(c)
+		n.is.Equal(got(), map[wire.Type]int{wire.TypeCall: 1, wire.TypeCancel: 1}) // the withdrawn call never leaves
+		go func() { results <- call(context.Background()) }()
+		n.is.Equal(got()[wire.TypeCall], 2)
+		n.is.NoErr(c.Close())
+		err := <-results
+		n.is.True(errors.Is(err, agent.ErrMayHaveArrived) && !errors.Is(err, agent.ErrNotSent))
+	})
+}
+
+// Guards against a request too large for a frame that breaks the streams of others.
+func TestTooLargeRequestIsNotSent(t *testing.T) {
+	run(t, func(_ *testing.T, n *network) {
+		other, c, sent := n.submit(wire.Submit{})
+		drain(c)
+		stream, err := n.pool.Submit(context.Background(), target, wire.Submit{RequestID: strings.Repeat("x", wire.MaxFrameBytes)})
+		n.is.NoErr(err)
+		_, err = stream.Next(context.Background())
+		n.is.True(errors.Is(err, agent.ErrNotSent))
+		n.write(c, wire.Accepted{Stream: sent.Stream})
+		n.next(other)
+	})
+}
+
+// Guards against requests that wait for a paused agent, and an agent that stays out after it woke.
+func TestSilentAgentIsDownAndProbed(t *testing.T) {
+	run(t, func(_ *testing.T, n *network) {
+		stream, c, _ := n.submit(wire.Submit{})
+		pings := drain(c)
+		start := time.Now()
+		n.down.Store(true)
+		_, err := stream.Next(context.Background())
+		n.is.True(errors.Is(err, agent.ErrMayHaveArrived))
+		n.is.Equal(time.Since(start), 2*second)
+		n.is.Equal(pings()[wire.TypePing], 3)
+		n.is.Equal(n.loads.Get("Model1").Load.State, wire.StateDown)
+		time.Sleep(5 * second)
+		dials := n.dials.Load()
+		n.is.True(dials > 4 && dials < 9) // back-off: 0.1 s, 0.2 s, ... 2 s
+		n.down.Store(false)
+		time.Sleep(2 * second)
+		n.is.Equal(n.loads.Get("Model1").Load.State, wire.StateUnknown)
+		drain(<-n.conns)
+		next, err := n.pool.Submit(context.Background(), target, wire.Submit{})
+		n.is.NoErr(err)
+		next.Cancel()
+	})
+}
+
+// Guards against a live agent taken for silent in a long prefill, and against connections kept for nothing.
+func TestHeartbeatAndIdleClose(t *testing.T) {
+	run(t, func(_ *testing.T, n *network) {
+		stream, c, sent := n.submit(wire.Submit{})
+		for range 20 {
+			m, err := c.Read()
+			n.is.NoErr(err)
+			n.is.Equal(m.MessageType(), wire.TypePing)
+			n.write(c, wire.Load{Load: wire.LoadState{State: wire.StateWarm}})
+		}
+		n.write(c, wire.Accepted{Stream: sent.Stream}, wire.End{Stream: sent.Stream})
+		n.next(stream)
+		n.next(stream)
+		start := time.Now()
+		m, err := c.Read()
+		n.is.NoErr(err)
+		n.is.Equal(m, wire.Goodbye{Reason: "idle"})
+		n.is.Equal(time.Since(start), 30*second)
+		synctest.Wait()
+		n.is.Equal(n.loads.Get("Model1").Load.State, wire.StateWarm) // idle is not down
+	})
+}
+
+// Guards against a connection to the wrong process, which would run a request for another endpoint.
+func TestGreeting(t *testing.T) {
+	for name, hello := range map[string]wire.Hello{
+		"other protocol": {Protocol: 2, Name: "Model1"},
+		"other name":     {Protocol: wire.ProtocolVersion, Name: "Model2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(_ *testing.T, n *network) {
+				n.hello = hello
+				answer := make(chan wire.Message, 1)
+				go func() {
+					m, _ := (<-n.conns).Read()
+					answer <- m
+				}()
+				_, err := n.pool.Submit(context.Background(), target, wire.Submit{})
+				n.is.True(errors.Is(err, agent.ErrNotSent))
+				n.is.Equal((<-answer).MessageType(), wire.TypeGoodbye)
+				n.pool.Retain(func(string) bool { return false })
+			})
+		})
+	}
+}
+
+// Guards against two sides that stay on different configurations, and against sending the same one again and again.
+func TestVersionDifferenceIsSettled(t *testing.T) {
+	run(t, func(_ *testing.T, n *network) {
+		n.hello.ConfigVersion = 3
+		_, err := n.pool.Submit(context.Background(), target, wire.Submit{})
+		n.is.NoErr(err)
+		c := <-n.conns
+		got := drain(c)
+		old := wire.Load{Load: wire.LoadState{State: wire.StateWarm, ConfigVersion: 3}}
+		n.write(c, old, old)
+		n.is.Equal(got()[wire.TypeConfigPush], 1)
+		newer := wire.Load{Load: wire.LoadState{State: wire.StateWarm, ConfigVersion: 8}}
+		n.write(c, newer, newer)
+		n.is.Equal(got()[wire.TypeConfigWant], 1)
+		n.write(c, wire.ConfigPush{Version: 8, Content: []byte("{}")})
+		n.is.Equal(n.config.version.Load(), uint64(8))
+		n.write(c, wire.ConfigWant{Version: 7})
+		n.is.Equal(got()[wire.TypeConfigPush], 2)
+	})
+}
--- /dev/null
+++ b/internal/connection/agent/receive.go
@@ -0,0 +1,93 @@
+package agent
+
+import (
+	"time"
+
+	"primrosecourse/internal/event"
+	"primrosecourse/pkg/wire"
+)
+
+// receive passes a message to its stream, and what it tells of the peer to the pool.
+func (c *conn) receive(m wire.Message) {
+	p, name := c.peer.pool, c.peer.target.Name
+	switch m := m.(type) {
+	case wire.Accepted:
+		c.load(m.Load)
+		c.deliver(m.Stream, m)
+	case wire.Refused:
+		c.load(m.Load)
+		c.deliver(m.Stream, m)
+	case wire.Tokens:
+		c.deliver(m.Stream, m)
+	case wire.End:
+		c.load(m.Load)
+		c.deliver(m.Stream, m)
+	case wire.Reply:
+		c.deliver(m.Stream, m)
+	case wire.Load:
+		c.load(m.Load)
+	case wire.Ping:
+		c.send(wire.Load{Stream: m.Stream})
+	case wire.ConfigPush:
+		if len(m.Content) == 0 {
+			c.settle(m.Version)
+			return
+		}
+		if _, err := p.Config.Offer(m); err != nil {
+			event.Error(p.Log, err, event.AgentPushRejected, "endpoint", name, "version", m.Version)
+		}
+	case wire.ConfigWant:
+		if own := p.Config.Push(); own.Version > m.Version {
+			c.send(own)
+		}
+	case wire.Mark:
+		if p.Marks != nil {
+			p.Marks.Add(m, time.Now())
+		}
+	case wire.Goodbye:
+		c.mu.Lock()
+		c.goodbye = true
+		c.mu.Unlock()
+	default:
+		p.outOfTurn.Inc(1)
+	}
+}
+
+func (c *conn) load(load wire.LoadState) {
+	c.peer.pool.report(c.peer.target.Name, load)
+	if load.ConfigVersion > 0 {
+		c.settle(load.ConfigVersion)
+	}
+}
+
+// settle brings the side with the lower configuration version up, once for each version.
+func (c *conn) settle(theirs uint64) {
+	own := c.peer.pool.Config.Push()
+	c.mu.Lock()
+	push := own.Version > theirs && own.Version > c.pushed
+	want := own.Version < theirs && theirs > c.wanted
+	if push {
+		c.pushed = own.Version
+	}
+	if want {
+		c.wanted = theirs
+	}
+	c.mu.Unlock()
+	if push {
+		c.send(own)
+	}
+	if want {
+		c.send(wire.ConfigWant{Version: own.Version})
+	}
+}
+
+func (c *conn) deliver(id uint64, m wire.Message) {
+	c.mu.Lock()
+	s := c.streams[id]
+	c.mu.Unlock()
+	if s == nil {
+		c.peer.pool.late.Inc(1)
+		return
+	}
+	s.push(m)
+}
--- a/internal/event/id_string.go
+++ b/internal/event/id_string.go
@@ -14,6 +14,18 @@
 	_ = x[ConfigStopped-3001]
 	_ = x[EntryStarted-1000]
 	_ = x[EntryStopped-1001]
+	_ = x[AgentUnreachable-1002]
+	_ = x[AgentReachable-1003]
+	_ = x[AgentPushRejected-1004]
+	_ = x[RequestRouted-1005]
+	_ = x[RequestRefused-1006]
+	_ = x[RequestResumed-1007]
+	_ = x[RequestEnded-1008]
+	_ = x[CallRouted-1009]
+	_ = x[EntryReady-1010]
+	_ = x[EntryDraining-1011]
+	_ = x[EntryCutOff-1012]
+	_ = x[EntryConfigApplied-1013]
 	_ = x[OrderStarted-4000]
 	_ = x[OrderStopped-4001]
 	_ = x[AgentFetchDecided-2900]
@@ -26,7 +38,7 @@
 }
 
 const (
-	_ID_name_0 = "EntryStartedEntryStopped"
+	_ID_name_0 = "EntryStartedEntryStoppedAgentUnreachableAgentReachableAgentPushRejectedRequestRoutedRequestRefusedRequestResumedRequestEndedCallRoutedEntryReadyEntryDrainingEntryCutOffEntryConfigApplied"
 	_ID_name_1 = "AgentStartedAgentStopped"
 	_ID_name_2 = "AgentFetchDecidedAgentFetchFailedAgentStoreFailedAgentExportedAgentExportFailed"
 	_ID_name_3 = "ConfigStartedConfigStopped"
@@ -35,7 +47,7 @@
 )
 
 var (
-	_ID_index_0 = [...]uint8{0, 12, 24}
+	_ID_index_0 = [...]uint8{0, 12, 24, 40, 54, 71, 84, 98, 112, 124, 134, 144, 157, 168, 186}
 	_ID_index_1 = [...]uint8{0, 12, 24}
 	_ID_index_2 = [...]uint8{0, 17, 33, 49, 62, 79}
 	_ID_index_3 = [...]uint8{0, 13, 26}
@@ -45,7 +57,7 @@
 
 func (i ID) String() string {
 	switch {
-	case 1000 <= i && i <= 1001:
+	case 1000 <= i && i <= 1013:
 		i -= 1000
 		return _ID_name_0[_ID_index_0[i]:_ID_index_0[i+1]]
 	case 2000 <= i && i <= 2001:
