--- /dev/null
+++ b/cmd/primrosectl/main_test.go
@@ -0,0 +1,242 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"primrosecourse/internal/process/operator"
+	processplatform "primrosecourse/internal/process/platform"
+	"primrosecourse/internal/standin/fault"
+	"primrosecourse/internal/standin/platform"
+	"primrosecourse/pkg/settings"
+	"primrosecourse/pkg/wire"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"primrosectl": main})
+}
+
+// TestScripts guards against a command line whose exit codes, messages or effects differ from docs/operators.md.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"code":  code,
+			"fault": setFault,
+			"rival": armRival,
+			"hold":  hold,
+		},
+	})
+}
+
+type siteKey struct{}
+
+// site is a platform stand-in with the entries and agents that the scripts' settings name.
+type site struct {
+	platform *platform.Server
+	peers    map[string]*peer
+
+	mu sync.Mutex
+	// rival runs before the next write.
+	rival func()
+}
+
+func (s *site) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPut {
+		s.mu.Lock()
+		if s.rival != nil {
+			s.rival()
+			s.rival = nil
+		}
+		s.mu.Unlock()
+	}
+	s.platform.Handler().ServeHTTP(w, r)
+}
+
+// setup starts the site of a script and replaces the names of its parts in the script's INI files by addresses.
+func setup(env *testscript.Env) error {
+	s := &site{platform: platform.NewServer(), peers: map[string]*peer{}}
+	server := httptest.NewServer(s)
+	env.Defer(func() {
+		s.platform.Faults.ClearAll()
+		server.Close()
+	})
+	// The race detector would hold each process for a second at its exit.
+	env.Setenv("GORACE", "atexit_sleep_ms=0")
+	env.Setenv("PLATFORM", strings.TrimPrefix(server.URL, "http://"))
+	replace := []string{}
+	for _, name := range []string{"ENTRY1", "ENTRY2", "MODEL1", "MODEL2"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		s.peers[name] = newPeer(listener)
+		env.Defer(s.peers[name].stop)
+		env.Setenv(name, listener.Addr().String())
+		replace = append(replace, "$"+name, listener.Addr().String())
+	}
+	env.Values[siteKey{}] = s
+	inis, err := filepath.Glob(filepath.Join(env.WorkDir, "*.ini"))
+	if err != nil {
+		return err
+	}
+	for _, file := range inis {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		if err = os.WriteFile(file, []byte(strings.NewReplacer(replace...).Replace(string(content))), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func siteOf(ts *testscript.TestScript) *site { return ts.Value(siteKey{}).(*site) }
+
+// code N COMMAND... runs a command and fails the script unless its exit code is N.
+func code(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	if err = ts.Exec(args[1], args[2:]...); err != nil {
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) {
+			ts.Fatalf("%v", err)
+		}
+		got = exit.ExitCode()
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, not %d", got, want)
+	}
+}
+
+// fault KIND METHOD COUNT fails calls of the platform; fault clear ends that.
+func setFault(ts *testscript.TestScript, _ bool, args []string) {
+	s := siteOf(ts)
+	if args[0] == "clear" {
+		s.platform.Faults.ClearAll()
+		return
+	}
+	var rule fault.Rule
+	ts.Check(rule.Kind.UnmarshalText([]byte(args[0])))
+	rule.Method = args[1]
+	count, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	rule.Count = count
+	s.platform.Faults.Set(rule)
+}
+
+// rival MODEL VERSION lets bob swap a version between the next command's read and its write.
+func armRival(ts *testscript.TestScript, _ bool, args []string) {
+	s := siteOf(ts)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rival = func() {
+		object, err := s.platform.Store.Get(operator.ConfigKind, operator.ConfigName)
+		ts.Check(err)
+		accepted, err := settings.DecodeAccepted(object.Value)
+		ts.Check(err)
+		accepted.Operator, accepted.At = "bob", time.Now()
+		for i := range accepted.Deployment.Models {
+			if accepted.Deployment.Models[i].Name == args[0] {
+				accepted.Deployment.Models[i].Version = args[1]
+			}
+		}
+		value, err := accepted.Encode()
+		ts.Check(err)
+		_, err = s.platform.Store.Put(processplatform.Object{Kind: object.Kind, Name: object.Name, Version: object.Version, Value: value})
+		ts.Check(err)
+	}
+}
+
+// hold NAME lets a part keep its configuration whatever is pushed to it; ! hold NAME ends that.
+func hold(ts *testscript.TestScript, neg bool, args []string) {
+	p := siteOf(ts).peers[args[0]]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held = !neg
+}
+
+// peer answers as an entry or agent does. It takes the version of a ping for its own, as if a neighbour had sent it.
+type peer struct {
+	listener net.Listener
+	stopped  chan struct{}
+
+	mu      sync.Mutex
+	conns   []net.Conn
+	version uint64
+	content []byte
+	held    bool
+}
+
+func newPeer(listener net.Listener) *peer {
+	p := &peer{listener: listener, stopped: make(chan struct{})}
+	go func() {
+		defer close(p.stopped)
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.conns = append(p.conns, conn)
+			p.mu.Unlock()
+			wg.Go(func() { p.serve(wire.NewConn(conn)) })
+		}
+	}()
+	return p
+}
+
+func (p *peer) stop() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	for _, conn := range p.conns {
+		_ = conn.Close()
+	}
+	p.mu.Unlock()
+	<-p.stopped
+}
+
+func (p *peer) serve(c *wire.Conn) {
+	defer c.Close()
+	_ = c.Write(wire.Hello{Protocol: wire.ProtocolVersion, Name: fmt.Sprint(p.listener.Addr())})
+	for {
+		m, err := c.Read()
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		switch m := m.(type) {
+		case wire.ConfigPush:
+			if !p.held && m.Version > p.version {
+				p.version, p.content = m.Version, m.Content
+			}
+		case wire.ConfigWant:
+			_ = c.Write(wire.ConfigPush{Version: p.version, Content: p.content})
+		case wire.Ping:
+			if !p.held {
+				p.version = max(p.version, m.ConfigVersion)
+			}
+			_ = c.Write(wire.Load{Stream: m.Stream, Load: wire.LoadState{State: wire.StateWarm, Allowance: 16,
+				ConfigVersion: p.version}})
+		}
+		p.mu.Unlock()
+	}
+}
