--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -161,6 +161,12 @@
 			c.add(id, other, fmt.Sprintf("a %s has none", e.Kind), "leave it out, or another Kind")
 		}
 	}
+	for _, m := range d.Models {
+		// The version stands in block identities, log lines and on command lines.
+		if m.Version != "" && !namePart.MatchString(m.Version) {
+			c.add(sectionID{"Model", m.Name}, "Version", "malformed version", allowedName)
+		}
+	}
 	for _, s := range d.Services {
 		for _, method := range s.OnceMethods {
 			if !slices.Contains(onceMethods, method) {
