--- a/internal/event/id_string.go
+++ b/internal/event/id_string.go
@@ -10,6 +10,31 @@
 	var x [1]struct{}
 	_ = x[AgentStarted-2000]
 	_ = x[AgentStopped-2001]
+	_ = x[AgentAddressTaken-2002]
+	_ = x[EpochRaised-2003]
+	_ = x[EpochNotRaised-2004]
+	_ = x[AgentFenced-2005]
+	_ = x[EntryConnected-2006]
+	_ = x[EntryDisconnected-2007]
+	_ = x[EntryRejected-2008]
+	_ = x[EntryTooSlow-2009]
+	_ = x[PromptAccepted-2010]
+	_ = x[PromptRefused-2011]
+	_ = x[PromptEnded-2012]
+	_ = x[CallRefused-2013]
+	_ = x[CallEnded-2014]
+	_ = x[EngineTurnedCold-2015]
+	_ = x[EngineDown-2016]
+	_ = x[EngineServing-2017]
+	_ = x[EngineDiffers-2018]
+	_ = x[EngineOrdered-2019]
+	_ = x[EngineOrderFailed-2020]
+	_ = x[RequestSuspected-2021]
+	_ = x[QuarantineNotStored-2022]
+	_ = x[AgentDraining-2023]
+	_ = x[AgentCutOff-2024]
+	_ = x[ConfigRefused-2025]
+	_ = x[LoadPermitMissing-2026]
 	_ = x[ConfigStarted-3000]
 	_ = x[ConfigStopped-3001]
 	_ = x[EntryStarted-1000]
@@ -27,7 +52,7 @@
 
 const (
 	_ID_name_0 = "EntryStartedEntryStopped"
-	_ID_name_1 = "AgentStartedAgentStopped"
+	_ID_name_1 = "AgentStartedAgentStoppedAgentAddressTakenEpochRaisedEpochNotRaisedAgentFencedEntryConnectedEntryDisconnectedEntryRejectedEntryTooSlowPromptAcceptedPromptRefusedPromptEndedCallRefusedCallEndedEngineTurnedColdEngineDownEngineServingEngineDiffersEngineOrderedEngineOrderFailedRequestSuspectedQuarantineNotStoredAgentDrainingAgentCutOffConfigRefusedLoadPermitMissing"
 	_ID_name_2 = "AgentFetchDecidedAgentFetchFailedAgentStoreFailedAgentExportedAgentExportFailed"
 	_ID_name_3 = "ConfigStartedConfigStopped"
 	_ID_name_4 = "OrderStartedOrderStopped"
@@ -36,7 +61,7 @@
 
 var (
 	_ID_index_0 = [...]uint8{0, 12, 24}
-	_ID_index_1 = [...]uint8{0, 12, 24}
+	_ID_index_1 = [...]uint16{0, 12, 24, 41, 52, 66, 77, 91, 108, 121, 133, 147, 160, 171, 182, 191, 207, 217, 230, 243, 256, 273, 289, 308, 321, 332, 345, 362}
 	_ID_index_2 = [...]uint8{0, 17, 33, 49, 62, 79}
 	_ID_index_3 = [...]uint8{0, 13, 26}
 	_ID_index_4 = [...]uint8{0, 12, 24}
@@ -48,7 +73,7 @@
 	case 1000 <= i && i <= 1001:
 		i -= 1000
 		return _ID_name_0[_ID_index_0[i]:_ID_index_0[i+1]]
-	case 2000 <= i && i <= 2001:
+	case 2000 <= i && i <= 2026:
 		i -= 2000
 		return _ID_name_1[_ID_index_1[i]:_ID_index_1[i+1]]
 	case 2900 <= i && i <= 2904:
