--- a/internal/connection/entry/server_test.go
+++ b/internal/connection/entry/server_test.go
@@ -37,10 +37,12 @@
 	h.ended <- m.Stream
 }
 
-func (h *handler) Call(_ context.Context, m wire.Call) wire.Message { return wire.Reply{Stream: m.Stream} }
-func (h *handler) Load() wire.LoadState                             { return wire.LoadState{State: wire.StateWarm} }
-func (h *handler) Mark(m wire.Mark)                                 { h.marks <- m }
-func (h *handler) Marks() []wire.Mark                               { return nil }
+func (h *handler) Call(_ context.Context, m wire.Call) wire.Message {
+	return wire.Reply{Stream: m.Stream}
+}
+func (h *handler) Load() wire.LoadState { return wire.LoadState{State: wire.StateWarm} }
+func (h *handler) Mark(m wire.Mark)     { h.marks <- m }
+func (h *handler) Marks() []wire.Mark   { return nil }
 
 // configuration takes any higher version with content.
 type configuration struct {
--- a/internal/event/id_string.go
+++ b/internal/event/id_string.go
@@ -37,8 +37,31 @@
 	_ = x[LoadPermitMissing-2026]
 	_ = x[ConfigStarted-3000]
 	_ = x[ConfigStopped-3001]
+	_ = x[ConfigReady-3002]
+	_ = x[ConfigAccepted-3003]
+	_ = x[ConfigInvalid-3004]
+	_ = x[ConfigReadFailed-3005]
+	_ = x[ConfigWatchGap-3006]
+	_ = x[ConfigDirectRead-3007]
+	_ = x[ConfigWatching-3008]
+	_ = x[PeerConnected-3009]
+	_ = x[PeerClosed-3010]
+	_ = x[PeerRefused-3011]
+	_ = x[PeerContentSent-3012]
 	_ = x[EntryStarted-1000]
 	_ = x[EntryStopped-1001]
+	_ = x[AgentUnreachable-1002]
+	_ = x[AgentReachable-1003]
+	_ = x[AgentPushRejected-1004]
+	_ = x[RequestRouted-1005]
+	_ = x[RequestRefused-1006]
+	_ = x[RequestResumed-1007]
+	_ = x[RequestEnded-1008]
+	_ = x[CallRouted-1009]
+	_ = x[EntryReady-1010]
+	_ = x[EntryDraining-1011]
+	_ = x[EntryCutOff-1012]
+	_ = x[EntryConfigApplied-1013]
 	_ = x[OrderStarted-4000]
 	_ = x[OrderStopped-4001]
 	_ = x[AgentFetchDecided-2900]
@@ -51,26 +74,26 @@
 }
 
 const (
-	_ID_name_0 = "EntryStartedEntryStopped"
+	_ID_name_0 = "EntryStartedEntryStoppedAgentUnreachableAgentReachableAgentPushRejectedRequestRoutedRequestRefusedRequestResumedRequestEndedCallRoutedEntryReadyEntryDrainingEntryCutOffEntryConfigApplied"
 	_ID_name_1 = "AgentStartedAgentStoppedAgentAddressTakenEpochRaisedEpochNotRaisedAgentFencedEntryConnectedEntryDisconnectedEntryRejectedEntryTooSlowPromptAcceptedPromptRefusedPromptEndedCallRefusedCallEndedEngineTurnedColdEngineDownEngineServingEngineDiffersEngineOrderedEngineOrderFailedRequestSuspectedQuarantineNotStoredAgentDrainingAgentCutOffConfigRefusedLoadPermitMissing"
 	_ID_name_2 = "AgentFetchDecidedAgentFetchFailedAgentStoreFailedAgentExportedAgentExportFailed"
-	_ID_name_3 = "ConfigStartedConfigStopped"
+	_ID_name_3 = "ConfigStartedConfigStoppedConfigReadyConfigAcceptedConfigInvalidConfigReadFailedConfigWatchGapConfigDirectReadConfigWatchingPeerConnectedPeerClosedPeerRefusedPeerContentSent"
 	_ID_name_4 = "OrderStartedOrderStopped"
 	_ID_name_5 = "StandinStartedStandinStopped"
 )
 
 var (
-	_ID_index_0 = [...]uint8{0, 12, 24}
+	_ID_index_0 = [...]uint8{0, 12, 24, 40, 54, 71, 84, 98, 112, 124, 134, 144, 157, 168, 186}
 	_ID_index_1 = [...]uint16{0, 12, 24, 41, 52, 66, 77, 91, 108, 121, 133, 147, 160, 171, 182, 191, 207, 217, 230, 243, 256, 273, 289, 308, 321, 332, 345, 362}
 	_ID_index_2 = [...]uint8{0, 17, 33, 49, 62, 79}
-	_ID_index_3 = [...]uint8{0, 13, 26}
+	_ID_index_3 = [...]uint8{0, 13, 26, 37, 51, 64, 80, 94, 110, 124, 137, 147, 158, 173}
 	_ID_index_4 = [...]uint8{0, 12, 24}
 	_ID_index_5 = [...]uint8{0, 14, 28}
 )
 
 func (i ID) String() string {
 	switch {
-	case 1000 <= i && i <= 1001:
+	case 1000 <= i && i <= 1013:
 		i -= 1000
 		return _ID_name_0[_ID_index_0[i]:_ID_index_0[i+1]]
 	case 2000 <= i && i <= 2026:
@@ -79,7 +102,7 @@
 	case 2900 <= i && i <= 2904:
 		i -= 2900
 		return _ID_name_2[_ID_index_2[i]:_ID_index_2[i+1]]
-	case 3000 <= i && i <= 3001:
+	case 3000 <= i && i <= 3012:
 		i -= 3000
 		return _ID_name_3[_ID_index_3[i]:_ID_index_3[i+1]]
 	case 4000 <= i && i <= 4001:
