--- a/internal/connection/entry/connection.go
+++ b/internal/connection/entry/connection.go
@@ -19,8 +19,10 @@
 	server *Server
 	conn   *wire.Conn
 	*writer
-	peer    wire.Hello
-	streams sync.WaitGroup
+	peer wire.Hello
+	// announced is the highest version announced to the peer. Only the reader uses it.
+	announced uint64
+	streams   sync.WaitGroup
 
 	mu     sync.Mutex
 	cancel map[uint64]context.CancelFunc
@@ -87,7 +89,7 @@
 	s := c.server
 	c.send(wire.Hello{
 		Protocol: wire.ProtocolVersion, Name: s.Name, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation,
-		ConfigVersion: s.Configuration.Push().Version,
+		ConfigVersion: s.Configuration.Version(),
 	})
 	m, err := c.next(ctx, s.HelloTimeout)
 	if err != nil {
@@ -150,10 +152,7 @@
 			event.Error(s.Log, err, event.ConfigRefused, "Entry", c.peer.Name, "Version", m.Version)
 			return nil
 		}
-		// Content that was not taken, during the bootstrap for example, must not be asked for again at once.
-		if version := s.Configuration.Push().Version; len(m.Content) == 0 || version > m.Version {
-			c.compareVersion(m.Version)
-		}
+		c.compareVersion(m.Version)
 	case wire.ConfigWant:
 		if push := s.Configuration.Push(); push.Version > m.Version {
 			c.send(push)
@@ -168,13 +167,17 @@
 	return nil
 }
 
-// compareVersion brings the side with the lower configuration up.
+// compareVersion brings the side with the lower configuration up: it announces a higher version without content, for the
+// peer to ask on one of its connections, and asks for the peer's if no other connection does. At full size the content
+// of one change would otherwise be sent over each of 1,300 connections.
 func (c *connection) compareVersion(version uint64) {
-	switch push := c.server.Configuration.Push(); {
-	case push.Version > version:
-		c.send(push)
-	case push.Version < version:
-		c.send(wire.ConfigWant{Version: push.Version})
+	configuration := c.server.Configuration
+	switch own := configuration.Version(); {
+	case own > version && own > c.announced:
+		c.announced = own
+		c.send(wire.ConfigPush{Version: own, ConfirmedAgo: configuration.Push().ConfirmedAgo})
+	case own < version && configuration.Wants(version):
+		c.send(wire.ConfigWant{Version: own})
 	}
 }
 
--- a/internal/connection/entry/server.go
+++ b/internal/connection/entry/server.go
@@ -30,9 +30,13 @@
 
 // Configuration is the configuration in force. Its methods do not block.
 type Configuration interface {
+	// Version returns the version in force, 0 if there is none.
+	Version() uint64
+	// Wants tells whether the content of a version should be asked for on this connection.
+	Wants(version uint64) bool
 	// Offer takes a configuration from a peer and reports whether it is in force now.
 	Offer(m wire.ConfigPush) (bool, error)
-	// Push returns the configuration in force; its version is 0 if there is none.
+	// Push returns the configuration in force with its content.
 	Push() wire.ConfigPush
 }
 
--- a/internal/connection/entry/server_test.go
+++ b/internal/connection/entry/server_test.go
@@ -60,6 +60,9 @@
 	return true, nil
 }
 
+func (c *configuration) Version() uint64           { return c.Push().Version }
+func (c *configuration) Wants(version uint64) bool { return version > c.Version() }
+
 func (c *configuration) Push() wire.ConfigPush {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -239,14 +242,14 @@
 	is := is.New(t)
 	f := start(t, 0)
 	lower := f.dial(t, wire.Hello{Protocol: wire.ProtocolVersion, ConfigVersion: 4})
-	is.Equal(mustRead[wire.ConfigPush](t, lower).Version, uint64(5))
+	is.Equal(mustRead[wire.ConfigPush](t, lower).Version, uint64(5)) // announced, for the entry to ask
 	higher := f.dial(t, wire.Hello{Protocol: wire.ProtocolVersion, ConfigVersion: 6})
 	is.Equal(mustRead[wire.ConfigWant](t, higher).Version, uint64(5))
 	is.NoErr(higher.Write(wire.ConfigPush{Version: 6, Content: []byte("six")}))
 	is.NoErr(higher.Write(wire.Ping{Stream: 1, ConfigVersion: 6}))
 	mustRead[wire.Load](t, higher)
 	is.NoErr(lower.Write(wire.ConfigWant{Version: 5}))
-	is.Equal(mustRead[wire.ConfigPush](t, lower).Version, uint64(6))
+	is.Equal(string(mustRead[wire.ConfigPush](t, lower).Content), "six")
 	is.NoErr(lower.Write(wire.Mark{Fingerprint: 7}))
 	is.Equal((<-f.marks).Fingerprint, uint64(7))
 }
--- a/internal/process/engine/client.go
+++ b/internal/process/engine/client.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -148,8 +150,13 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.http.Do(req.WithContext(ctx))
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
+		if !connected.Load() {
+			err = errors.Mark(err, ErrNotSent)
+		}
 		return nil, errors.Mark(err, ErrUnreachable)
 	}
 	if resp.StatusCode/100 == 2 {
--- a/internal/process/engine/errors.go
+++ b/internal/process/engine/errors.go
@@ -15,6 +15,9 @@
 	ErrNotFound = errors.New("engine: not found")
 	// ErrFull means that an imported block has no room.
 	ErrFull = errors.New("engine: cache is full")
+	// ErrNotSent means that there was no connection to the engine, so that no byte of the call was sent. It comes with
+	// ErrUnreachable.
+	ErrNotSent = errors.New("engine: not connected")
 	// ErrUnreachable means that no response arrived.
 	ErrUnreachable = errors.New("engine: unreachable")
 	// ErrCut means that a stream ended without its last event.
--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -16,6 +16,7 @@
 //	POST /admin/cut            cuts the running streams and does nothing else
 //	POST /admin/set?Version=v  changes Version, Model or Role without an order
 //	POST /admin/pause, resume  stops and continues the steps of the batch
+//	/fault                     the rules of package fault
 //
 // # Usage
 //
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -8,11 +8,15 @@
 	"time"
 
 	"primrosecourse/internal/process/engine"
+	"primrosecourse/internal/standin/fault"
 	"primrosecourse/pkg/token"
 )
 
 // Engine is one engine. Its methods may be called from any number of goroutines.
 type Engine struct {
+	// Faults fails calls that arrive over Serve.
+	Faults fault.Hook
+
 	settings Settings
 	wake     chan struct{}
 	ordering sync.Mutex // held while an order is carried out
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -13,6 +13,7 @@
 
 	"primrosecourse/internal/process/engine"
 	standin "primrosecourse/internal/standin/engine"
+	"primrosecourse/internal/standin/fault"
 	"primrosecourse/pkg/token"
 )
 
@@ -227,4 +228,16 @@
 	defer cancel()
 	_, err = c.Generate(ctx, request("R1", "p"))
 	is.True(errors.Is(err, engine.ErrUnreachable))
+	is.True(errors.Is(err, engine.ErrNotSent))
+}
+
+// TestReplyLost guards against a run that started and is reported as not sent.
+func TestReplyLost(t *testing.T) {
+	is := is.New(t)
+	e, c := start(t, standin.Settings{})
+	e.Faults.Set(fault.Rule{Kind: fault.ReplyLost, Route: "/generate", Count: 1})
+	_, err := c.Generate(t.Context(), request("R1", "p"))
+	is.True(errors.Is(err, engine.ErrUnreachable))
+	is.True(!errors.Is(err, engine.ErrNotSent))
+	is.Equal(len(e.Ledger().Runs), 1)
 }
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -29,7 +29,10 @@
 		defer close(worked)
 		e.work(ctx)
 	}()
-	server := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	// The ledger and the admin routes are for tests, which must reach them during a fault.
+	handler := e.Faults.Wrap(e.Handler(), "/ledger", "/admin/cold", "/admin/cut", "/admin/set", "/admin/pause",
+		"/admin/resume")
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
 	select {
