--- /dev/null
+++ b/models/blocks.pml
@@ -0,0 +1,164 @@
+/*
+ * Handing over of cache blocks between an engine and a store, with two organisations, two weight versions, eviction
+ * during an export, damage in the store and a version swap at any point. It belongs to internal/version/kvstore
+ * (Prepare, Keep, importBlock, export) and pkg/prefix.
+ *
+ * Property: a run reads only blocks that are whole and that its own organisation's prompt computed with the weight
+ * version that the run was admitted with.
+ *
+ * Mutations: NO_CHECKSUM skips the check of the bytes; NO_ORGANISATION and NO_VERSION leave the organisation or the
+ * version out of the identity and of the reader's check.
+ */
+
+#define ROUNDS 2
+
+#ifdef NO_ORGANISATION
+#define ORG(o) 0
+#else
+#define ORG(o) (o)
+#endif
+#ifdef NO_VERSION
+#define VER(v) 0
+#else
+#define VER(v) (v)
+#endif
+#define ID(o, v) (2 * ORG(o) + VER(v))
+
+typedef Slot {
+	bit present;
+	/* what the header says */
+	bit labelOrg;
+	bit labelVer;
+	/* what the bytes are */
+	bit org;
+	bit ver;
+	bit whole
+}
+
+Slot engine[4];
+Slot store[4];
+bit version = 0;
+
+/* A prompt of organisation o computes its block at the present version. */
+inline compute(o) {
+	atomic {
+		engine[ID(o, version)].present = 1;
+		engine[ID(o, version)].org = o;
+		engine[ID(o, version)].ver = version;
+		engine[ID(o, version)].whole = 1
+	}
+}
+
+/* The bytes leave the engine in two steps; an eviction between them leaves them cut short. */
+inline export(o) {
+	atomic { v = version; id = ID(o, v); present = engine[id].present; org = engine[id].org; ver = engine[id].ver }
+	if
+	:: present ->
+		atomic {
+			whole = engine[id].present && engine[id].whole && engine[id].org == org && engine[id].ver == ver;
+			if
+#ifdef NO_CHECKSUM
+			:: true ->
+#else
+			:: whole ->
+#endif
+				store[id].present = 1;
+				store[id].labelOrg = o;
+				store[id].labelVer = ver;
+				store[id].org = org;
+				store[id].ver = ver;
+				store[id].whole = whole
+			:: else -> skip
+			fi
+		}
+	:: else -> skip
+	fi
+}
+
+/* Fetches a block and gives it to the engine, which may have swapped versions meanwhile. */
+inline import(o) {
+	atomic {
+		v = version;
+		id = ID(o, v);
+		present = store[id].present && ORG(store[id].labelOrg) == ORG(o) && VER(store[id].labelVer) == VER(v);
+#ifndef NO_CHECKSUM
+		present = present && store[id].whole;
+#endif
+		org = store[id].org;
+		ver = store[id].ver;
+		whole = store[id].whole
+	}
+	if
+	:: present ->
+		atomic {
+			if
+			:: VER(v) == VER(version) && !engine[id].present ->
+				engine[id].present = 1;
+				engine[id].org = org;
+				engine[id].ver = ver;
+				engine[id].whole = whole
+			:: else -> skip
+			fi
+		}
+	:: else -> skip
+	fi
+}
+
+/* A run is admitted at a version and reads the block of its prompt. */
+inline serve(o) {
+	atomic {
+		id = ID(o, version);
+		if
+		:: engine[id].present ->
+			assert(engine[id].whole);
+			assert(engine[id].org == o);
+			assert(engine[id].ver == version)
+		:: else -> skip
+		fi
+	}
+}
+
+proctype agent(bit o) {
+	byte rounds = 0;
+	byte id;
+	bit v, present, org, ver, whole;
+	do
+	:: rounds < ROUNDS ->
+		rounds++;
+		if
+		:: compute(o)
+		:: export(o)
+		:: import(o)
+		:: serve(o)
+		fi
+	:: else -> break
+	od;
+	serve(o)
+}
+
+/* Evictions, damage in the store and swaps come at any time. */
+proctype environment() {
+	byte faults = 0;
+	byte i;
+	do
+	:: faults < 3 ->
+		faults++;
+		select(i : 0 .. 3);
+		if
+		:: engine[i].present = 0
+		:: store[i].whole = 0
+		:: version = 1 - version
+		:: store[i].present = 0
+		fi
+	:: break
+	od
+}
+
+init {
+	atomic {
+		run agent(0);
+		run agent(0);
+		run agent(1);
+		run environment()
+	}
+}
