--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -56,4 +56,6 @@
 	ConfigRefused
 	// LoadPermitMissing tells that weights are loaded without a permit because the platform does not answer.
 	LoadPermitMissing
+	// QuarantineStored tells that a mark was written to the platform.
+	QuarantineStored
 )
--- /dev/null
+++ b/internal/process/agent/fixture_test.go
@@ -0,0 +1,359 @@
+package agent_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"go.uber.org/goleak"
+
+	"primrosecourse/internal/process/agent"
+	"primrosecourse/internal/process/engine"
+	"primrosecourse/internal/process/platform/platformtest"
+	standin "primrosecourse/internal/standin/engine"
+	"primrosecourse/internal/version/config"
+	"primrosecourse/pkg/settings"
+	"primrosecourse/pkg/token"
+	"primrosecourse/pkg/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// configuration is a tracker that only the test changes.
+type configuration struct {
+	mu       sync.Mutex
+	snapshot *config.Snapshot
+	changed  chan struct{}
+}
+
+func (c *configuration) set(d settings.Deployment) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.snapshot = &config.Snapshot{Version: c.snapshot.Version + 1, Deployment: &d}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *configuration) Current() *config.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.snapshot
+}
+
+func (c *configuration) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+func (c *configuration) Version() uint64                     { return c.Current().Version }
+func (c *configuration) Wants(version uint64) bool           { return version > c.Version() }
+func (c *configuration) Offer(wire.ConfigPush) (bool, error) { return false, nil }
+
+func (c *configuration) Push() wire.ConfigPush {
+	content, _ := json.Marshal(c.Current().Deployment)
+	return wire.ConfigPush{Version: c.Version(), Content: content}
+}
+
+func deployment(weights string) settings.Deployment {
+	return settings.Deployment{
+		Site:           "Test",
+		FailureDomains: []settings.FailureDomain{{Name: "South"}},
+		Endpoints: []settings.Endpoint{
+			{Name: "Endpoint1", FailureDomain: "South", Model: "M1", BatchLimit: 6, ColdLimit: 2},
+			{Name: "Service1", Kind: settings.ServiceEndpoint, FailureDomain: "South", Service: "Orders"},
+		},
+		Models:        []settings.Model{{Name: "M1", Version: weights, BlockTokens: 8}},
+		Services:      []settings.Service{{Name: "Orders"}},
+		Organisations: []settings.Organisation{{Name: "Org1", Models: []string{"M1"}, Services: []string{"Orders"}}},
+		Limits:        settings.Limits{DrainTimeout: time.Minute},
+	}
+}
+
+// fixture is an agent beside a stand-in of an engine.
+type fixture struct {
+	*agent.Agent
+	t       *testing.T
+	engine  *standin.Engine
+	client  *engine.Client
+	config  *configuration
+	objects *platformtest.Fake
+	stop    context.CancelFunc // begins the graceful shutdown
+	done    chan error
+	mu      sync.Mutex
+	log     strings.Builder
+	logged  chan string // names of events, for waits
+}
+
+// setUp starts the engine and prepares the agent.
+func setUp(t *testing.T, s standin.Settings) *fixture {
+	t.Helper()
+	s.Model, s.Version, s.BlockTokens = "M1", "v1", 8
+	if s.BatchLimit == 0 {
+		s.BatchLimit = 6
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{
+		t: t, engine: standin.New(s), client: engine.New(l.Addr().(*net.TCPAddr).AddrPort()),
+		objects: &platformtest.Fake{}, done: make(chan error, 1), logged: make(chan string, 100_000),
+		config: &configuration{snapshot: &config.Snapshot{}, changed: make(chan struct{})},
+	}
+	f.config.set(deployment("v1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- f.engine.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+		f.client.Close()
+	})
+	f.Agent = &agent.Agent{
+		Name: "Endpoint1", Address: freeAddress(t), FailureDomain: "South", Engine: f.client, Platform: f.objects,
+		Configuration: f.config, ReconcileInterval: 20 * time.Millisecond,
+		Log: funcr.NewJSON(func(line string) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.log.WriteString(line + "\n")
+			var entry struct{ Msg string }
+			_ = json.Unmarshal([]byte(line), &entry)
+			f.logged <- entry.Msg
+		}, funcr.Options{}),
+	}
+	return f
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// run starts the agent. The test ends with a graceful shutdown, unless it made one.
+func (f *fixture) run() *fixture {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	go func() { f.done <- f.Agent.Run(ctx) }()
+	f.t.Cleanup(func() {
+		cancel()
+		f.Abort()
+		if err, open := <-f.done; open && err != nil {
+			f.t.Error(err)
+		}
+	})
+	f.await("AgentStarted")
+	return f
+}
+
+func start(t *testing.T, s standin.Settings) *fixture {
+	t.Helper()
+	f := setUp(t, s).run()
+	f.await("EngineServing")
+	return f
+}
+
+// await waits for a log event.
+func (f *fixture) await(name string) {
+	f.t.Helper()
+	timeout := time.After(time.Minute)
+	for {
+		select {
+		case got := <-f.logged:
+			if got == name {
+				return
+			}
+		case <-timeout:
+			f.t.Fatalf("no event %s in:\n%s", name, f.lines())
+		}
+	}
+}
+
+func (f *fixture) lines() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.log.String()
+}
+
+// peer is an entry's connection.
+type peer struct {
+	f       *fixture
+	conn    *wire.Conn
+	mu      sync.Mutex
+	next    uint64
+	streams map[uint64]chan wire.Message
+	other   chan wire.Message // messages that belong to no stream
+}
+
+func (f *fixture) dial() *peer {
+	f.t.Helper()
+	nc, err := net.Dial("tcp", f.Address.String())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	p := &peer{f: f, conn: wire.NewConn(nc), streams: map[uint64]chan wire.Message{}, other: make(chan wire.Message, 1000)}
+	p.write(wire.Hello{Protocol: wire.ProtocolVersion, Name: "Entry1", ConfigVersion: f.config.Version()})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.read()
+	}()
+	f.t.Cleanup(func() {
+		p.conn.Close()
+		<-ended
+	})
+	return p
+}
+
+func (p *peer) read() {
+	for {
+		m, err := p.conn.Read()
+		if err != nil {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			for _, c := range p.streams {
+				close(c)
+			}
+			p.streams = nil
+			return
+		}
+		var stream uint64
+		switch m := m.(type) {
+		case wire.Accepted:
+			stream = m.Stream
+		case wire.Refused:
+			stream = m.Stream
+		case wire.Tokens:
+			stream = m.Stream
+		case wire.End:
+			stream = m.Stream
+		case wire.Reply:
+			stream = m.Stream
+		}
+		p.mu.Lock()
+		c := p.streams[stream]
+		p.mu.Unlock()
+		if c == nil {
+			c = p.other
+		}
+		c <- m
+	}
+}
+
+func (p *peer) write(m wire.Message) {
+	if err := p.conn.Write(m); err != nil {
+		p.f.t.Error(err)
+	}
+}
+
+// stream is one request of a peer.
+type stream struct {
+	*peer
+	id       uint64
+	messages chan wire.Message
+}
+
+func (p *peer) open() stream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next++
+	s := stream{p, p.next, make(chan wire.Message, 10_000)}
+	if p.streams != nil {
+		p.streams[s.id] = s.messages
+	}
+	return s
+}
+
+// prompt returns a request for the configuration in force.
+func (f *fixture) prompt(id, text string) wire.Submit {
+	v := f.config.Current()
+	return wire.Submit{
+		ConfigVersion: v.Version, Organisation: "Org1", Model: "M1", WeightVersion: v.Deployment.Models[0].Version,
+		Prompt: token.Encode(text), MaxTokens: 8, RequestID: id, Fingerprint: standin.Fingerprint(token.Encode(text)),
+	}
+}
+
+func (p *peer) submit(m wire.Submit) stream {
+	s := p.open()
+	m.Stream = s.id
+	p.write(m)
+	return s
+}
+
+// accepted waits until the request is accepted.
+func (s stream) accepted() wire.Accepted {
+	s.f.t.Helper()
+	return receive[wire.Accepted](s.f.t, s.messages)
+}
+
+// finish returns the tokens received and the last message, End or Refused.
+func (s stream) finish() (tokens []uint32, last wire.Message) {
+	for m := range s.messages {
+		switch m := m.(type) {
+		case wire.Tokens:
+			tokens = append(tokens, m.Tokens...)
+		case wire.End, wire.Refused:
+			return tokens, m
+		}
+	}
+	return tokens, nil
+}
+
+func (s stream) refused() wire.Refused {
+	s.f.t.Helper()
+	return receive[wire.Refused](s.f.t, s.messages)
+}
+
+func (s stream) end() wire.End {
+	s.f.t.Helper()
+	_, last := s.finish()
+	end, ok := last.(wire.End)
+	if !ok {
+		s.f.t.Fatalf("got %#v", last)
+	}
+	return end
+}
+
+func receive[T wire.Message](t *testing.T, c <-chan wire.Message) T {
+	t.Helper()
+	for {
+		select {
+		case m, open := <-c:
+			if typed, ok := m.(T); ok {
+				return typed
+			}
+			if !open || c == nil {
+				t.Fatal("the connection ended")
+			}
+			if _, skip := m.(wire.ConfigPush); !skip {
+				if _, skip = m.(wire.Hello); !skip {
+					t.Fatalf("got %#v", m)
+				}
+			}
+		case <-time.After(time.Minute):
+			t.Fatal("no message")
+		}
+	}
+}
+
+// answer returns the whole answer to a prompt.
+func answer(text string, n int) []uint32 {
+	tokens := make([]uint32, n)
+	for i := range tokens {
+		tokens[i] = standin.Answer(standin.Fingerprint(token.Encode(text)), i)
+	}
+	return tokens
+}
--- /dev/null
+++ b/internal/process/agent/interfaces.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"context"
+
+	"primrosecourse/internal/connection/entry"
+	"primrosecourse/internal/process/engine"
+	"primrosecourse/internal/process/platform"
+	"primrosecourse/internal/version/config"
+	"primrosecourse/pkg/prefix"
+	"primrosecourse/pkg/wire"
+)
+
+// Engine is the model engine beside the agent; engine.Client implements it.
+type Engine interface {
+	Health(ctx context.Context) (engine.Health, error)
+	Generate(ctx context.Context, req engine.Request) (*engine.Run, error)
+	Cancel(ctx context.Context, requestID string) error
+	Order(ctx context.Context, o engine.Order) error
+}
+
+// Platform is the part of the platform's API that the agent uses.
+type Platform interface {
+	Get(ctx context.Context, kind, name string) (platform.Object, error)
+	Put(ctx context.Context, obj platform.Object) (version uint64, err error)
+	Delete(ctx context.Context, kind, name string, version uint64) error
+	List(ctx context.Context, kind, prefix string) ([]platform.Object, error)
+}
+
+// Configuration is the configuration in force; config.Tracker implements it.
+type Configuration interface {
+	entry.Configuration
+	// Current returns the version in force, nil if there is none.
+	Current() *config.Snapshot
+	// Changed returns a channel that is closed when the version in force rises; taken before Current is read.
+	Changed() <-chan struct{}
+}
+
+// Orders runs the calls that may not be repeated.
+type Orders interface {
+	// Execute runs a call at most once for its organisation and key, and returns wire.Reply or wire.Refused. A call
+	// that was sent is not given up when ctx ends.
+	Execute(ctx context.Context, call wire.Call) wire.Message
+}
+
+// Service runs the calls that may be repeated.
+type Service interface {
+	Do(ctx context.Context, call wire.Call) (wire.Reply, error)
+}
+
+// Permits bounds the weight loads at a time in the site.
+type Permits interface {
+	// Acquire waits for a permit until ctx is done. The permit must be released.
+	Acquire(ctx context.Context) (release func(), err error)
+}
+
+// Blocks moves cache blocks between the engine and the stores.
+type Blocks interface {
+	// Prepare imports blocks of a prompt that the engine lacks, and returns the number of their tokens.
+	Prepare(ctx context.Context, weightVersion, organisation string, ids []prefix.ID) (fetchedTokens int)
+	// Keep takes notice of blocks that a run used.
+	Keep(weightVersion, organisation string, ids []prefix.ID)
+}
--- /dev/null
+++ b/internal/process/agent/mark.go
@@ -0,0 +1,171 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/platform"
+	"primrosecourse/pkg/quarantine"
+	"primrosecourse/pkg/wire"
+)
+
+// QuarantineKind is the kind of the objects that hold marks; they are named by the fingerprint in hexadecimal digits.
+const QuarantineKind = "Quarantine"
+
+const (
+	// markQueueLength bounds the marks that wait to be written; a crash makes as many as the batch has runs.
+	markQueueLength = 512
+	// maxMarksRead bounds the marks that a starting agent reads from the platform.
+	maxMarksRead = 256
+	// markTries bounds the tries to write a mark. The connected entries know it already.
+	markTries = 5
+)
+
+// quarantineObject is the value of an object of QuarantineKind.
+type quarantineObject struct {
+	Endpoints []string
+	Expires   time.Time
+}
+
+// suspect marks a prompt that was running when the engine crashed, and spreads the mark.
+func (a *Agent) suspect(p *prompt) {
+	if p.Fingerprint == 0 {
+		return
+	}
+	now := time.Now()
+	a.mu.Lock()
+	mark := a.table.Crashed(now, p.Fingerprint, a.Name)
+	a.mu.Unlock()
+	a.count("suspects")
+	event.Info(a.Log, event.RequestSuspected, "RequestID", p.RequestID, "Organisation", p.Organisation,
+		"Fingerprint", fingerprintName(p.Fingerprint), "Endpoints", mark.Endpoints)
+	message := toWire(mark, now)
+	a.server.Broadcast(message)
+	if a.SpreadMark != nil {
+		a.SpreadMark(message)
+	}
+	select {
+	case a.marks <- message:
+	default:
+		event.Info(a.Log, event.QuarantineNotStored, "Fingerprint", fingerprintName(p.Fingerprint), "Reason", "queue full")
+	}
+}
+
+// Mark implements entry.Handler.
+func (a *Agent) Mark(m wire.Mark) {
+	a.init()
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.table.Merge(now, quarantine.Mark{Fingerprint: m.Fingerprint, Endpoints: m.Endpoints, Expires: now.Add(m.Remaining)})
+}
+
+// Marks implements entry.Handler.
+func (a *Agent) Marks() []wire.Mark {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	marks := a.table.Marks(now)
+	messages := make([]wire.Mark, len(marks))
+	for i, m := range marks {
+		messages[i] = toWire(m, now)
+	}
+	return messages
+}
+
+func toWire(m quarantine.Mark, now time.Time) wire.Mark {
+	return wire.Mark{Fingerprint: m.Fingerprint, Endpoints: m.Endpoints, Remaining: m.Expires.Sub(now)}
+}
+
+func fingerprintName(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
+
+// writeMarks writes marks to the platform until ctx is done.
+func (a *Agent) writeMarks(ctx context.Context) {
+	for {
+		select {
+		case m := <-a.marks:
+			if a.Platform != nil {
+				a.writeMark(ctx, m)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) writeMark(ctx context.Context, m wire.Mark) {
+	expires := time.Now().Add(m.Remaining)
+	var err error
+	for try := range markTries {
+		if err = a.tryWriteMark(ctx, m, expires); err == nil {
+			event.Info(a.Log, event.QuarantineStored, "Fingerprint", fingerprintName(m.Fingerprint))
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		pause(ctx, 100*time.Millisecond<<try)
+	}
+	event.Error(a.Log, err, event.QuarantineNotStored, "Fingerprint", fingerprintName(m.Fingerprint))
+}
+
+// tryWriteMark joins the mark with what other agents wrote.
+func (a *Agent) tryWriteMark(ctx context.Context, m wire.Mark, expires time.Time) error {
+	object, value, err := a.readMark(ctx, fingerprintName(m.Fingerprint))
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	if !value.Expires.After(time.Now()) {
+		value.Endpoints = nil
+	}
+	value.Endpoints = append(value.Endpoints, m.Endpoints...)
+	slices.Sort(value.Endpoints)
+	value.Endpoints = slices.Compact(value.Endpoints)
+	value.Expires = expires
+	if object.Value, err = json.Marshal(value); err != nil {
+		return err
+	}
+	_, err = a.Platform.Put(ctx, object)
+	return err
+}
+
+func (a *Agent) readMark(ctx context.Context, name string) (object platform.Object, value quarantineObject, err error) {
+	object, err = a.Platform.Get(ctx, QuarantineKind, name)
+	if err != nil {
+		return platform.Object{Kind: QuarantineKind, Name: name}, value, err
+	}
+	// A value that cannot be read is written anew.
+	_ = json.Unmarshal(object.Value, &value)
+	return object, value, nil
+}
+
+// readMarks learns the marks in force at the start and deletes expired ones. Without the platform the agent learns
+// marks from entries only.
+func (a *Agent) readMarks(ctx context.Context) {
+	objects, err := a.Platform.List(ctx, QuarantineKind, "")
+	if err != nil {
+		return
+	}
+	for _, object := range objects[:min(len(objects), maxMarksRead)] {
+		fingerprint, err := strconv.ParseUint(object.Name, 16, 64)
+		if err != nil || ctx.Err() != nil {
+			continue
+		}
+		found, value, err := a.readMark(ctx, object.Name)
+		if err != nil {
+			continue
+		}
+		if remaining := time.Until(value.Expires); remaining > 0 {
+			a.Mark(wire.Mark{Fingerprint: fingerprint, Endpoints: value.Endpoints, Remaining: remaining})
+		} else {
+			_ = a.Platform.Delete(ctx, QuarantineKind, object.Name, found.Version)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/agent/view.go
@@ -0,0 +1,95 @@
+package agent
+
+import (
+	"time"
+
+	"primrosecourse/internal/version/config"
+	"primrosecourse/pkg/settings"
+)
+
+// view is what one version of the configuration says about this endpoint. It never changes.
+type view struct {
+	snapshot      *config.Snapshot
+	endpoint      *settings.Endpoint // nil if the configuration does not name it
+	model         *settings.Model    // nil if it serves none that is configured
+	service       *settings.Service
+	leaving       bool
+	organisations map[string]*settings.Organisation
+}
+
+func (v *view) version() uint64 { return v.snapshot.Version }
+
+func newView(s *config.Snapshot, name string) *view {
+	d := s.Deployment
+	v := &view{snapshot: s, organisations: make(map[string]*settings.Organisation, len(d.Organisations))}
+	for i := range d.Organisations {
+		v.organisations[d.Organisations[i].Name] = &d.Organisations[i]
+	}
+	for i := range d.Endpoints {
+		if d.Endpoints[i].Name == name {
+			v.endpoint = &d.Endpoints[i]
+		}
+	}
+	if v.endpoint == nil {
+		return v
+	}
+	v.leaving = v.endpoint.State == settings.Leaving
+	for _, domain := range d.FailureDomains {
+		if domain.Name == v.endpoint.FailureDomain && domain.State == settings.Leaving {
+			v.leaving = true
+		}
+	}
+	for i := range d.Models {
+		if d.Models[i].Name == v.endpoint.Model {
+			v.model = &d.Models[i]
+		}
+	}
+	for i := range d.Services {
+		if d.Services[i].Name == v.endpoint.Service {
+			v.service = &d.Services[i]
+		}
+	}
+	return v
+}
+
+// current returns the view of the configuration in force, nil if there is none.
+func (a *Agent) current() *view {
+	s := a.Configuration.Current()
+	if s == nil || s.Deployment == nil {
+		return nil
+	}
+	v := a.view.Load()
+	if v == nil || v.snapshot != s {
+		v = newView(s, a.Name)
+		a.view.Store(v)
+	}
+	return v
+}
+
+// The defaults of settings that a configuration may leave out.
+const (
+	defaultDrainTimeout = 30 * time.Second
+	defaultBlockTokens  = 1024
+)
+
+func (a *Agent) drainTimeout() time.Duration {
+	if v := a.current(); v != nil && v.snapshot.Deployment.Limits.DrainTimeout > 0 {
+		return v.snapshot.Deployment.Limits.DrainTimeout
+	}
+	return defaultDrainTimeout
+}
+
+func (v *view) blockTokens() int {
+	if v.model.BlockTokens > 0 {
+		return v.model.BlockTokens
+	}
+	return defaultBlockTokens
+}
+
+// share returns the weight of an organisation in the fair queue.
+func (a *Agent) share(organisation string) float64 {
+	if v := a.current(); v != nil && v.organisations[organisation] != nil {
+		return v.organisations[organisation].Share
+	}
+	return 1
+}
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -7,7 +7,8 @@
 	// Model and Version are loaded at the start; an engine may start without.
 	Model   string
 	Version string
-	Role    string
+	// Role is what the engine does, default "Serve".
+	Role string
 	// BatchLimit is the capacity when warm, default 16; ColdCapacity that of a cold engine, default 2. The engine is warm
 	// after WarmUpRuns first tokens, default BatchLimit-ColdCapacity. WarmStart skips the cold start of the process.
 	BatchLimit   int
@@ -55,6 +56,7 @@
 	setDefault(&s.BlockTokens, 1024)
 	setDefault(&s.BlockBytes, 1024)
 	setDefault(&s.CrashMarker, "CRASH-ENGINE")
+	setDefault(&s.Role, "Serve")
 	return s
 }
 
--- a/pkg/warmup/allowance.go
+++ b/pkg/warmup/allowance.go
@@ -56,9 +56,17 @@
 // NeedsSign reports whether a submission at now must be preceded by Observe: the last sign is too old, the engine is
 // still cold, so that its capacity may differ from the allowance, or it reported runs of somebody else.
 func (a *Allowance) NeedsSign(now time.Time) bool {
-	return !a.known || now.Sub(a.signAt) > a.settings.SignAge || a.Cold() || a.foreign > 0
+	return !a.Fresh(now) || a.Cold() || a.foreign > 0
 }
 
+// Fresh reports whether the last sign is recent enough for a submission at now.
+func (a *Allowance) Fresh(now time.Time) bool {
+	return a.known && now.Sub(a.signAt) <= a.settings.SignAge
+}
+
+// Incarnation returns the last incarnation seen, 0 before the first sign.
+func (a *Allowance) Incarnation() uint64 { return a.incarnation }
+
 // Observe takes a report of the engine. It reports whether the engine turned out to be another incarnation.
 func (a *Allowance) Observe(now time.Time, s Sign) (restarted bool) {
 	restarted = a.sign(now, s.Incarnation)
@@ -126,3 +134,15 @@
 	a.capacity, a.running, a.foreign = 0, 0, 0
 	return restarted
 }
+
+// SetLimits changes the limits; values of 0 or less stay. A warm engine whose batch limit rises has to grow to it.
+func (a *Allowance) SetLimits(batch, cold int) {
+	if batch > 0 {
+		a.settings.BatchLimit = batch
+	}
+	if cold > 0 {
+		a.settings.ColdLimit = cold
+	}
+	a.settings.ColdLimit = min(a.settings.ColdLimit, a.settings.BatchLimit)
+	a.limit = min(a.limit, a.settings.BatchLimit)
+}
