--- a/internal/process/agent/fixture_test.go
+++ b/internal/process/agent/fixture_test.go
@@ -182,6 +182,13 @@
 	}
 }
 
+// queued waits until n requests wait in the queue.
+func (f *fixture) queued(n int) {
+	for f.Load().Queued != n {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (f *fixture) lines() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/process/agent/keep_test.go
@@ -0,0 +1,214 @@
+package agent_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"primrosecourse/internal/process/agent"
+	"primrosecourse/internal/process/engine"
+	"primrosecourse/internal/process/platform/platformtest"
+	standin "primrosecourse/internal/standin/engine"
+	"primrosecourse/internal/standin/fault"
+	"primrosecourse/pkg/wire"
+)
+
+// TestSwapDuringRuns guards against a swap that cuts runs, and new requests on old weights or with their blocks.
+func TestSwapDuringRuns(t *testing.T) {
+	is := is.New(t)
+	f := start(t, standin.Settings{WarmStart: true})
+	p := f.dial()
+	const text = "a shared prompt of several blocks"
+	is.Equal(p.submit(f.prompt("R1", text)).end().Finish, wire.FinishLength)
+	old := f.prompt("R2", text)
+	f.engine.Pause(true)
+	running := p.submit(old)
+	is.True(running.accepted().CachedTokens > 0)
+
+	f.config.set(deployment("v2"))
+	f.await("EngineOrdered")
+	f.await("EngineServing")
+	is.Equal(p.submit(old).refused().Reason, wire.ReasonOldConfig)
+	old.ConfigVersion = f.config.Version()
+	is.Equal(p.submit(old).refused().Reason, wire.ReasonWrongVersion)
+	swapped := p.submit(f.prompt("R3", text))
+	is.Equal(swapped.accepted().CachedTokens, 0)
+	f.engine.Pause(false)
+	is.Equal(running.end().Finish, wire.FinishLength)
+	is.Equal(swapped.end().Finish, wire.FinishLength)
+	for _, run := range f.engine.Ledger().Runs {
+		is.Equal(run.ForeignBlocks, 0)
+		is.Equal(run.Version == "v2", run.RequestID == "R3")
+	}
+}
+
+// TestSwapWithQueue guards against queued requests of the old version that run on the new one.
+func TestSwapWithQueue(t *testing.T) {
+	is := is.New(t)
+	f := start(t, standin.Settings{})
+	f.engine.Pause(true)
+	p := f.dial()
+	for _, id := range []string{"R1", "R2"} {
+		p.submit(f.prompt(id, id)).accepted()
+	}
+	queued := p.submit(f.prompt("R3", "R3"))
+	f.queued(1)
+	f.config.set(deployment("v2"))
+	is.Equal(queued.refused().Reason, wire.ReasonWrongVersion)
+}
+
+// TestReadBack guards against work on an engine that serves something else than the configuration says.
+func TestReadBack(t *testing.T) {
+	for name, change := range map[string]func(e *standin.Engine){
+		"version": func(e *standin.Engine) { e.Set("", "v0", "") },
+		"model":   func(e *standin.Engine) { e.Set("M0", "", "") },
+		"role":    func(e *standin.Engine) { e.Set("", "", "Idle") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, standin.Settings{})
+			f.engine.Faults.Set(fault.Rule{Kind: fault.Refuse, Status: 500, Route: "/orders"})
+			change(f.engine)
+			f.await("EngineOrderFailed")
+			r := f.dial().submit(f.prompt("R1", "text")).refused()
+			is.Equal(r.Reason, wire.ReasonWrongVersion)
+			is.Equal(f.Load().State, wire.StateDown)
+			f.engine.Faults.ClearAll()
+			f.await("EngineServing")
+			is.Equal(f.dial().submit(f.prompt("R2", "text")).end().Finish, wire.FinishLength)
+			is.Equal(len(f.engine.Ledger().Runs), 1)
+		})
+	}
+}
+
+// pausedEngine holds orders back like a process that was stopped right before it sent them.
+type pausedEngine struct {
+	agent.Engine
+	ordering chan engine.Order
+	resume   chan struct{}
+}
+
+func (e *pausedEngine) Order(ctx context.Context, o engine.Order) error {
+	e.ordering <- o
+	<-e.resume
+	return e.Engine.Order(ctx, o)
+}
+
+// TestPausedAgent guards against orders of a paused agent that wakes up after its successor gave newer ones.
+func TestPausedAgent(t *testing.T) {
+	// An engine that checks refuses the order, although the successor has another address here. For one that ignores
+	// epochs, the successor must not start before the paused agent is gone.
+	for _, checks := range []bool{true, false} {
+		t.Run(map[bool]string{true: "engine checks", false: "engine ignores"}[checks], func(t *testing.T) {
+			is := is.New(t)
+			f := setUp(t, standin.Settings{ChecksFencing: checks})
+			paused := &pausedEngine{f.Agent.Engine, make(chan engine.Order, 1), make(chan struct{})}
+			f.Agent.Engine = paused
+			f.config.set(deployment("v2"))
+			f.run()
+			is.Equal((<-paused.ordering).Epoch, uint64(1))
+
+			successor := &fixture{t: t, engine: f.engine, config: f.config, done: make(chan error, 1),
+				logged: make(chan string, 100_000)}
+			log := logr.New(logSink{successor.logged})
+			successor.Agent = &agent.Agent{
+				Name: f.Name, Address: f.Address, FailureDomain: "South", Engine: f.client, Platform: f.objects,
+				Configuration: f.config, ReconcileInterval: 20 * time.Millisecond, Log: log,
+			}
+			f.config.set(deployment("v3"))
+			if checks {
+				successor.Address = freeAddress(t)
+				successor.run().await("EngineServing")
+				close(paused.resume)
+				is.True(errors.Is(<-f.done, agent.ErrFenced))
+				close(f.done)
+				is.Equal(f.engine.Health().Version, "v3")
+				return
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			successor.stop = cancel
+			go func() { successor.done <- successor.Agent.Run(ctx) }()
+			successor.await("AgentAddressTaken")
+			is.Equal(len(f.engine.Ledger().Orders), 0) // the successor has given none
+			f.Abort()
+			close(paused.resume)
+			is.NoErr(<-f.done)
+			close(f.done)
+			successor.await("EngineServing")
+			cancel()
+			is.NoErr(<-successor.done)
+			orders := f.engine.Ledger().Orders
+			is.Equal(orders[len(orders)-1].Epoch, uint64(2))
+			is.Equal(f.engine.Health().Version, "v3")
+		})
+	}
+}
+
+// logSink passes the names of events on.
+type logSink struct{ names chan string }
+
+func (s logSink) Init(logr.RuntimeInfo)             {}
+func (s logSink) Enabled(int) bool                  { return true }
+func (s logSink) Info(_ int, name string, _ ...any) { s.names <- name }
+func (s logSink) Error(_ error, name string, _ ...any) {
+	s.names <- name
+}
+func (s logSink) WithValues(...any) logr.LogSink { return s }
+func (s logSink) WithName(string) logr.LogSink   { return s }
+
+// TestEpoch guards against an epoch that is not raised, or raised twice after a lost reply, and against an outage of the
+// platform that stops prompts.
+func TestEpoch(t *testing.T) {
+	is := is.New(t)
+	f := setUp(t, standin.Settings{})
+	f.objects.Faults.Set(fault.Rule{Kind: fault.ReplyLost, Method: "PUT", Count: 1})
+	outage := f.objects.Faults.Set(fault.Rule{Kind: fault.Outage, Skip: 1})
+	f.run().await("EngineServing")
+	is.Equal(f.dial().submit(f.prompt("R1", "text")).end().Finish, wire.FinishLength)
+	f.config.set(deployment("v2"))
+	f.await("EpochNotRaised")
+	is.Equal(len(f.engine.Ledger().Orders), 0)
+	f.objects.Faults.Clear(outage)
+	f.await("EngineOrdered")
+	is.Equal(f.engine.Ledger().Orders[0].Epoch, uint64(1))
+}
+
+// TestPermits guards against more weight loads at a time than permits, and a permit that is lost with its holder.
+func TestPermits(t *testing.T) {
+	is := is.New(t)
+	objects := &platformtest.Fake{}
+	var loading, most atomic.Int64
+	done := make(chan error)
+	for i := range 8 {
+		go func() {
+			p := &agent.PlatformPermits{Platform: objects, Holder: string(rune('A' + i)), Log: logr.Discard()}
+			release, err := p.Acquire(t.Context())
+			if err == nil {
+				n := loading.Add(1)
+				for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+				}
+				time.Sleep(time.Millisecond)
+				loading.Add(-1)
+				release()
+			}
+			done <- err
+		}()
+	}
+	for range 8 {
+		is.NoErr(<-done)
+	}
+	is.Equal(most.Load(), int64(2))
+
+	lost := &agent.PlatformPermits{Platform: objects, Holder: "Lost", Slots: 1, Expiry: time.Millisecond}
+	_, err := lost.Acquire(t.Context())
+	is.NoErr(err)
+	next := &agent.PlatformPermits{Platform: objects, Holder: "Next", Slots: 1}
+	release, err := next.Acquire(t.Context())
+	is.NoErr(err)
+	release()
+}
--- a/internal/process/agent/prompt_test.go
+++ b/internal/process/agent/prompt_test.go
@@ -158,11 +158,11 @@
 	suspect := p.submit(other)
 	suspect.accepted()
 	is.Equal(p.submit(bad).refused().Reason, wire.ReasonSuspectRunning)
-	clear := p.submit(f.prompt("Clear", "no suspect"))
-	clear.accepted()
+	unmarked := p.submit(f.prompt("Clear", "no suspect"))
+	unmarked.accepted()
 	f.engine.Pause(false)
 	is.Equal(suspect.end().Finish, wire.FinishLength)
-	is.Equal(clear.end().Finish, wire.FinishLength)
+	is.Equal(unmarked.end().Finish, wire.FinishLength)
 
 	// It is quarantined after it crashed another endpoint.
 	p.write(wire.Mark{Fingerprint: bad.Fingerprint, Endpoints: []string{"Endpoint2"}, Remaining: time.Minute})
