--- a/internal/version/config/snapshot.go
+++ b/internal/version/config/snapshot.go
@@ -1,8 +1,6 @@
 package config
 
 import (
-	"encoding/json"
-
 	"github.com/cockroachdb/errors"
 
 	"primrosecourse/internal/process/platform"
@@ -29,12 +27,13 @@
 	if len(content) > platform.MaxValueBytes {
 		return nil, platform.ErrTooLarge
 	}
-	var d settings.Deployment
-	if err := json.Unmarshal(content, &d); err != nil {
+	accepted, err := settings.DecodeAccepted(content)
+	if err != nil {
 		return nil, errors.Wrap(err, "decode configuration")
 	}
+	d := &accepted.Deployment
 	if d.Site == "" {
 		return nil, errors.New("decode configuration: no Site")
 	}
-	return &Snapshot{Version: version, Deployment: &d, content: content}, nil
+	return &Snapshot{Version: version, Deployment: d, content: content}, nil
 }
--- a/internal/version/kvstore/mover.go
+++ b/internal/version/kvstore/mover.go
@@ -41,7 +41,9 @@
 	Engine Engine
 	// Stores holds the store instances by name.
 	Stores map[string]Store
-	// Costs are those of this endpoint; without a link rate nothing is fetched.
+	// Links holds the rate of each store's link. A store without one is never fetched from.
+	Links map[string]*retention.LinkRate
+	// Costs are those of this endpoint. Its link rate comes from Links.
 	Costs retention.Costs
 	// BlockTokens is the size of a block in tokens. Default 1024.
 	BlockTokens int
@@ -120,10 +122,11 @@
 	}
 	present := m.lookup(ctx, missing)
 	tokens := len(present) * m.blockTokens()
-	fetch := m.Costs.ShouldFetch(tokens)
+	costs := m.costs(present)
+	fetch := costs.ShouldFetch(tokens)
 	event.Info(m.Log, event.AgentFetchDecided, "Organisation", organisation, "Held", held, "Missing", len(missing),
-		"InStore", len(present), "Fetch", fetch, "FetchTime", m.Costs.FetchTime(tokens).String(),
-		"RecomputeTime", m.Costs.RecomputeTime(tokens).String())
+		"InStore", len(present), "Fetch", fetch, "FetchTime", costs.FetchTime(tokens).String(),
+		"RecomputeTime", costs.RecomputeTime(tokens).String())
 	if !fetch {
 		return 0
 	}
@@ -155,6 +158,26 @@
 	}
 }
 
+// costs returns the costs with the rate of the slowest link among the stores of ids.
+func (m *Mover) costs(ids []prefix.ID) retention.Costs {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	costs := m.Costs
+	costs.LinkBytesPerSecond = 0
+	now := time.Now()
+	for i, id := range ids {
+		link := m.Links[m.storeOf(id)]
+		if link == nil {
+			costs.LinkBytesPerSecond = 0
+			return costs
+		}
+		if rate := link.Estimate(now); i == 0 || rate < costs.LinkBytesPerSecond {
+			costs.LinkBytesPerSecond = rate
+		}
+	}
+	return costs
+}
+
 // lookup returns the leading part of ids that stores hold.
 func (m *Mover) lookup(ctx context.Context, ids []prefix.ID) []prefix.ID {
 	ctx, cancel := context.WithTimeout(ctx, defaultTo(m.StoreTimeout, 200*time.Millisecond))
@@ -185,10 +208,17 @@
 
 func (m *Mover) importBlock(ctx context.Context, organisation string, id prefix.ID) (err error) {
 	defer func() { err = errors.Wrap(err, "import block") }()
-	b, err := m.Stores[m.storeOf(id)].Get(ctx, id.String(), organisation, m.version)
+	name := m.storeOf(id)
+	asked := time.Now()
+	b, err := m.Stores[name].Get(ctx, id.String(), organisation, m.version)
 	if err != nil {
 		return err
 	}
+	if link := m.Links[name]; link != nil {
+		m.mu.Lock()
+		link.Observe(len(b.Bytes), time.Since(asked), time.Now())
+		m.mu.Unlock()
+	}
 	return m.Engine.ImportBlock(ctx, b.ID, b.Version, b.Bytes)
 }
 
--- a/internal/version/kvstore/mover_test.go
+++ b/internal/version/kvstore/mover_test.go
@@ -111,7 +111,8 @@
 	m.Engine = e
 	m.Stores = map[string]Store{"Store1": s}
 	m.BlockTokens = 4
-	m.Costs = retention.Costs{PrefillTokensPerSecond: 1000, LinkBytesPerSecond: 1e9, BytesPerToken: 1}
+	m.Costs = retention.Costs{PrefillTokensPerSecond: 1000, BytesPerToken: 1}
+	m.Links = map[string]*retention.LinkRate{"Store1": {Configured: 1e9}}
 	return m, e, s
 }
 
@@ -166,6 +167,17 @@
 	}
 }
 
+// TestSlowLinkIsNotUsed guards against a first token that waits for a link on which computing would win.
+func TestSlowLinkIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	m, _, s := newMover("v1")
+	ids := prefix.Chain("Org1", "v1", token.Encode("abcd"), 4)
+	s.blocks[ids[0].String()] = store.Block{ID: ids[0].String(), Organisation: "Org1", Version: "v1"}
+	m.Links["Store1"].Observe(10, time.Second, time.Now())
+	is.Equal(m.Prepare(context.Background(), "Org1", ids), 0)
+	is.Equal(m.Costs.LinkBytesPerSecond, float64(0))
+}
+
 // TestExportSkipsOtherVersion guards against blocks computed during a swap being stored under the wrong version.
 func TestExportSkipsOtherVersion(t *testing.T) {
 	is := is.New(t)
--- a/pkg/retention/retention_test.go
+++ b/pkg/retention/retention_test.go
@@ -74,3 +74,20 @@
 		tr.Use(uint64(i%100_000), now)
 	}
 }
+
+// TestLinkRate guards against fetching over a link that slowed down, and against never using it again.
+func TestLinkRate(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	l := LinkRate{Configured: 1e9}
+	is.Equal(l.Estimate(now), 1e9)
+	l.Observe(1e6, 10*time.Millisecond, now) // 100 MB/s
+	is.Equal(l.Estimate(now), 1e8)
+	is.True(l.Estimate(now.Add(30*time.Second)) > 5e8)
+	is.True(l.Estimate(now.Add(10*time.Minute)) > 0.99e9)
+	l.Observe(1e9, 100*time.Millisecond, now) // faster than planned: halfway, and never above
+	is.True(l.Estimate(now) > 1e8 && l.Estimate(now) <= 1e9)
+	before := l.Estimate(now)
+	l.Observe(1, time.Microsecond, now)
+	is.Equal(l.Estimate(now), before)
+}
