--- a/internal/connection/agent/conn.go
+++ b/internal/connection/agent/conn.go
@@ -31,10 +31,12 @@
 	streams map[uint64]*Stream
 	// since is when streams was last empty or filled from empty.
 	since time.Time
-	// pushed and wanted are the highest configuration versions sent and asked for, so that each is sent once.
-	pushed, wanted uint64
+	// announced is the highest configuration version that the peer was told of.
+	announced uint64
 
 	lastRead atomic.Int64
+	// written is when the last message was sent. Only the writer uses it.
+	written time.Time
 }
 
 // outgoing is a message in the queue of a connection. Whoever changes its state from queued owns it.
@@ -60,7 +62,7 @@
 		return nil, err
 	}
 	c := &conn{peer: p, wire: wire.NewConn(nc), out: make(chan *outgoing, queueLength), done: make(chan struct{}),
-		streams: make(map[uint64]*Stream), since: time.Now()}
+		streams: make(map[uint64]*Stream), since: time.Now(), written: time.Now()}
 	// Ends the exchange when the pool ends.
 	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
 	defer func() {
@@ -87,7 +89,7 @@
 func (c *conn) greet() error {
 	p := c.peer.pool
 	own := wire.Hello{Protocol: wire.ProtocolVersion, Name: p.Name, FailureDomain: p.FailureDomain, Incarnation: p.Incarnation,
-		ConfigVersion: p.Config.Push().Version}
+		ConfigVersion: p.Config.Version()}
 	if err := c.wire.Write(own); err != nil {
 		return err
 	}
@@ -195,7 +197,8 @@
 
 func (c *conn) writeAll(list []wire.Message) bool {
 	// A peer that takes no bytes for the timeout is as silent as one that sends none.
-	_ = c.wire.NetConn().SetWriteDeadline(time.Now().Add(c.peer.pool.PeerTimeout))
+	c.written = time.Now()
+	_ = c.wire.NetConn().SetWriteDeadline(c.written.Add(c.peer.pool.PeerTimeout))
 	for _, m := range list {
 		err := c.wire.Write(m)
 		if errors.Is(err, wire.ErrFrameTooLarge) {
@@ -252,11 +255,12 @@
 func (c *conn) due() time.Duration {
 	open, since := c.waiting()
 	quiet := time.Since(since)
+	keepAlive := c.peer.pool.KeepAlive - time.Since(c.written)
 	if !open {
-		return max(0, c.peer.pool.IdleTimeout-quiet)
+		return max(0, min(c.peer.pool.IdleTimeout-quiet, keepAlive))
 	}
 	interval := c.peer.pool.HeartbeatInterval
-	return min(interval-quiet%interval, max(0, c.peer.pool.PeerTimeout-quiet))
+	return max(0, min(interval-quiet%interval, c.peer.pool.PeerTimeout-quiet, keepAlive))
 }
 
 func (c *conn) tick() bool {
@@ -268,7 +272,7 @@
 		c.close(errors.Wrapf(errSilent, "for %s", quiet))
 		return false
 	case open && quiet >= p.HeartbeatInterval:
-		return c.writeAll([]wire.Message{wire.Ping{ConfigVersion: p.Config.Push().Version}})
+		return c.ping()
 	case !open && quiet >= p.IdleTimeout:
 		c.mu.Lock()
 		idle := len(c.streams) == 0
@@ -279,10 +283,16 @@
 			c.close(errIdle)
 			return false
 		}
+	case time.Since(c.written) >= p.KeepAlive:
+		return c.ping()
 	}
 	return true
 }
 
+func (c *conn) ping() bool {
+	return c.writeAll([]wire.Message{wire.Ping{ConfigVersion: c.peer.pool.Config.Version()}})
+}
+
 // read delivers what arrives until the connection ends.
 func (c *conn) read() {
 	for {
--- a/internal/connection/agent/fake_test.go
+++ b/internal/connection/agent/fake_test.go
@@ -22,15 +22,21 @@
 
 var target = agent.Target{Name: "Model1", Address: netip.MustParseAddrPort("127.0.0.1:9")}
 
-// config is a configuration of which only the version matters.
-type config struct{ version atomic.Uint64 }
+// config is a configuration of which only the version matters. It asks for each version once.
+type config struct{ version, wanted atomic.Uint64 }
+
+func (c *config) Version() uint64 { return c.version.Load() }
+
+func (c *config) Wants(version uint64) bool { return c.wanted.Swap(version) != version }
 
 func (c *config) Push() wire.ConfigPush {
 	return wire.ConfigPush{Version: c.version.Load(), Content: []byte("{}")}
 }
 
 func (c *config) Offer(push wire.ConfigPush) (bool, error) {
-	c.version.Store(push.Version)
+	if len(push.Content) > 0 {
+		c.version.Store(push.Version)
+	}
 	return true, nil
 }
 
--- a/internal/connection/agent/pool.go
+++ b/internal/connection/agent/pool.go
@@ -24,9 +24,13 @@
 
 // Config is the configuration in force at the entry.
 type Config interface {
-	// Push returns the configuration; its Version is 0 before there is one.
+	// Version returns the version in force, 0 before there is one.
+	Version() uint64
+	// Wants tells whether the content of a version should be asked for now; it is true on one of many connections.
+	Wants(version uint64) bool
+	// Push returns the configuration with its content.
 	Push() wire.ConfigPush
-	// Offer takes a configuration from a peer if it is newer.
+	// Offer takes a configuration from a peer if it is newer. One without content confirms the version.
 	Offer(push wire.ConfigPush) (bool, error)
 }
 
@@ -66,6 +70,9 @@
 	IdleTimeout time.Duration
 	// HeartbeatInterval is the silence after which a waiting connection is pinged. Default 500 ms.
 	HeartbeatInterval time.Duration
+	// KeepAlive is the time without a message to the agent after which it is pinged, whether or not streams are open.
+	// Agents disconnect an entry that they have not heard for 30 s. Default 20 s, which is once in an idle connection.
+	KeepAlive time.Duration
 	// PeerTimeout is the silence after which an agent counts as down. Default 2 s.
 	PeerTimeout time.Duration
 	// BackoffMin and BackoffMax bound the time between two probes. Defaults 100 ms and 2 s.
@@ -97,6 +104,7 @@
 		p.DialTimeout = cmp.Or(p.DialTimeout, time.Second)
 		p.IdleTimeout = cmp.Or(p.IdleTimeout, 30*time.Second)
 		p.HeartbeatInterval = cmp.Or(p.HeartbeatInterval, 500*time.Millisecond)
+		p.KeepAlive = cmp.Or(p.KeepAlive, 20*time.Second)
 		p.PeerTimeout = cmp.Or(p.PeerTimeout, 2*time.Second)
 		p.BackoffMin = cmp.Or(p.BackoffMin, 100*time.Millisecond)
 		p.BackoffMax = cmp.Or(p.BackoffMax, 2*time.Second)
@@ -168,7 +176,7 @@
 func (p *Pool) Submit(ctx context.Context, to Target, s wire.Submit) (*Stream, error) {
 	return p.open(ctx, to, len(s.Given), func(id uint64) []wire.Message {
 		s.Stream = id
-		s.ConfigVersion = cmp.Or(s.ConfigVersion, p.Config.Push().Version)
+		s.ConfigVersion = cmp.Or(s.ConfigVersion, p.Config.Version())
 		if p.Marks != nil {
 			if mark, ok := p.Marks.Find(s.Fingerprint, time.Now()); ok {
 				return []wire.Message{mark, s}
@@ -183,7 +191,7 @@
 func (p *Pool) Call(ctx context.Context, to Target, c wire.Call) (m wire.Message, err error) {
 	stream, err := p.open(ctx, to, isCall, func(id uint64) []wire.Message {
 		c.Stream = id
-		c.ConfigVersion = cmp.Or(c.ConfigVersion, p.Config.Push().Version)
+		c.ConfigVersion = cmp.Or(c.ConfigVersion, p.Config.Version())
 		return []wire.Message{c}
 	})
 	if err != nil {
--- a/internal/connection/agent/pool_test.go
+++ b/internal/connection/agent/pool_test.go
@@ -128,6 +128,23 @@
 	})
 }
 
+// Guards against an agent that drops the connection of a long answer because the entry has nothing to say.
+func TestKeepAliveWhileTokensCome(t *testing.T) {
+	run(t, func(_ *testing.T, n *network) {
+		stream, c, sent := n.submit(wire.Submit{})
+		pings := drain(c)
+		n.write(c, wire.Accepted{Stream: sent.Stream})
+		n.next(stream)
+		for i := range 250 {
+			n.write(c, wire.Tokens{Stream: sent.Stream, Index: i, Tokens: []uint32{'a'}})
+			n.next(stream)
+			time.Sleep(second / 5)
+		}
+		n.is.Equal(pings()[wire.TypePing], 2)
+		stream.Cancel()
+	})
+}
+
 // Guards against requests that wait for a paused agent, and an agent that stays out after it woke.
 func TestSilentAgentIsDownAndProbed(t *testing.T) {
 	run(t, func(_ *testing.T, n *network) {
@@ -169,6 +186,10 @@
 		start := time.Now()
 		m, err := c.Read()
 		n.is.NoErr(err)
+		n.is.Equal(m.MessageType(), wire.TypePing) // agents disconnect an entry that is silent for 30 s
+		n.is.Equal(time.Since(start), 20*second)
+		m, err = c.Read()
+		n.is.NoErr(err)
 		n.is.Equal(m, wire.Goodbye{Reason: "idle"})
 		n.is.Equal(time.Since(start), 30*second)
 		synctest.Wait()
--- a/internal/connection/agent/receive.go
+++ b/internal/connection/agent/receive.go
@@ -29,13 +29,11 @@
 	case wire.Ping:
 		c.send(wire.Load{Stream: m.Stream})
 	case wire.ConfigPush:
-		if len(m.Content) == 0 {
-			c.settle(m.Version)
-			return
-		}
 		if _, err := p.Config.Offer(m); err != nil {
 			event.Error(p.Log, err, event.AgentPushRejected, "endpoint", name, "version", m.Version)
+			return
 		}
+		c.settle(m.Version)
 	case wire.ConfigWant:
 		if own := p.Config.Push(); own.Version > m.Version {
 			c.send(own)
@@ -60,24 +58,22 @@
 	}
 }
 
-// settle brings the side with the lower configuration version up, once for each version.
+// settle brings the side with the lower configuration version up: the peer is told of a higher version, for it to ask on one
+// of its connections, and a higher version of the peer is asked for unless that happened on another connection.
 func (c *conn) settle(theirs uint64) {
-	own := c.peer.pool.Config.Push()
-	c.mu.Lock()
-	push := own.Version > theirs && own.Version > c.pushed
-	want := own.Version < theirs && theirs > c.wanted
-	if push {
-		c.pushed = own.Version
+	config := c.peer.pool.Config
+	own := config.Version()
+	if own < theirs && config.Wants(theirs) {
+		c.send(wire.ConfigWant{Version: own})
 	}
-	if want {
-		c.wanted = theirs
+	c.mu.Lock()
+	announce := own > theirs && own > c.announced
+	if announce {
+		c.announced = own
 	}
 	c.mu.Unlock()
-	if push {
-		c.send(own)
-	}
-	if want {
-		c.send(wire.ConfigWant{Version: own.Version})
+	if announce {
+		c.send(wire.ConfigPush{Version: own, ConfirmedAgo: config.Push().ConfirmedAgo})
 	}
 }
 
--- a/internal/request/caller/call.go
+++ b/internal/request/caller/call.go
@@ -131,6 +131,10 @@
 			return m, nil
 		case wire.Refused:
 			last, next = fromWire(m), m.Redirect
+			if m.Outcome == wire.NotRun && m.Reason == wire.ReasonOldConfig && c.renew(ctx) {
+				next = endpoint
+				continue
+			}
 			if m.Outcome != wire.NotRun || !followed(m.Reason) {
 				return wire.Reply{}, last
 			}
@@ -141,6 +145,17 @@
 	return wire.Reply{}, last
 }
 
+// renew takes the configuration that an agent asked for, once it is there. The owners may be others then; an agent that is
+// not the owner says so.
+func (c *call) renew(ctx context.Context) bool {
+	s := c.h.newer(ctx, c.q.state)
+	if s == nil || s.services[c.service.Name] == nil {
+		return false
+	}
+	c.q.state, c.service, c.message.ConfigVersion = s, s.services[c.service.Name], s.version
+	return true
+}
+
 // followed tells whether a refusal that says "not run" sends a call on to another endpoint.
 func followed(r wire.Reason) bool {
 	switch r {
--- a/internal/request/caller/call_test.go
+++ b/internal/request/caller/call_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 
 	"primrosecourse/internal/connection/agent"
 	"primrosecourse/pkg/claim"
@@ -110,18 +111,36 @@
 	for r := wire.ReasonNone; r <= wire.ReasonInternal; r++ {
 		for outcome, text := range []string{"not run", "ran", "outcome unknown"} {
 			t.Run(fmt.Sprint(r, " ", text), func(t *testing.T) {
-				s := newSite(t)
-				for range 5 { // the same answer from every endpoint
-					s.agents.scripts = append(s.agents.scripts, script{list: []wire.Message{wire.Refused{Reason: r,
-						Outcome: wire.Outcome(outcome), Detail: "why"}}})
-				}
-				w := s.do("POST", "/services/Orders/new", "", "Idempotency-Key: k")
-				a := s.body(w)
-				s.is.Equal([]any{w.Code, a.Status, "Reason" + a.Reason, a.Outcome}, []any{statuses[r], statuses[r], r.String(), text})
-				s.is.Equal(w.Header().Get("Content-Type"), "application/problem+json")
-				temporary := statuses[r] == 503 || statuses[r] == 429
-				s.is.Equal(w.Header().Get("Retry-After") != "", temporary && text == "not run")
+				synctest.Test(t, func(t *testing.T) { // after OldConfig the entry waits for the new version
+					s := newSite(t)
+					for range 5 { // the same answer from every endpoint
+						s.agents.scripts = append(s.agents.scripts, script{list: []wire.Message{wire.Refused{Reason: r,
+							Outcome: wire.Outcome(outcome), Detail: "why"}}})
+					}
+					w := s.do("POST", "/services/Orders/new", "", "Idempotency-Key: k")
+					a := s.body(w)
+					s.is.Equal([]any{w.Code, a.Status, "Reason" + a.Reason, a.Outcome}, []any{statuses[r], statuses[r], r.String(), text})
+					s.is.Equal(w.Header().Get("Content-Type"), "application/problem+json")
+					temporary := statuses[r] == 503 || statuses[r] == 429
+					s.is.Equal(w.Header().Get("Retry-After") != "", temporary && text == "not run")
+				})
 			})
 		}
 	}
 }
+
+// Guards against requests refused because a new configuration reached an agent before the entry.
+func TestRequestsWaitForNewConfiguration(t *testing.T) {
+	s := newSite(t)
+	apply := func(version uint64) script {
+		old := refused(wire.ReasonOldConfig)
+		old.then = func() { s.Apply(version, deployment()) }
+		return old
+	}
+	s.agents.scripts = []script{apply(2), whole, apply(3), created}
+	s.is.Equal(completePrompt(s).Code, 200)
+	s.is.Equal(s.do("POST", "/services/Orders/new", "", "Idempotency-Key: k").Code, 201)
+	s.is.Equal(s.agents.targets[0], s.agents.targets[1]) // the version was refused, not the request
+	s.is.Equal(s.agents.targets[2], s.agents.targets[3])
+	s.is.Equal([]uint64{s.agents.submits[1].ConfigVersion, s.agents.calls[1].ConfigVersion}, []uint64{2, 3})
+}
--- a/internal/request/caller/doc.go
+++ b/internal/request/caller/doc.go
@@ -17,7 +17,7 @@
 //
 // # Usage
 //
-//	h := &caller.Handler{Name: "Entry1", Region: "Region1", Agents: agents, Loads: loads, Log: log}
+//	h := &caller.Handler{Name: "Entry1", FailureDomain: "Domain1", Agents: agents, Loads: loads, Log: log}
 //	h.Apply(version, deployment)
 //	server := &http.Server{Handler: h}
 //	cut := h.Drain(ctx)
--- a/internal/request/caller/fake_test.go
+++ b/internal/request/caller/fake_test.go
@@ -61,6 +61,7 @@
 	refuse error // of Submit itself
 	list   []wire.Message
 	err    error
+	then   func() // called when the attempt is made
 }
 
 func tokens(index int, text string) wire.Tokens {
@@ -88,6 +89,9 @@
 	}
 	s := a.scripts[0]
 	a.scripts = a.scripts[1:]
+	if s.then != nil {
+		s.then()
+	}
 	return s
 }
 
@@ -147,7 +151,7 @@
 
 func newSite(t *testing.T, scripts ...script) *site {
 	s := &site{agents: &agents{scripts: scripts}, is: is.New(t)}
-	s.Handler = &caller.Handler{Name: "Entry1", Region: "R", Agents: s.agents, Loads: routing.NewLoads(),
+	s.Handler = &caller.Handler{Name: "Entry1", FailureDomain: "A", Agents: s.agents, Loads: routing.NewLoads(),
 		Metrics: metrics.NewRegistry(), Budget: &retry.Budget{}, Log: funcr.New(func(_, args string) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -53,11 +53,11 @@
 type Handler struct {
 	// Name is the name of the entry; identifiers of requests begin with it.
 	Name string
-	// Region is the region whose endpoints are preferred.
-	Region string
-	Agents Agents
-	Loads  *routing.Loads
-	Log    logr.Logger
+	// FailureDomain is that of the entry; the endpoints of its region are preferred.
+	FailureDomain string
+	Agents        Agents
+	Loads         *routing.Loads
+	Log           logr.Logger
 	// Marks may be nil.
 	Marks Marks
 	// Hints, Affinity, Budget and Metrics have defaults.
@@ -122,6 +122,9 @@
 	}
 	s := h.newState(version, d, previous)
 	h.state.Store(s)
+	if previous != nil {
+		close(previous.superseded)
+	}
 	h.Loads.Keep(func(name string) bool { _, ok := s.rings.Endpoints[name]; return ok })
 	event.Info(h.Log, event.EntryConfigApplied, "version", version, "endpoints", len(d.Endpoints))
 }
@@ -150,6 +153,23 @@
 	_, _ = io.WriteString(w, "ready\n")
 }
 
+// configWait is how long a request that an agent refused for its old configuration waits for the new one. The agent announces
+// it with the refusal, so that it takes a few round trips.
+const configWait = time.Second
+
+// newer waits until a version above s is in force and returns it, or nil if none comes in time.
+func (h *Handler) newer(ctx context.Context, s *state) *state {
+	timer := time.NewTimer(configWait)
+	defer timer.Stop()
+	select {
+	case <-s.superseded:
+		return h.state.Load()
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
 // request is an authenticated and admitted request.
 type request struct {
 	id           string
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -88,6 +88,10 @@
 				detail: "last refusal: " + string(f.reason)}
 		}
 		u.last = f
+		if f.reason == "OldConfig" && u.h.newer(ctx, u.place.state) != nil {
+			// The endpoint did not refuse the request but the version by which it was routed.
+			u.tried = u.tried[:len(u.tried)-1]
+		}
 		u.h.count("Retries." + string(f.reason))
 		if len(u.given) > 0 || u.accepted {
 			event.Info(u.h.Log, event.RequestResumed, "request", u.q.id, "reason", string(f.reason), "detail", f.detail,
--- a/internal/request/caller/state.go
+++ b/internal/request/caller/state.go
@@ -25,6 +25,8 @@
 	models        map[string]*model
 	services      map[string]*service
 	organisations []*organisation
+	// superseded is closed when a higher version is in force.
+	superseded chan struct{}
 }
 
 type model struct {
@@ -64,7 +66,8 @@
 
 // newState prepares a deployment. previous may be nil.
 func (h *Handler) newState(version uint64, d *settings.Deployment, previous *state) *state {
-	s := &state{version: version, deployment: d, models: make(map[string]*model), services: make(map[string]*service)}
+	s := &state{version: version, deployment: d, models: make(map[string]*model), services: make(map[string]*service),
+		superseded: make(chan struct{})}
 	var rings *routing.RingSet
 	buckets := make(map[string]*rate.Limiter)
 	if previous != nil {
@@ -73,7 +76,13 @@
 			buckets[o.Name] = o.bucket
 		}
 	}
-	s.rings = routing.Rings(d, h.Region, rings)
+	region := ""
+	for _, f := range d.FailureDomains {
+		if f.Name == h.FailureDomain {
+			region = f.Region
+		}
+	}
+	s.rings = routing.Rings(d, region, rings)
 	var link int64
 	for _, store := range d.Stores {
 		link = max(link, store.LinkBytesPerSecond)
