--- a/internal/request/caller/call_test.go
+++ b/internal/request/caller/call_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"fmt"
+	"os"
+	"regexp"
 	"slices"
 	"testing"
 	"testing/synctest"
 
+	"github.com/matryer/is"
+
 	"primrosecourse/internal/connection/agent"
+	"primrosecourse/internal/request/caller"
 	"primrosecourse/pkg/claim"
 	"primrosecourse/pkg/retry"
 	"primrosecourse/pkg/wire"
@@ -144,3 +149,17 @@
 	s.is.Equal(s.agents.targets[2], s.agents.targets[3])
 	s.is.Equal([]uint64{s.agents.submits[1].ConfigVersion, s.agents.calls[1].ConfigVersion}, []uint64{2, 3})
 }
+
+// Guards against a page that tells callers another status than they get, and a reason that it leaves out.
+func TestPageListsEveryReason(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/http.md")
+	is.NoErr(err)
+	listed := map[string]string{}
+	for _, line := range regexp.MustCompile("(?m)^\\| (`[^|]+) \\| (\\d{3}) \\| (yes|no) \\|").FindAllStringSubmatch(string(page), -1) {
+		for _, name := range regexp.MustCompile("`(\\w+)`").FindAllStringSubmatch(line[1], -1) {
+			listed[name[1]] = line[2] + " " + line[3]
+		}
+	}
+	is.Equal(listed, caller.RowsForTest())
+}
--- a/internal/request/caller/prompt_test.go
+++ b/internal/request/caller/prompt_test.go
@@ -90,6 +90,8 @@
 		{name: "lost in mid-stream", scripts: []script{cut("one "), rest}, attempts: 2, want: "one two"},
 		{name: "agent stops", scripts: []script{{list: []wire.Message{accepted, tokens(0, "one "),
 			wire.End{Finish: wire.FinishLost}}}, rest}, attempts: 2, want: "one two"},
+		{name: "cancelled by the agent", scripts: []script{{list: []wire.Message{accepted, tokens(0, "one "),
+			wire.End{Finish: wire.FinishCancelled}}}, rest}, attempts: 2, want: "one two"},
 		{name: "only the end was lost", scripts: []script{cut("123456789")}, attempts: 1, want: "123456789"},
 		{name: "one crash", scripts: []script{crash(0, "one "), rest}, attempts: 2, want: "one two"},
 		{name: "two crashes", scripts: []script{crash(0, "one "), crash(4, "tw"), whole}, attempts: 2, want: "one tw",
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -180,18 +180,26 @@
 			}
 			return refused(m)
 		case wire.End:
-			return u.ended(m, chosen.Endpoint)
+			return u.ended(ctx, m, chosen.Endpoint)
 		}
 	}
 }
 
-func (u *run) ended(m wire.End, endpoint string) (verdict, *refusal) {
+// deadlineTolerance covers the time that a message takes: an agent counts the deadline from the arrival of the request, and
+// may end it a little before or after the entry.
+const deadlineTolerance = 250 * time.Millisecond
+
+// ended judges the end of an accepted stream. The entry reads no stream that it cancelled, so that an agent which says
+// "cancelled" met the deadline or took the connection for lost.
+func (u *run) ended(ctx context.Context, m wire.End, endpoint string) (verdict, *refusal) {
 	switch m.Finish {
 	case wire.FinishStop, wire.FinishLength:
 		u.finish(m.Finish)
 		return complete, nil
 	case wire.FinishCancelled:
-		return final, &refusal{reason: "Cancelled", outcome: wire.Ran, detail: m.Detail}
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < deadlineTolerance {
+			return final, &refusal{reason: "Deadline", outcome: wire.Ran, detail: m.Detail}
+		}
 	case wire.FinishCrashed:
 		u.crashes++
 		if u.h.Marks != nil {
@@ -240,8 +248,7 @@
 func refused(m wire.Refused) (verdict, *refusal) {
 	f := fromWire(m)
 	switch m.Reason {
-	case wire.ReasonNotEntitled, wire.ReasonOverLimit, wire.ReasonDeadline, wire.ReasonQuarantined, wire.ReasonBadRequest,
-		wire.ReasonCancelled:
+	case wire.ReasonNotEntitled, wire.ReasonOverLimit, wire.ReasonDeadline, wire.ReasonQuarantined, wire.ReasonBadRequest:
 		return final, f
 	case wire.ReasonDraining, wire.ReasonLeaving, wire.ReasonOldConfig, wire.ReasonWrongVersion, wire.ReasonUnknownModel:
 		// Planned stops and changes of the configuration must not use up what outages need.
