--- a/internal/process/operator/peer.go
+++ b/internal/process/operator/session.go
@@ -74,8 +74,8 @@
 	wg.Wait()
 }
 
-// peer is a connection to an entry or agent after the exchange of Hello.
-type peer struct {
+// session is a connection to an entry or agent after the exchange of Hello.
+type session struct {
 	conn    *wire.Conn
 	current Current
 	hello   wire.Hello
@@ -84,7 +84,7 @@
 
 // connect dials a target and exchanges Hello. Hello carries the version of current, so that the peer neither sends its
 // own configuration nor asks for ours without need. The connection lives until ctx ends or done is called.
-func (o *Operator) connect(ctx context.Context, address netip.AddrPort, current Current) (p *peer, done func(), err error) {
+func (o *Operator) connect(ctx context.Context, address netip.AddrPort, current Current) (p *session, done func(), err error) {
 	defer func() { err = errors.Wrapf(err, "connect to %s", address) }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	conn, err := o.dial(ctx, address.String())
@@ -92,7 +92,7 @@
 		cancel()
 		return nil, nil, err
 	}
-	p = &peer{conn: wire.NewConn(conn), current: current, now: o.now}
+	p = &session{conn: wire.NewConn(conn), current: current, now: o.now}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	done = func() {
 		stop()
@@ -110,7 +110,7 @@
 	return p, done, nil
 }
 
-func (p *peer) readHello() (wire.Hello, error) {
+func (p *session) readHello() (wire.Hello, error) {
 	m, err := p.conn.Read()
 	if err != nil {
 		return wire.Hello{}, err
@@ -129,13 +129,13 @@
 }
 
 // push sends the accepted configuration.
-func (p *peer) push() error {
+func (p *session) push() error {
 	return p.conn.Write(wire.ConfigPush{Version: p.current.Version, Content: p.current.Content,
 		ConfirmedAgo: max(0, p.now().Sub(p.current.ConfirmedAt))})
 }
 
 // load pings the peer and returns its answer. It serves a ConfigWant and passes over other messages.
-func (p *peer) load() (wire.LoadState, error) {
+func (p *session) load() (wire.LoadState, error) {
 	if err := p.conn.Write(wire.Ping{Stream: 1, ConfigVersion: p.current.Version}); err != nil {
 		return wire.LoadState{}, err
 	}
