--- /dev/null
+++ b/internal/process/operator/spread_test.go
@@ -0,0 +1,87 @@
+package operator
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"primrosecourse/internal/connection/peer"
+	"primrosecourse/internal/standin/fault"
+	"primrosecourse/internal/version/config"
+)
+
+// pipes is a listener of in-memory connections.
+type pipes struct {
+	conns chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+func (p *pipes) Close() error   { p.once.Do(func() { close(p.done) }); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestPushReachesTrackers guards against a stored value that the entries do not understand, and against a push that an
+// entry with the tracker and server of the real processes does not take while the platform is down.
+func TestPushReachesTrackers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		listeners := map[string]*pipes{}
+		r.Dial = func(_ context.Context, address string) (net.Conn, error) {
+			near, far := net.Pipe()
+			listeners[address].conns <- far
+			return near, nil
+		}
+		trackers := map[string]*config.Tracker{}
+		d := deployment()
+		for _, e := range d.Entries {
+			tracker := &config.Tracker{Name: e.Name, FailureDomain: e.FailureDomain, Platform: r.fake, Log: logr.Discard(),
+				IsEntry: true, Address: e.Address, Dial: func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+					return r.Dial(ctx, a.String())
+				}}
+			listener := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+			server := &peer.Server{Name: e.Name, FailureDomain: e.FailureDomain, Config: tracker, Log: logr.Discard()}
+			listeners[e.Address.String()], trackers[e.Name] = listener, tracker
+			wg.Go(func() { _ = tracker.Run(ctx) })
+			wg.Go(func() { _ = server.Run(ctx, listener) })
+		}
+		for _, tracker := range trackers {
+			<-tracker.Ready()
+		}
+		old, err := r.mustRead(ctx)
+		is.NoErr(err)
+		r.fake.Faults.Set(fault.Rule{Kind: fault.Outage, Method: "GET"})
+		next := deployment()
+		next.Models[0].Version = "V2"
+		report, err := r.change(ctx, old, next, Options{})
+		is.NoErr(err)
+		is.Equal(len(report.NotPushed), 0)
+		for _, tracker := range trackers {
+			is.Equal(tracker.Version(), report.Version)
+			is.Equal(tracker.Current().Deployment.Models[0].Version, "V2")
+		}
+		r.Entry = d.Entries[0].Address
+		report, err = r.Get(ctx)
+		is.NoErr(err)
+		is.Equal(report.Operator, "ada")
+		is.Equal(*report.Deployment, next)
+	})
+}
