--- a/internal/version/config/site_test.go
+++ b/internal/version/config/site_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -99,7 +98,7 @@
 // accept stores a configuration and returns its version. Sites differ in their Policy so that contents differ.
 func (s *site) accept(weight float64) uint64 {
 	s.deploy.Policy.LinkWeight = weight
-	content, err := json.Marshal(s.deploy)
+	content, err := settings.Accepted{Operator: "test", Deployment: s.deploy}.Encode()
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/version/config/snapshot.go
+++ b/internal/version/config/snapshot.go
@@ -1,8 +1,6 @@
 package config
 
 import (
-	"encoding/json"
-
 	"github.com/cockroachdb/errors"
 
 	"primrosecourse/internal/process/platform"
@@ -18,23 +16,28 @@
 // Snapshot is one version of the configuration. It never changes; callers must not change what it points to.
 type Snapshot struct {
 	// Version is the version of the object Config/Current.
-	Version    uint64
+	Version uint64
+	// Accepted is the decoded object. Deployment points into it.
+	Accepted   settings.Accepted
 	Deployment *settings.Deployment
 
 	content []byte
 }
 
 // decode checks the content of a version.
-func decode(version uint64, content []byte) (*Snapshot, error) {
+func decode(version uint64, content []byte) (s *Snapshot, err error) {
+	defer func() { err = errors.Wrapf(err, "configuration version %d", version) }()
 	if len(content) > platform.MaxValueBytes {
 		return nil, platform.ErrTooLarge
 	}
-	var d settings.Deployment
-	if err := json.Unmarshal(content, &d); err != nil {
-		return nil, errors.Wrap(err, "decode configuration")
+	accepted, err := settings.DecodeAccepted(content)
+	if err != nil {
+		return nil, err
 	}
-	if d.Site == "" {
-		return nil, errors.New("decode configuration: no Site")
+	if accepted.Deployment.Site == "" {
+		return nil, errors.New("no Site")
 	}
-	return &Snapshot{Version: version, Deployment: &d, content: content}, nil
+	s = &Snapshot{Version: version, Accepted: accepted, content: content}
+	s.Deployment = &s.Accepted.Deployment
+	return s, nil
 }
--- a/internal/version/config/tracker_test.go
+++ b/internal/version/config/tracker_test.go
@@ -214,7 +214,7 @@
 // TestInvalid guards against content that replaces a good configuration or stops its successor.
 func TestInvalid(t *testing.T) {
 	for name, content := range map[string][]byte{
-		"no JSON": []byte("{"), "empty": nil, "no site": []byte("{}"), "too large": make([]byte, 1<<20+1),
+		"no JSON": []byte("{"), "empty": nil, "no deployment": []byte("{}"), "no site": []byte(`{"Deployment":{}}`), "too large": make([]byte, 1<<20+1),
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
