--- /dev/null
+++ b/internal/process/loadpermits/permits.go
@@ -0,0 +1,181 @@
+package loadpermits
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"primrosecourse/internal/process/platform"
+)
+
+// The object that holds the slots.
+const (
+	Kind = "LoadPermits"
+	Name = "Site"
+)
+
+const (
+	// DefaultSlots is the number of loads that a site's weight store bears without slowing down.
+	DefaultSlots = 2
+	// DefaultExpiry is far above the second that a load takes.
+	DefaultExpiry = 30 * time.Second
+
+	firstPause = 500 * time.Millisecond
+	// maxPause keeps 10,000 waiting agents below half of the reads that the platform bears.
+	maxPause = 16 * time.Second
+)
+
+// Slots is the value of the object. Slots that expired or are absent are free.
+type Slots struct {
+	Taken []Slot
+}
+
+// Slot is held by one load.
+type Slot struct {
+	Holder string
+	// Nonce identifies the call of Acquire that took the slot.
+	Nonce   uint64
+	Expires time.Time
+}
+
+// Platform is the part of the platform's API that the package uses.
+type Platform interface {
+	Get(ctx context.Context, kind, name string) (platform.Object, error)
+	Put(ctx context.Context, obj platform.Object) (uint64, error)
+}
+
+// Permits takes slots for one agent. Fields are set before use. It is safe for concurrent use.
+type Permits struct {
+	Platform Platform
+	// Holder is the name of the agent, for operators.
+	Holder string
+	// Slots and Expiry default to DefaultSlots and DefaultExpiry and must be the same in all agents of a site.
+	Slots  int
+	Expiry time.Duration
+}
+
+// Permit is a slot that is held.
+type Permit struct {
+	// Expires is when others may take the slot, by the clock of this instance.
+	Expires time.Time
+
+	permits *Permits
+	nonce   uint64
+}
+
+// Acquire waits for a free slot and takes it. The error is that of ctx, or the object is malformed. After an error a
+// slot may stay taken until it expires.
+func (p *Permits) Acquire(ctx context.Context) (permit *Permit, err error) {
+	defer func() { err = errors.Wrap(err, "acquire load permit") }()
+	permit = &Permit{permits: p, nonce: rand.Uint64()}
+	var backoff platform.Backoff
+	pause := firstPause
+	for {
+		granted := false
+		err = p.update(ctx, func(s *Slots) (changed bool) {
+			granted, changed = p.take(s, permit)
+			return changed
+		})
+		switch {
+		case err == nil && granted:
+			return permit, nil
+		case err == nil:
+			wait(ctx, pause/2+rand.N(pause))
+			pause = min(pause*3/2, maxPause)
+		case platform.Retryable(err):
+			backoff.Wait(ctx, nil)
+		default:
+			return nil, err
+		}
+		if ctx.Err() != nil {
+			return nil, errors.CombineErrors(ctx.Err(), err)
+		}
+	}
+}
+
+// take grants a free slot. A slot with the permit's nonce was taken by an earlier write whose reply was lost.
+func (p *Permits) take(s *Slots, permit *Permit) (granted, changed bool) {
+	if i := s.index(permit.nonce); i >= 0 {
+		permit.Expires = s.Taken[i].Expires
+		return true, false
+	}
+	limit, expiry := p.Slots, p.Expiry
+	if limit <= 0 {
+		limit = DefaultSlots
+	}
+	if expiry <= 0 {
+		expiry = DefaultExpiry
+	}
+	if len(s.Taken) >= limit {
+		return false, false
+	}
+	permit.Expires = time.Now().UTC().Add(expiry).Round(0)
+	s.Taken = append(s.Taken, Slot{Holder: p.Holder, Nonce: permit.nonce, Expires: permit.Expires})
+	return true, true
+}
+
+// Release gives the slot back. It tries until ctx is done; the slot expires if that fails.
+func (p *Permit) Release(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "release load permit") }()
+	var backoff platform.Backoff
+	for {
+		err = p.permits.update(ctx, func(s *Slots) (changed bool) {
+			i := s.index(p.nonce)
+			if i >= 0 {
+				s.Taken = slices.Delete(s.Taken, i, i+1)
+			}
+			return i >= 0
+		})
+		if err == nil || !platform.Retryable(err) {
+			return err
+		}
+		backoff.Wait(ctx, nil)
+		if ctx.Err() != nil {
+			return errors.CombineErrors(ctx.Err(), err)
+		}
+	}
+}
+
+func (s *Slots) index(nonce uint64) int {
+	return slices.IndexFunc(s.Taken, func(slot Slot) bool { return slot.Nonce == nonce })
+}
+
+// update reads the object, drops expired slots and writes it if change says so.
+func (p *Permits) update(ctx context.Context, change func(*Slots) bool) error {
+	obj, err := p.Platform.Get(ctx, Kind, Name)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		obj = platform.Object{Kind: Kind, Name: Name}
+	case err != nil:
+		return err
+	}
+	var s Slots
+	if obj.Version > 0 {
+		if err = json.Unmarshal(obj.Value, &s); err != nil {
+			return err
+		}
+	}
+	now := time.Now()
+	s.Taken = slices.DeleteFunc(s.Taken, func(slot Slot) bool { return !now.Before(slot.Expires) })
+	if !change(&s) {
+		return nil
+	}
+	if obj.Value, err = json.Marshal(s); err != nil {
+		return err
+	}
+	_, err = p.Platform.Put(ctx, obj)
+	return err
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/process/platform/object.go
+++ b/internal/process/platform/object.go
@@ -45,3 +45,14 @@
 	ErrWatchGap    = errors.New("platform: watch position is too old")
 	ErrTooLarge    = errors.New("platform: value exceeds the size limit")
 )
+
+// Retryable tells whether the same read or conditional update may work later. After ErrConflict and ErrUncertain the
+// object must be read again first.
+func Retryable(err error) bool {
+	for _, e := range []error{ErrConflict, ErrUnavailable, ErrRateLimited, ErrUncertain} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/version/config/follow.go
+++ b/internal/version/config/follow.go
@@ -26,7 +26,6 @@
 	// readTimeout bounds a read of the platform, which answers in milliseconds when it is well.
 	readTimeout = 2 * time.Second
 
-	minBackoff = 100 * time.Millisecond
 	maxBackoff = 10 * time.Second
 	// maxWatchBackoff is short, since every change waits for the watchers after an outage, and they are few.
 	maxWatchBackoff = time.Second
@@ -54,7 +53,7 @@
 
 // bootstrap reads the platform until the tracker is ready.
 func (t *Tracker) bootstrap(ctx context.Context) {
-	b := backoff{limit: maxBackoff}
+	b := platform.Backoff{Limit: maxBackoff}
 	for t.Current() == nil && ctx.Err() == nil {
 		_, err := t.read(ctx)
 		t.mu.Lock()
@@ -65,7 +64,7 @@
 		}
 		t.checkReady()
 		t.mu.Unlock()
-		b.wait(ctx, t.Ready())
+		b.Wait(ctx, t.Ready())
 	}
 }
 
@@ -90,7 +89,7 @@
 
 // watch follows the changes of the configuration until the process is no watcher any more or ctx is done.
 func (t *Tracker) watch(ctx context.Context) {
-	b := backoff{limit: maxWatchBackoff}
+	b := platform.Backoff{Limit: maxWatchBackoff}
 	var current uint64
 	// No change has this revision: the first watch tells the current one and transfers no history.
 	revision := uint64(math.MaxUint64)
@@ -104,27 +103,24 @@
 				current, err = t.readCurrent(ctx)
 			}
 			if behind = err != nil; behind {
-				b.wait(ctx, nil)
+				b.Wait(ctx, nil)
 				continue
 			}
 		}
-		asked := time.Now()
 		events, latest, err := t.Platform.Watch(ctx, Kind, revision, watchWait)
 		switch {
 		case errors.Is(err, platform.ErrWatchGap):
 			event.Info(t.Log, event.ConfigWatchGap, "after", revision, "revision", latest)
 			revision, behind = latest, true
 			// A platform that answers every watch with a gap is not asked without pause.
-			if time.Since(asked) < minBackoff {
-				b.wait(ctx, nil)
-			}
+			b.Wait(ctx, nil)
 		case err != nil:
 			if ctx.Err() == nil {
 				event.Info(t.Log, event.ConfigReadFailed, "reason", err.Error())
 			}
-			b.wait(ctx, nil)
+			b.Wait(ctx, nil)
 		default:
-			b.reset()
+			b.Reset()
 			revision = latest
 			for _, e := range events {
 				if e.Object.Name == Name && !e.Deleted {
@@ -143,12 +139,8 @@
 	if version, err = t.read(ctx); err == nil {
 		return version, nil
 	}
-	for _, e := range []error{
-		platform.ErrUnavailable, platform.ErrRateLimited, context.Canceled, context.DeadlineExceeded,
-	} {
-		if errors.Is(err, e) {
-			return 0, err
-		}
+	if platform.Retryable(err) || ctx.Err() != nil {
+		return 0, err
 	}
 	return 0, nil
 }
@@ -194,20 +186,3 @@
 
 // jitter returns a random time below d.
 func jitter(d time.Duration) time.Duration { return rand.N(d) }
-
-// backoff spaces attempts that failed, up to limit.
-type backoff struct{ next, limit time.Duration }
-
-func (b *backoff) reset() { b.next = 0 }
-
-// wait returns after a random time between half and all of the current step, or when ctx or stop is done.
-func (b *backoff) wait(ctx context.Context, stop <-chan struct{}) {
-	b.next = min(max(2*b.next, minBackoff), b.limit)
-	timer := time.NewTimer(b.next/2 + jitter(b.next/2))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-stop:
-	case <-timer.C:
-	}
-}
