--- /dev/null
+++ b/internal/process/service/client.go
@@ -0,0 +1,176 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"primrosecourse/pkg/wire"
+)
+
+// The ways in which a call fails.
+var (
+	// ErrNotSent says that no byte of the call reached the service.
+	ErrNotSent = errors.New("service: call was not sent")
+	// ErrReplyLost says that the service may have run the call.
+	ErrReplyLost = errors.New("service: call may have run, its reply was lost")
+	// ErrTooLarge says that the service ran the call and that its response exceeds MaxReplyBytes. The reply has the
+	// status only.
+	ErrTooLarge = errors.New("service: response exceeds the size limit")
+)
+
+// MaxReplyBytes bounds the body of a response, so that a reply fits into a frame of package wire.
+const MaxReplyBytes = 3 << 20
+
+const (
+	// defaultDialTimeout is long for a service on the same node.
+	defaultDialTimeout = 2 * time.Second
+	maxHeaderBytes     = 64 << 10
+)
+
+// Client calls one plain service. It is safe for concurrent use.
+type Client struct {
+	// DialTimeout bounds the time to connect. Default 2 s. Set before the first call.
+	DialTimeout time.Duration
+
+	addr netip.AddrPort
+	// once has no idle connections: on a reused one, a close by the service cannot be told from a lost reply.
+	once       *http.Client
+	repeatable *http.Client
+}
+
+// New returns a client of the service at addr.
+func New(addr netip.AddrPort) *Client {
+	c := &Client{addr: addr}
+	c.once = c.client(&http.Transport{DisableKeepAlives: true})
+	c.repeatable = c.client(&http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second})
+	return c
+}
+
+func (c *Client) client(t *http.Transport) *http.Client {
+	t.DialContext = c.dial
+	t.MaxResponseHeaderBytes = maxHeaderBytes
+	t.DisableCompression = true
+	return &http.Client{
+		Transport: t,
+		// A redirect that is followed would be a second call.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.repeatable.CloseIdleConnections() }
+
+// Do runs call until ctx is done and returns the response, whatever its status. A call with an idempotency key reaches
+// the service at most once for each Do. Errors: ErrNotSent, ErrReplyLost, ErrTooLarge.
+func (c *Client) Do(ctx context.Context, call wire.Call) (reply wire.Reply, err error) {
+	defer func() { err = errors.Wrapf(err, "%s %s", call.Method, call.Path) }()
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*trackedConn); ok {
+			conn.sent.Store(&sent)
+		} else {
+			sent.Store(true)
+		}
+	}}
+	req, err := c.request(httptrace.WithClientTrace(ctx, trace), call)
+	if err != nil {
+		return wire.Reply{}, errors.Mark(err, ErrNotSent)
+	}
+	client := c.repeatable
+	if call.IdempotencyKey != "" {
+		client = c.once
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		if sent.Load() {
+			return wire.Reply{}, errors.Mark(err, ErrReplyLost)
+		}
+		return wire.Reply{}, errors.Mark(err, ErrNotSent)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
+	if err != nil {
+		return wire.Reply{}, errors.Mark(err, ErrReplyLost)
+	}
+	reply = wire.Reply{Stream: call.Stream, Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}
+	if len(body) > MaxReplyBytes {
+		reply.Body = nil
+		return reply, ErrTooLarge
+	}
+	return reply, nil
+}
+
+// request builds a request that the transport does not regard as replayable if call may not be repeated: such a one
+// has a body, even if that is empty, and no GetBody, whatever its method and headers are.
+func (c *Client) request(ctx context.Context, call wire.Call) (*http.Request, error) {
+	if !strings.HasPrefix(call.Path, "/") {
+		return nil, errors.Newf("path %q does not start with a slash", call.Path)
+	}
+	target, err := url.Parse("http://" + c.addr.String() + call.Path)
+	if err != nil {
+		return nil, err
+	}
+	var body io.Reader
+	if call.IdempotencyKey != "" {
+		body = onceBody{bytes.NewReader(call.Body)}
+	} else if len(call.Body) > 0 {
+		body = bytes.NewReader(call.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, target.String(), body)
+	if err != nil {
+		return nil, err
+	}
+	if len(call.Body) > 0 {
+		req.ContentLength = int64(len(call.Body))
+	}
+	if call.ContentType != "" {
+		req.Header.Set("Content-Type", call.ContentType)
+	}
+	if call.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", call.IdempotencyKey)
+	}
+	if call.RequestID != "" {
+		req.Header.Set("X-Request-Id", call.RequestID)
+	}
+	return req, nil
+}
+
+// onceBody hides the type of the reader, from which package net/http would make a GetBody.
+type onceBody struct{ io.Reader }
+
+func (c *Client) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	timeout := c.DialTimeout
+	if timeout == 0 {
+		timeout = defaultDialTimeout
+	}
+	conn, err := (&net.Dialer{Timeout: timeout}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &trackedConn{Conn: conn}, nil
+}
+
+// trackedConn tells the call that uses the connection that bytes may have left.
+type trackedConn struct {
+	net.Conn
+	sent atomic.Pointer[atomic.Bool]
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	if sent := c.sent.Load(); sent != nil {
+		sent.Store(true)
+	}
+	return c.Conn.Write(p)
+}
--- a/internal/process/service/doc.go
+++ b/internal/process/service/doc.go
@@ -6,8 +6,15 @@
 //	GET  /status    answers 200; may be repeated
 //	GET  /ledger    the runs so far, as a JSON list of {Key, Body, At}; only tests read it
 //
+// A call that may not be repeated has an idempotency key, which is passed on in the header Idempotency-Key for the
+// service's own records. Such a call gets a connection of its own and is never repeated by the HTTP transport: package
+// net/http sends a request again when a reused connection breaks, if it regards the request as replayable.
+//
 // # Usage
 //
 //	c := service.New(addr)
 //	reply, err := c.Do(ctx, call)
+//	if errors.Is(err, service.ErrNotSent) {
+//		// the service never saw the call
+//	}
 package service
--- /dev/null
+++ b/internal/standin/orders/service.go
@@ -0,0 +1,85 @@
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// maxBodyBytes bounds the body of an order.
+const maxBodyBytes = 1 << 20
+
+// Run is one run of an order, as the ledger lists it.
+type Run struct {
+	Key  string
+	Body string
+	At   time.Time
+}
+
+// Service is the stand-in. Its zero value is ready; set the exported fields before the first call of Handler.
+type Service struct {
+	// Latency is the time between the arrival of an order and its run.
+	Latency time.Duration
+
+	mu     sync.Mutex
+	ledger []Run
+}
+
+// Handler returns the HTTP interface.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /orders", s.serveOrder)
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, struct{ Runs int }{len(s.Ledger())})
+	})
+	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Ledger())
+	})
+	return mux
+}
+
+// Ledger returns the runs so far, oldest first.
+func (s *Service) Ledger() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run{}, s.ledger...)
+}
+
+// Order runs an order and returns its number, from 1. If ctx ends during Latency the order does not run.
+func (s *Service) Order(ctx context.Context, key, body string) (number int, err error) {
+	if s.Latency > 0 {
+		select {
+		case <-time.After(s.Latency):
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger = append(s.ledger, Run{Key: key, Body: body, At: time.Now().UTC()})
+	return len(s.ledger), nil
+}
+
+func (s *Service) serveOrder(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	number, err := s.Order(r.Context(), r.Header.Get("Idempotency-Key"), string(body))
+	if err != nil {
+		return // the caller is gone
+	}
+	w.Header().Set("Location", fmt.Sprintf("/orders/%d", number))
+	writeJSON(w, http.StatusCreated, struct{ Number int }{number})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // a reader that went away needs no answer
+}
