--- a/internal/event/id_string.go
+++ b/internal/event/id_string.go
@@ -64,6 +64,14 @@
 	_ = x[EntryConfigApplied-1013]
 	_ = x[OrderStarted-4000]
 	_ = x[OrderStopped-4001]
+	_ = x[OrderShardTaken-4002]
+	_ = x[OrderShardLost-4003]
+	_ = x[OrderTakeoverFailed-4004]
+	_ = x[OrderPlatformFailed-4005]
+	_ = x[OrderOutcomeUnknown-4006]
+	_ = x[OrderResultNotStored-4007]
+	_ = x[OrderSegmentsExpired-4008]
+	_ = x[OrderSegmentMalformed-4009]
 	_ = x[AgentFetchDecided-2900]
 	_ = x[AgentFetchFailed-2901]
 	_ = x[AgentStoreFailed-2902]
@@ -78,7 +86,7 @@
 	_ID_name_1 = "AgentStartedAgentStoppedAgentAddressTakenEpochRaisedEpochNotRaisedAgentFencedEntryConnectedEntryDisconnectedEntryRejectedEntryTooSlowPromptAcceptedPromptRefusedPromptEndedCallRefusedCallEndedEngineTurnedColdEngineDownEngineServingEngineDiffersEngineOrderedEngineOrderFailedRequestSuspectedQuarantineNotStoredAgentDrainingAgentCutOffConfigRefusedLoadPermitMissing"
 	_ID_name_2 = "AgentFetchDecidedAgentFetchFailedAgentStoreFailedAgentExportedAgentExportFailed"
 	_ID_name_3 = "ConfigStartedConfigStoppedConfigReadyConfigAcceptedConfigInvalidConfigReadFailedConfigWatchGapConfigDirectReadConfigWatchingPeerConnectedPeerClosedPeerRefusedPeerContentSent"
-	_ID_name_4 = "OrderStartedOrderStopped"
+	_ID_name_4 = "OrderStartedOrderStoppedOrderShardTakenOrderShardLostOrderTakeoverFailedOrderPlatformFailedOrderOutcomeUnknownOrderResultNotStoredOrderSegmentsExpiredOrderSegmentMalformed"
 	_ID_name_5 = "StandinStartedStandinStopped"
 )
 
@@ -87,7 +95,7 @@
 	_ID_index_1 = [...]uint16{0, 12, 24, 41, 52, 66, 77, 91, 108, 121, 133, 147, 160, 171, 182, 191, 207, 217, 230, 243, 256, 273, 289, 308, 321, 332, 345, 362}
 	_ID_index_2 = [...]uint8{0, 17, 33, 49, 62, 79}
 	_ID_index_3 = [...]uint8{0, 13, 26, 37, 51, 64, 80, 94, 110, 124, 137, 147, 158, 173}
-	_ID_index_4 = [...]uint8{0, 12, 24}
+	_ID_index_4 = [...]uint8{0, 12, 24, 39, 53, 72, 91, 110, 130, 150, 171}
 	_ID_index_5 = [...]uint8{0, 14, 28}
 )
 
@@ -105,7 +113,7 @@
 	case 3000 <= i && i <= 3012:
 		i -= 3000
 		return _ID_name_3[_ID_index_3[i]:_ID_index_3[i+1]]
-	case 4000 <= i && i <= 4001:
+	case 4000 <= i && i <= 4009:
 		i -= 4000
 		return _ID_name_4[_ID_index_4[i]:_ID_index_4[i+1]]
 	case 5000 <= i && i <= 5001:
--- /dev/null
+++ b/internal/request/order/owner.go
@@ -0,0 +1,197 @@
+package order
+
+import (
+	"cmp"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/platform"
+	"primrosecourse/pkg/claim"
+	"primrosecourse/pkg/wire"
+)
+
+// Platform is the part of the platform's object API that an owner needs. The errors are those of package platform; a
+// write that fails with any other error may have taken effect.
+type Platform interface {
+	Get(ctx context.Context, kind, name string) (platform.Object, error)
+	Put(ctx context.Context, obj platform.Object) (version uint64, err error)
+	Delete(ctx context.Context, kind, name string, version uint64) error
+	List(ctx context.Context, kind, prefix string) ([]platform.Object, error)
+}
+
+// Service runs one call of the plain service. The error is service.ErrNotSent if the service certainly did not see the
+// call; with any other error the call may have run.
+type Service interface {
+	Do(ctx context.Context, call wire.Call) (wire.Reply, error)
+}
+
+// Owner runs the orders of the shards that this agent owns. Set the exported fields before Run.
+type Owner struct {
+	Platform Platform
+	Service  Service
+	// Name is the endpoint's name in the configuration.
+	Name string
+	// Incarnation must differ between any two starts of any agent and must not be 0.
+	Incarnation uint64
+	// Shards is the number of claim logs, the same for all agents. Default 16.
+	Shards int
+	// Retention is how long the outcome of an order is kept. It must be far longer than any deadline. Default 24 h.
+	Retention time.Duration
+	// Preferred names the preferred live owner of a shard, empty if there is none. Nil stands for this agent.
+	Preferred func(shard int) string
+	// QueueLength bounds the orders in progress of one shard. Default 256.
+	QueueLength int
+	// MaxRecords bounds the orders that the index of one shard remembers; above it new orders are refused. Default
+	// 100,000.
+	MaxRecords int
+	// DefaultTimeout is the deadline of an order that names none. Default 2 min.
+	DefaultTimeout time.Duration
+	// ReplyTimeout is how long a response of the service is awaited, even if the caller's deadline passed, because a
+	// later try of the caller then gets the response. Default 5 min.
+	ReplyTimeout time.Duration
+	// PlatformTimeout bounds one call of the platform, which normally answers in milliseconds. Default 2 s.
+	PlatformTimeout time.Duration
+	// DrainTimeout bounds the time after ctx of Run ends in which orders in progress finish. Default 30 s.
+	DrainTimeout time.Duration
+	Log          logr.Logger
+
+	mu       sync.Mutex
+	running  bool
+	active   int
+	idle     chan struct{}
+	sequence uint64
+	shards   []*shard
+	// work ends when nothing of the owner may go on.
+	work context.Context
+}
+
+// Run serves until ctx is done and then finishes the orders in progress. Execute refuses orders before and after.
+func (o *Owner) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "order: run") }()
+	if o.Platform == nil || o.Service == nil || o.Name == "" || o.Incarnation == 0 {
+		return errors.New("Platform, Service, Name and Incarnation must be set")
+	}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	flush := make(chan struct{})
+	ended := o.start(work, flush)
+	event.Info(o.Log, event.OrderStarted, "shards", o.Shards, "incarnation", o.Incarnation)
+	<-ctx.Done()
+
+	limit := time.AfterFunc(o.DrainTimeout, stop)
+	defer limit.Stop()
+	select {
+	case <-o.drain():
+	case <-work.Done():
+	}
+	close(flush)
+	for range o.shards {
+		<-ended
+	}
+	stop()
+	<-o.drain()
+	event.Info(o.Log, event.OrderStopped, "cutOff", !limit.Stop())
+	return nil
+}
+
+func (o *Owner) start(work context.Context, flush <-chan struct{}) (ended chan struct{}) {
+	o.Shards = cmp.Or(o.Shards, 16)
+	o.Retention = cmp.Or(o.Retention, 24*time.Hour)
+	o.QueueLength = cmp.Or(o.QueueLength, 256)
+	o.MaxRecords = cmp.Or(o.MaxRecords, 100_000)
+	o.DefaultTimeout = cmp.Or(o.DefaultTimeout, 2*time.Minute)
+	o.ReplyTimeout = cmp.Or(o.ReplyTimeout, 5*time.Minute)
+	o.PlatformTimeout = cmp.Or(o.PlatformTimeout, 2*time.Second)
+	o.DrainTimeout = cmp.Or(o.DrainTimeout, 30*time.Second)
+	if o.Preferred == nil {
+		o.Preferred = func(int) string { return o.Name }
+	}
+	if o.Log.GetSink() == nil {
+		o.Log = logr.Discard()
+	}
+	o.work, o.idle = work, make(chan struct{})
+	ended = make(chan struct{}, o.Shards)
+	for number := range o.Shards {
+		s := newShard(o, number)
+		o.shards = append(o.shards, s)
+		go func() {
+			s.run(work, flush)
+			ended <- struct{}{}
+		}()
+	}
+	o.mu.Lock()
+	o.running = true
+	o.mu.Unlock()
+	return ended
+}
+
+// enter counts a piece of work that a drain waits for. It returns false while the owner takes no new work.
+func (o *Owner) enter() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.running {
+		return false
+	}
+	o.active++
+	return true
+}
+
+// hold counts one more piece of work of somebody who entered and did not leave yet.
+func (o *Owner) hold() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.active++
+}
+
+func (o *Owner) leave() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.active--
+	if !o.running && o.active == 0 {
+		close(o.idle)
+	}
+}
+
+// drain stops the intake and returns a channel that is closed when all work left.
+func (o *Owner) drain() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.running {
+		o.running = false
+		if o.active == 0 {
+			close(o.idle)
+		}
+	}
+	return o.idle
+}
+
+func (o *Owner) nonce() claim.Nonce {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sequence++
+	return claim.Nonce{Incarnation: o.Incarnation, Sequence: o.sequence}
+}
+
+// Execute runs the order in call, at most once for its organisation and idempotency key, and returns a wire.Reply or a
+// wire.Refused. An order that was not sent yet when ctx is done is not sent.
+func (o *Owner) Execute(ctx context.Context, call wire.Call) (m wire.Message) {
+	defer func() { m = onStream(m, call.Stream) }()
+	if call.IdempotencyKey == "" {
+		return refuse(wire.NotRun, wire.ReasonKeyMissing, "an order needs an idempotency key")
+	}
+	if !o.enter() {
+		return refuse(wire.NotRun, wire.ReasonDraining, "the agent takes no orders")
+	}
+	defer o.leave()
+	timeout := call.Timeout
+	if timeout <= 0 {
+		timeout = o.DefaultTimeout
+	}
+	s := o.shards[claim.Shard(call.Organisation, call.IdempotencyKey, o.Shards)]
+	return s.execute(ctx, newRequest(call, time.Now().Add(timeout)))
+}
--- a/pkg/claim/index.go
+++ b/pkg/claim/index.go
@@ -31,6 +31,12 @@
 	return e, ok
 }
 
+// Holds tells whether the claim is the one in force for its key: only then may its order be sent.
+func (x *Index) Holds(claimed Record) bool {
+	e, ok := x.Get(claimed.Key)
+	return ok && e.Kind == Claimed && e.Nonce == claimed.Nonce
+}
+
 // Apply takes the records of a segment in order. It never replaces a Completed entry, and nothing but the Abandoned
 // record of the same claim frees a claimed key, so that a record that should not be there never makes an order run.
 func (x *Index) Apply(segment uint64, records []Record) {
