--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -134,13 +134,12 @@
 	defer func() { event.Info(a.Log, event.AgentStopped, "Name", a.Name) }()
 
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
-	var parts sync.WaitGroup
-	defer parts.Wait()
 	defer end()
+	var parts sync.WaitGroup
 	for _, part := range a.parts() {
 		parts.Go(func() { part(life) })
 	}
-	serving, stopServing := context.WithCancel(life)
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	served := make(chan error, 1)
 	go func() { served <- a.server.Serve(serving, listener) }()
@@ -153,6 +152,9 @@
 		served <- nil // read again below
 	}
 	a.drain()
+	// The address is given up last: a successor that takes it must find no order of this agent under way.
+	end()
+	parts.Wait()
 	stopServing()
 	return errors.CombineErrors(err, <-served)
 }
--- a/internal/process/agent/keep.go
+++ b/internal/process/agent/keep.go
@@ -108,6 +108,11 @@
 	case <-ctx.Done():
 		return 0
 	}
+	// A shutdown waits for an order under way, and none is given after it began.
+	if !a.begin() {
+		return a.ReconcileInterval
+	}
+	defer a.work.Done()
 	v := a.current()
 	o := engine.Order{Kind: "SetRole", Role: RoleServe, Epoch: a.epoch}
 	if s.model != v.model.Name || s.version != v.model.Version {
--- a/internal/process/agent/keep_test.go
+++ b/internal/process/agent/keep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -135,15 +136,22 @@
 			go func() { successor.done <- successor.Agent.Run(ctx) }()
 			successor.await("AgentAddressTaken")
 			is.Equal(len(f.engine.Ledger().Orders), 0) // the successor has given none
-			f.Abort()
+			object, err := f.objects.Store.Get(agent.EndpointsKind, f.Name)
+			is.NoErr(err)
+			is.True(strings.Contains(string(object.Value), `"Epoch":1`))
+			f.stop()
+			f.await("AgentDraining")
 			close(paused.resume)
 			is.NoErr(<-f.done)
 			close(f.done)
 			successor.await("EngineServing")
 			cancel()
 			is.NoErr(<-successor.done)
-			orders := f.engine.Ledger().Orders
-			is.Equal(orders[len(orders)-1].Epoch, uint64(2))
+			var epochs []uint64
+			for _, o := range f.engine.Ledger().Orders {
+				epochs = append(epochs, o.Epoch)
+			}
+			is.Equal(epochs, []uint64{1, 2})
 			is.Equal(f.engine.Health().Version, "v3")
 		})
 	}
--- a/internal/process/agent/prompt_test.go
+++ b/internal/process/agent/prompt_test.go
@@ -1,7 +1,11 @@
 package agent_test
 
 import (
+	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -12,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"primrosecourse/internal/process/agent"
+	"primrosecourse/internal/process/engine"
 	standin "primrosecourse/internal/standin/engine"
 	"primrosecourse/pkg/settings"
 	"primrosecourse/pkg/wire"
@@ -213,3 +218,72 @@
 	}
 	is.Equal(f.Load().Running, 0)
 }
+
+// TestSuspectsInQueue guards against two suspects that were let in one after the other and run together.
+func TestSuspectsInQueue(t *testing.T) {
+	is := is.New(t)
+	f := start(t, standin.Settings{})
+	f.engine.Pause(true)
+	p := f.dial()
+	running := []stream{p.submit(f.prompt("R1", "a")), p.submit(f.prompt("R2", "b"))}
+	running[0].accepted()
+	running[1].accepted()
+	var suspects []stream
+	for i, text := range []string{"one", "two"} {
+		m := f.prompt(text, text)
+		f.Mark(wire.Mark{Fingerprint: m.Fingerprint, Endpoints: []string{"Endpoint9"}, Remaining: time.Minute})
+		suspects = append(suspects, p.submit(m))
+		f.queued(i + 1)
+	}
+	p.write(wire.Cancel{Stream: running[0].id})
+	p.write(wire.Cancel{Stream: running[1].id})
+	suspects[0].accepted()
+	is.Equal(suspects[1].refused().Reason, wire.ReasonSuspectRunning)
+}
+
+// TestRunsNotCounted guards against runs beyond the capacity of an engine that still computes what the agent lost.
+func TestRunsNotCounted(t *testing.T) {
+	is := is.New(t)
+	f := start(t, standin.Settings{})
+	f.engine.Pause(true)
+	p := f.dial()
+	running := []stream{p.submit(f.prompt("R1", "a")), p.submit(f.prompt("R2", "b"))}
+	running[0].accepted()
+	running[1].accepted()
+	f.engine.Detach()
+	is.Equal(running[0].end().Finish, wire.FinishLost)
+	is.Equal(running[1].end().Finish, wire.FinishLost)
+	next := p.submit(f.prompt("R3", "c"))
+	f.queued(1)
+	f.engine.Pause(false)
+	is.Equal(next.end().Finish, wire.FinishLength)
+	is.Equal(f.engine.Ledger().Excess, 0)
+}
+
+// gapEngine leaves the second token of each answer out.
+type gapEngine struct {
+	agent.Engine
+	client *engine.Client
+}
+
+func (e gapEngine) Generate(ctx context.Context, req engine.Request) (*engine.Run, error) {
+	return e.client.Generate(ctx, req)
+}
+
+// TestGap guards against an answer with a token missing that looks whole.
+func TestGap(t *testing.T) {
+	is := is.New(t)
+	f := setUp(t, standin.Settings{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "event: accepted\ndata: {}\n\nevent: tokens\ndata: {\"Index\":0,\"Tokens\":[97]}\n\n"+
+			"event: tokens\ndata: {\"Index\":2,\"Tokens\":[97]}\n\nevent: end\ndata: {\"Finish\":\"Stop\"}\n\n")
+	}))
+	defer server.Close()
+	broken := engine.New(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	defer broken.Close()
+	f.Engine = gapEngine{f.Engine, broken}
+	f.run().await("EngineServing")
+	tokens, last := f.dial().submit(f.prompt("R1", "a")).finish()
+	is.Equal(tokens, []uint32{'a'})
+	is.Equal(last.(wire.End).Finish, wire.FinishLost)
+}
--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -14,6 +14,7 @@
 //	GET  /ledger               Ledger: every run and order received
 //	POST /admin/cold           turns the engine cold: new incarnation, empty cache, running streams cut
 //	POST /admin/cut            cuts the running streams and does nothing else
+//	POST /admin/detach         closes the connections of running streams; the runs go on
 //	POST /admin/set?Version=v  changes Version, Model or Role without an order
 //	POST /admin/pause, resume  stops and continues the steps of the batch
 //	/fault                     the rules of package fault
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -55,6 +55,8 @@
 	events []any
 	signal chan struct{} // has room for one; told when events grow or the run ended
 	ended  bool          // no event follows; a stream without End was cut
+	// detached tells that the connection is closed and the run goes on.
+	detached bool
 }
 
 // New returns an engine, cold unless the settings say otherwise.
@@ -178,7 +180,9 @@
 func (e *Engine) abandon(r *run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.finish(r, "Cancelled", time.Now())
+	if !r.detached {
+		e.finish(r, "Cancelled", time.Now())
+	}
 }
 
 // TurnCold restarts the engine's worker without warning: running streams are cut and the cache is empty.
@@ -197,6 +201,17 @@
 	e.cache.sequence = sequence
 }
 
+// Detach closes the connections of the running streams and lets the runs go on, like an engine that notices lost
+// connections late.
+func (e *Engine) Detach() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.runs {
+		r.detached = true
+		r.tell()
+	}
+}
+
 // Cut cuts the running streams.
 func (e *Engine) Cut() {
 	e.mu.Lock()
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -30,7 +30,7 @@
 		e.work(ctx)
 	}()
 	// The ledger and the admin routes are for tests, which must reach them during a fault.
-	handler := e.Faults.Wrap(e.Handler(), "/ledger", "/admin/cold", "/admin/cut", "/admin/set", "/admin/pause",
+	handler := e.Faults.Wrap(e.Handler(), "/ledger", "/admin/cold", "/admin/cut", "/admin/detach", "/admin/set", "/admin/pause",
 		"/admin/resume")
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	served := make(chan error, 1)
@@ -55,6 +55,7 @@
 		mux.HandleFunc("POST /admin/"+path, func(_ http.ResponseWriter, r *http.Request) { act(r) })
 	}
 	admin("cold", func(*http.Request) { e.TurnCold() })
+	admin("detach", func(*http.Request) { e.Detach() })
 	admin("cut", func(*http.Request) { e.Cut() })
 	admin("pause", func(*http.Request) { e.Pause(true) })
 	admin("resume", func(*http.Request) { e.Pause(false) })
@@ -145,7 +146,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	events, r.events = r.events, nil
-	return events, r.ended
+	return events, r.ended || r.detached
 }
 
 func writeEvent(w io.Writer, event any) error {
