--- a/internal/process/operator/spread_test.go
+++ b/internal/process/operator/spread_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
@@ -63,8 +64,12 @@
 			wg.Go(func() { _ = tracker.Run(ctx) })
 			wg.Go(func() { _ = server.Run(ctx, listener) })
 		}
-		for _, tracker := range trackers {
-			<-tracker.Ready()
+		for name, tracker := range trackers {
+			select {
+			case <-tracker.Ready():
+			case <-time.After(time.Minute):
+				t.Fatalf("%s did not take the accepted configuration", name)
+			}
 		}
 		old, err := r.mustRead(ctx)
 		is.NoErr(err)
