--- a/internal/connection/agent/conn.go
+++ b/internal/connection/agent/conn.go
@@ -129,7 +129,7 @@
 	c.mu.Lock()
 	if c.cause != nil || c.goodbye {
 		defer c.mu.Unlock()
-		return nil, notSent(errors.CombineErrors(c.cause, errGoodbye))
+		return nil, notSent(errUnusable)
 	}
 	c.next++
 	id := c.next
--- a/internal/connection/agent/errors.go
+++ b/internal/connection/agent/errors.go
@@ -23,10 +23,11 @@
 )
 
 var (
-	errSilent  = errors.New("agent: peer is silent")
-	errIdle    = errors.New("agent: connection is idle")
-	errEnded   = mayHaveArrived(errors.New("agent: stream has ended"))
-	errGoodbye = errors.New("agent: peer said goodbye")
+	errSilent   = errors.New("agent: peer is silent")
+	errIdle     = errors.New("agent: connection is idle")
+	errEnded    = mayHaveArrived(errors.New("agent: stream has ended"))
+	errUnusable = errors.New("agent: connection takes no more requests")
+	errGoodbye  = errors.New("agent: peer said goodbye")
 )
 
 // fateError joins what became of the request with the cause. Unlike the marks of package errors, both are seen by the
--- a/internal/connection/agent/pool.go
+++ b/internal/connection/agent/pool.go
@@ -64,7 +64,8 @@
 	// Dial connects to an agent. Default TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 
-	// DialTimeout bounds dialing and the exchange of Hello. Default 1 s.
+	// DialTimeout bounds dialing and the exchange of Hello. Default 300 ms: inside a region both take a few milliseconds, and
+	// a request that waits longer for a lost failure domain misses its time to first token, while others would serve it.
 	DialTimeout time.Duration
 	// IdleTimeout is the time without streams after which a connection is closed. Default 30 s.
 	IdleTimeout time.Duration
@@ -101,7 +102,7 @@
 		p.ctx, p.cancel = context.WithCancel(context.Background())
 		p.done = make(chan struct{})
 		p.peers = make(map[string]*peer)
-		p.DialTimeout = cmp.Or(p.DialTimeout, time.Second)
+		p.DialTimeout = cmp.Or(p.DialTimeout, 300*time.Millisecond)
 		p.IdleTimeout = cmp.Or(p.IdleTimeout, 30*time.Second)
 		p.HeartbeatInterval = cmp.Or(p.HeartbeatInterval, 500*time.Millisecond)
 		p.KeepAlive = cmp.Or(p.KeepAlive, 20*time.Second)
@@ -204,11 +205,17 @@
 func (p *Pool) open(ctx context.Context, to Target, given int, messages func(id uint64) []wire.Message) (_ *Stream, err error) {
 	p.init()
 	defer func() { err = errors.Wrapf(err, "request to %s", to.Name) }()
-	c, err := p.peer(to).connect(ctx)
-	if err != nil {
-		return nil, notSent(err)
+	for attempt := 0; ; attempt++ {
+		c, err := p.peer(to).connect(ctx)
+		if err != nil {
+			return nil, notSent(err)
+		}
+		s, err := c.open(given, messages)
+		// A connection that ends just now, for example because it was idle, says nothing about the agent.
+		if err == nil || attempt > 0 || !errors.Is(err, errUnusable) {
+			return s, err
+		}
 	}
-	return c.open(given, messages)
 }
 
 func (p *Pool) peer(to Target) *peer {
--- a/internal/process/entry/fake_test.go
+++ b/internal/process/entry/fake_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
@@ -121,7 +122,7 @@
 		s.kill[e.Name] = func() { cancel(); <-done }
 	}
 	s.entry = &entry.Entry{Name: "Entry1", Address: netip.MustParseAddrPort("127.0.0.1:0"), FailureDomain: "0",
-		PeerAddress: netip.MustParseAddrPort("127.0.0.1:0"), Configuration: s.config, Log: funcr.New(func(_, args string) {
+		PeerAddress: netip.MustParseAddrPort("127.0.0.1:0"), Configuration: s.config, DrainTimeout: time.Hour, Log: funcr.New(func(_, args string) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.log = append(s.log, args)
--- a/internal/process/entry/marks.go
+++ b/internal/process/entry/marks.go
@@ -45,6 +45,13 @@
 	m.table.Crashed(now, fingerprint, endpoint)
 }
 
+// Finished records that a request ran to its end.
+func (m *marks) Finished(fingerprint uint64, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Finished(now, fingerprint)
+}
+
 // Quarantined tells whether a fingerprint is refused, and for how long.
 func (m *marks) Quarantined(fingerprint uint64, now time.Time) (time.Duration, bool) {
 	m.mu.Lock()
--- a/internal/request/caller/call.go
+++ b/internal/request/caller/call.go
@@ -120,6 +120,9 @@
 				// The bytes may have left. Another attempt could run the order twice.
 				return wire.Reply{}, c.unknown(ctx)
 			}
+			if errors.Is(err, wire.ErrFrameTooLarge) {
+				return wire.Reply{}, refuse(ReasonBodyTooLarge, "the call does not fit into a message")
+			}
 			if ctx.Err() != nil {
 				return wire.Reply{}, refusalOf(ctx)
 			}
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -44,6 +44,8 @@
 	Quarantined(fingerprint uint64, now time.Time) (time.Duration, bool)
 	// Crashed records that an endpoint crashed under the fingerprint.
 	Crashed(fingerprint uint64, endpoint string, now time.Time)
+	// Finished records that a request ran to its end, so that a bystander of a crash is no suspect any more.
+	Finished(fingerprint uint64, now time.Time)
 }
 
 // ErrStopping is the cause of the end of requests that Cut ends.
--- a/internal/request/caller/prompt_test.go
+++ b/internal/request/caller/prompt_test.go
@@ -109,6 +109,8 @@
 		{name: "nothing reachable", scripts: nil, attempts: 3, reason: "NoEndpoint", outcome: "not run"},
 		{name: "lost before tokens, then refused", scripts: []script{{err: errLost}, refused(wire.ReasonQuarantined)}, attempts: 2,
 			reason: "Quarantined", outcome: "outcome unknown"},
+		{name: "larger than a frame", scripts: []script{{refuse: fmt.Errorf("%w: %w", agent.ErrNotSent, wire.ErrFrameTooLarge)}, whole},
+			attempts: 1, reason: "BodyTooLarge", outcome: "not run"},
 		{name: "slow reader", scripts: []script{{list: []wire.Message{accepted, tokens(0, "one ")},
 			err: fmt.Errorf("%w: %w", agent.ErrMayHaveArrived, agent.ErrSlowReader)}, rest}, attempts: 1, want: "one ",
 			reason: "SlowReader", outcome: "ran"},
@@ -147,6 +149,26 @@
 	s.is.True(s.logged(`"RequestResumed"`))
 }
 
+// Guards against a bystander of two crashes that is refused, and a culprit that is not.
+func TestMarks(t *testing.T) {
+	crashed := script{list: []wire.Message{accepted, wire.End{Finish: wire.FinishCrashed}}}
+	s := newSite(t, crashed, whole, crashed, crashed)
+	marks := marks{}
+	s.Marks = marks
+	s.is.Equal(completePrompt(s).Code, 200)
+	s.is.Equal(len(marks), 0) // it ran to its end
+	s.is.Equal(completePrompt(s).Code, 422)
+	s.is.Equal(completePrompt(s).Code, 422)
+	s.is.Equal(len(s.agents.targets), 4) // the last was refused before it was sent
+}
+
+// marks counts the crashes of each fingerprint.
+type marks map[uint64]int
+
+func (m marks) Quarantined(f uint64, _ time.Time) (time.Duration, bool) { return time.Minute, m[f] > 1 }
+func (m marks) Crashed(f uint64, _ string, _ time.Time)                 { m[f]++ }
+func (m marks) Finished(f uint64, _ time.Time)                          { delete(m, f) }
+
 // Guards against runs that go on for a caller that left.
 func TestDisconnectCancelsRun(t *testing.T) {
 	s := newSite(t, script{list: []wire.Message{accepted, tokens(0, "one ")}})
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -195,6 +195,9 @@
 	switch m.Finish {
 	case wire.FinishStop, wire.FinishLength:
 		u.finish(m.Finish)
+		if u.h.Marks != nil {
+			u.h.Marks.Finished(u.fingerprint, time.Now())
+		}
 		return complete, nil
 	case wire.FinishCancelled:
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < deadlineTolerance {
@@ -232,6 +235,8 @@
 // broken judges a stream that ended without the agent's word.
 func (u *run) broken(err error) (verdict, *refusal) {
 	switch {
+	case errors.Is(err, wire.ErrFrameTooLarge):
+		return final, refuse(ReasonBodyTooLarge, "the prompt does not fit into a message")
 	case errors.Is(err, agent.ErrNotSent):
 		return free, &refusal{reason: "NoEndpoint", detail: "the endpoint cannot be reached"}
 	case errors.Is(err, agent.ErrSlowReader):
