--- a/internal/process/agent/prompt_test.go
+++ b/internal/process/agent/prompt_test.go
@@ -243,21 +243,29 @@
 
 // TestRunsNotCounted guards against runs beyond the capacity of an engine that still computes what the agent lost.
 func TestRunsNotCounted(t *testing.T) {
-	is := is.New(t)
-	f := start(t, standin.Settings{})
-	f.engine.Pause(true)
-	p := f.dial()
-	running := []stream{p.submit(f.prompt("R1", "a")), p.submit(f.prompt("R2", "b"))}
-	running[0].accepted()
-	running[1].accepted()
-	f.engine.Detach()
-	is.Equal(running[0].end().Finish, wire.FinishLost)
-	is.Equal(running[1].end().Finish, wire.FinishLost)
-	next := p.submit(f.prompt("R3", "c"))
-	f.queued(1)
-	f.engine.Pause(false)
-	is.Equal(next.end().Finish, wire.FinishLength)
-	is.Equal(f.engine.Ledger().Excess, 0)
+	for _, warm := range []bool{false, true} {
+		t.Run(fmt.Sprint("warm=", warm), func(t *testing.T) {
+			is := is.New(t)
+			f := setUp(t, standin.Settings{WarmStart: warm, BatchLimit: 2})
+			d := deployment("v1")
+			d.Endpoints[0].BatchLimit = 2
+			f.config.set(d)
+			f.run().await("EngineServing")
+			f.engine.Pause(true)
+			p := f.dial()
+			running := []stream{p.submit(f.prompt("R1", "a")), p.submit(f.prompt("R2", "b"))}
+			running[0].accepted()
+			running[1].accepted()
+			next := p.submit(f.prompt("R3", "c"))
+			f.queued(1)
+			f.engine.Detach()
+			is.Equal(running[0].end().Finish, wire.FinishLost)
+			is.Equal(running[1].end().Finish, wire.FinishLost)
+			f.engine.Pause(false)
+			is.Equal(next.end().Finish, wire.FinishLength)
+			is.Equal(f.engine.Ledger().Excess, 0)
+		})
+	}
 }
 
 // gapEngine leaves the second token of each answer out.
