--- a/pkg/wire/conn.go
+++ b/pkg/wire/conn.go
@@ -38,6 +38,8 @@
 func NewConn(c net.Conn) *Conn {
 	conn := &Conn{conn: c, r: bufio.NewReaderSize(c, 16<<10)}
 	conn.enc = msgpack.NewEncoder(&conn.buf)
+	// Most tokens take 1 byte instead of 5. Readers take integers of every width.
+	conn.enc.UseCompactInts(true)
 	return conn
 }
 
