--- a/internal/request/order/fake_test.go
+++ b/internal/request/order/fake_test.go
@@ -72,6 +72,10 @@
 	// gate, if not nil, is received from before a call runs.
 	gate chan struct{}
 	body []byte
+	// pad is the number of bytes added to each response.
+	pad int
+	// requests holds the identifiers of the attempts that ran.
+	requests map[string]bool
 }
 
 func (l *ledger) Do(ctx context.Context, call wire.Call) (wire.Reply, error) {
@@ -95,8 +99,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.runs == nil {
-		l.runs = map[string]int{}
+		l.runs, l.requests = map[string]int{}, map[string]bool{}
 	}
+	l.requests[call.RequestID] = true
 	l.runs[call.IdempotencyKey]++
 	if fault != nil {
 		return wire.Reply{}, fault
@@ -104,6 +109,7 @@
 	body := l.body
 	if body == nil {
 		body = fmt.Appendf(nil, "%s run %d", call.IdempotencyKey, l.runs[call.IdempotencyKey])
+		body = append(body, make([]byte, l.pad)...)
 	}
 	return wire.Reply{Status: 201, ContentType: "text/plain", Body: body}, nil
 }
--- a/internal/request/order/shard.go
+++ b/internal/request/order/shard.go
@@ -18,6 +18,8 @@
 	maxBackoff = 2 * time.Second
 	// maxUnsent bounds the claims remembered as certainly not sent. One that is forgotten has an unknown outcome.
 	maxUnsent = 4096
+	// maxTries bounds how often an order takes its shard again from an owner that believes to be preferred as well.
+	maxTries = 3
 )
 
 // pending is a record that waits for its commit. A Claimed record has a flight.
@@ -88,13 +90,17 @@
 		s.mu.Unlock()
 	}()
 	s.mu.Unlock()
-	for {
+	for tries := 1; ; tries++ {
 		f, entry, first, m := s.decide(r)
 		switch {
 		case m != nil:
 			return m
 		case f != nil:
-			return s.await(ctx, f, r.deadline, first)
+			m = s.await(ctx, f, r.deadline, first)
+			if refused, ok := m.(wire.Refused); ok && refused.Reason == wire.ReasonNotOwner && tries < maxTries {
+				continue // another agent took the shard; this one takes it again if it is still preferred
+			}
+			return m
 		case entry != nil:
 			return s.replay(ctx, r.key, *entry)
 		}
