--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -16,6 +16,7 @@
 
 	"primrosecourse/internal/connection/entry"
 	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/loadpermits"
 	"primrosecourse/pkg/fairqueue"
 	"primrosecourse/pkg/quarantine"
 	"primrosecourse/pkg/settings"
@@ -38,8 +39,11 @@
 	Service       Service
 	Platform      Platform
 	Configuration Configuration
-	// Permits bounds weight loads. Default PlatformPermits over Platform.
+	// Permits bounds weight loads. Default the permits of the site, over Platform.
 	Permits Permits
+	// PermitPatience is the wait for a load permit after which the platform is asked whether it answers at all. Default
+	// 5 s.
+	PermitPatience time.Duration
 	// Blocks moves cache blocks; optional.
 	Blocks Blocks
 	// SpreadMark is told the marks that this agent makes, beside the connected entries; optional.
@@ -100,7 +104,10 @@
 			a.ConfigWait = 500 * time.Millisecond
 		}
 		if a.Permits == nil {
-			a.Permits = &PlatformPermits{Platform: a.Platform, Holder: a.Name, Log: a.Log}
+			a.Permits = &sitePermits{loadpermits.Permits{Platform: a.Platform, Holder: a.Name}}
+		}
+		if a.PermitPatience <= 0 {
+			a.PermitPatience = 5 * time.Second
 		}
 		a.wake = make(chan struct{}, 1)
 		a.recheck = make(chan struct{}, 1)
--- a/internal/process/agent/epoch.go
+++ b/internal/process/agent/epoch.go
@@ -2,78 +2,88 @@
 
 import (
 	"context"
-	"encoding/json"
-	"math/rand/v2"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"primrosecourse/internal/event"
-	"primrosecourse/internal/process/platform"
+	"primrosecourse/internal/process/endpoints"
+	"primrosecourse/internal/process/loadpermits"
 )
 
-// EndpointsKind is the kind of the objects that hold the epochs of endpoints; they are named as the endpoints.
-const EndpointsKind = "Endpoints"
-
-// endpointObject is the value of an object of EndpointsKind.
-type endpointObject struct {
-	// Epoch is the fencing number of the latest agent, and Incarnation that agent's.
-	Epoch       uint64
-	Incarnation uint64
-}
+// epochSlow is how long the epoch may take before it is logged; a healthy platform answers in milliseconds.
+const epochSlow = 500 * time.Millisecond
 
 // raiseEpoch raises the fencing number for this start of the agent, for as long as it takes. In an outage of the
-// platform the agent serves prompts without, and gives no orders.
+// platform the agent serves prompts without it, and gives no orders.
 func (a *Agent) raiseEpoch(ctx context.Context) {
-	for wait := 50 * time.Millisecond; ; wait = min(2*wait, 5*time.Second) {
-		epoch, err := a.tryRaise(ctx)
-		if err == nil {
-			a.epoch = epoch
-			close(a.epochOK)
-			event.Info(a.Log, event.EpochRaised, "Epoch", epoch)
-			tell(a.recheck)
-			return
-		}
-		if ctx.Err() != nil {
-			return
+	slow := time.AfterFunc(epochSlow, func() { event.Info(a.Log, event.EpochNotRaised) })
+	defer slow.Stop()
+	epoch, err := endpoints.RaiseEpoch(ctx, a.Platform, a.Name, a.Incarnation)
+	if err != nil {
+		if ctx.Err() == nil {
+			event.Error(a.Log, err, event.EpochNotRaised)
 		}
-		event.Error(a.Log, err, event.EpochNotRaised)
-		pause(ctx, wait/2+rand.N(wait))
+		return
 	}
+	a.epoch = epoch
+	close(a.epochOK)
+	event.Info(a.Log, event.EpochRaised, "Epoch", epoch)
+	tell(a.recheck)
 }
 
-// tryRaise is one attempt. After a write whose outcome is unknown, the next attempt finds out by the incarnation.
-func (a *Agent) tryRaise(ctx context.Context) (epoch uint64, err error) {
-	defer func() { err = errors.Wrap(err, "raise epoch") }()
-	object, err := a.Platform.Get(ctx, EndpointsKind, a.Name)
-	if errors.Is(err, platform.ErrNotFound) {
-		object, err = platform.Object{Kind: EndpointsKind, Name: a.Name}, nil
-	}
+// sitePermits are the load permits of the site.
+type sitePermits struct{ loadpermits.Permits }
+
+// releaseTimeout bounds giving a permit back; it expires anyway.
+const releaseTimeout = 2 * time.Second
+
+// Acquire implements Permits.
+func (p *sitePermits) Acquire(ctx context.Context) (release func(), err error) {
+	permit, err := p.Permits.Acquire(ctx)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
-	var value endpointObject
-	if len(object.Value) > 0 {
-		if err = json.Unmarshal(object.Value, &value); err != nil {
-			return 0, err
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		_ = permit.Release(ctx)
+	}, nil
+}
+
+// permit waits for a load permit. If the platform does not answer meanwhile, the load goes on without one: loads that
+// run beside each other are only slower, while an endpoint without its weights serves nothing for the whole outage.
+func (a *Agent) permit(ctx context.Context) (release func(), err error) {
+	waiting, stop := context.WithCancel(ctx)
+	defer stop()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		release, err = a.Permits.Acquire(waiting)
+	}()
+	for {
+		select {
+		case <-done:
+			return release, err
+		case <-time.After(a.PermitPatience):
 		}
+		if ctx.Err() != nil || a.platformAnswers(ctx) {
+			continue
+		}
+		stop()
+		<-done
+		if err != nil && ctx.Err() == nil {
+			event.Info(a.Log, event.LoadPermitMissing)
+			return func() {}, nil
+		}
+		return release, err
 	}
-	if value.Incarnation == a.Incarnation {
-		return value.Epoch, nil
-	}
-	value = endpointObject{Epoch: value.Epoch + 1, Incarnation: a.Incarnation}
-	if object.Value, err = json.Marshal(value); err != nil {
-		return 0, err
-	}
-	_, err = a.Platform.Put(ctx, object)
-	return value.Epoch, err
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+func (a *Agent) platformAnswers(ctx context.Context) bool {
+	if a.Platform == nil {
+		return true
 	}
+	ctx, cancel := context.WithTimeout(ctx, a.PermitPatience)
+	defer cancel()
+	_, err := a.Platform.List(ctx, loadpermits.Kind, "")
+	return err == nil
 }
--- a/internal/process/agent/keep.go
+++ b/internal/process/agent/keep.go
@@ -116,7 +116,7 @@
 	v := a.current()
 	o := engine.Order{Kind: "SetRole", Role: RoleServe, Epoch: a.epoch}
 	if s.model != v.model.Name || s.version != v.model.Version {
-		release, err := a.permit(ctx, len(v.snapshot.Deployment.Endpoints))
+		release, err := a.permit(ctx)
 		if err != nil {
 			return 0
 		}
@@ -146,10 +146,3 @@
 		"Epoch", o.Epoch, "Duration", time.Since(started).String())
 	return 0 // read back at once
 }
-
-func (a *Agent) permit(ctx context.Context, endpoints int) (func(), error) {
-	if p, ok := a.Permits.(*PlatformPermits); ok {
-		p.setEndpoints(endpoints)
-	}
-	return a.Permits.Acquire(ctx)
-}
--- a/internal/process/agent/mark.go
+++ b/internal/process/agent/mark.go
@@ -169,3 +169,12 @@
 		}
 	}
 }
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
