--- /dev/null
+++ b/cmd/primrose-quickstart/tour.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"primrosecourse/internal/process/operator"
+)
+
+// tour sends requests and prints what came of them.
+type tour struct {
+	*system
+	requests int
+}
+
+// styleGuide is the part that all prompts of the organisation share: two cache blocks.
+var styleGuide = strings.Repeat("Titles are short. Steps are numbered. Quantities are metric. ", 10)[:2*blockTokens]
+
+// draft is a long prompt of the organisation; every call with the same lines gives the same text.
+func draft(lines int) string {
+	var b strings.Builder
+	b.WriteString(styleGuide)
+	for i := range lines {
+		fmt.Fprintf(&b, "Line %d of the draft says what the earlier lines left out. ", i)
+	}
+	return b.String()
+}
+
+func (t *tour) newPrompt(ctx context.Context) error {
+	fmt.Println("A long prompt that no engine has seen:")
+	_, err := t.prompt(ctx, 0, draft(100))
+	return err
+}
+
+func (t *tour) returningPrompt(ctx context.Context) error {
+	fmt.Println("The prompt comes back with two more lines, through the other entry:")
+	cached, err := t.prompt(ctx, 1, draft(102))
+	if err == nil && cached == 0 {
+		err = errors.New("nothing of the returning prompt was cached")
+	}
+	return err
+}
+
+func (t *tour) orders(ctx context.Context) error {
+	fmt.Println("An order, and the same order again through the other entry:")
+	for i := range t.entries {
+		if err := t.order(ctx, i, "order-1"); err != nil {
+			return err
+		}
+	}
+	runs := 0
+	for _, s := range t.services {
+		runs += len(s.Ledger())
+	}
+	fmt.Printf("  the order services ran it %d time(s)\n", runs)
+	if runs != 1 {
+		return errors.Newf("the order ran %d times", runs)
+	}
+	return nil
+}
+
+func (t *tour) leave(ctx context.Context) error {
+	fmt.Println("Failure domain South leaves, and the prompt comes back again:")
+	if _, err := t.operator.LeaveDomain(ctx, "South", operator.Options{Wait: true}); err != nil {
+		return err
+	}
+	before := len(t.engines["Model2"].Ledger().Runs)
+	for i := range 4 {
+		if _, err := t.prompt(ctx, i%2, draft(102+i)); err != nil {
+			return err
+		}
+	}
+	if got := len(t.engines["Model2"].Ledger().Runs) - before; got != 0 {
+		return errors.Newf("the engine in South got %d new runs", got)
+	}
+	fmt.Println("  the engine in South got no new run")
+	return nil
+}
+
+func (t *tour) comeBack(ctx context.Context) error {
+	fmt.Println("Failure domain South returns:")
+	if _, err := t.operator.ReturnDomain(ctx, "South", operator.Options{Wait: true}); err != nil {
+		return err
+	}
+	_, err := t.prompt(ctx, 0, draft(106))
+	return err
+}
+
+func (t *tour) excess() error {
+	for name, e := range t.engines {
+		if excess := e.Ledger().Excess; excess > 0 {
+			return errors.Newf("%s received %d runs too many", name, excess)
+		}
+	}
+	return nil
+}
+
+// prompt streams a completion and prints the time to the first token and what was cached.
+func (t *tour) prompt(ctx context.Context, entry int, text string) (cached int, err error) {
+	defer func() { err = errors.Wrap(err, "prompt") }()
+	body, err := json.Marshal(map[string]any{
+		"model": modelName, "prompt": text, "max_tokens": 32, "stream": true,
+		"stream_options": map[string]any{"include_usage": true},
+	})
+	if err != nil {
+		return 0, err
+	}
+	sent := time.Now()
+	resp, err := t.post(ctx, entry, "/v1/completions", "", body)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	first, usage, err := readStream(resp.Body)
+	if err != nil {
+		return 0, err
+	}
+	cached = usage.PromptTokensDetails.CachedTokens
+	fmt.Printf("  first token after %4d ms, %d of %d prompt tokens cached, %d tokens generated\n",
+		first.Sub(sent).Milliseconds(), cached, usage.PromptTokens, usage.CompletionTokens)
+	if usage.CompletionTokens != 32 {
+		return cached, errors.Newf("got %d tokens instead of 32", usage.CompletionTokens)
+	}
+	return cached, nil
+}
+
+type usage struct {
+	PromptTokens        int `json:"prompt_tokens"`
+	CompletionTokens    int `json:"completion_tokens"`
+	PromptTokensDetails struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+// readStream reads server-sent events to the end and returns when the first one came.
+func readStream(r io.Reader) (first time.Time, u usage, err error) {
+	lines := bufio.NewScanner(r)
+	done := false
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if first.IsZero() {
+			first = time.Now()
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var chunk struct{ Usage *usage }
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return first, u, err
+		}
+		if chunk.Usage != nil {
+			u = *chunk.Usage
+		}
+	}
+	if err = lines.Err(); err == nil && !done {
+		err = errors.New("the stream ended before [DONE]")
+	}
+	return first, u, err
+}
+
+func (t *tour) order(ctx context.Context, entry int, key string) (err error) {
+	defer func() { err = errors.Wrap(err, "order") }()
+	resp, err := t.post(ctx, entry, "/services/Orders/orders", key, []byte(`{"Item":"50 cards"}`))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	fmt.Printf("  %s answered: %s %s\n", t.deployment.Entries[entry].Name, resp.Status, bytes.TrimSpace(body))
+	return err
+}
+
+// post sends a request to an entry. A status of 400 or above is an error with the entry's explanation.
+func (t *tour) post(ctx context.Context, entry int, path, key string, body []byte) (*http.Response, error) {
+	url := fmt.Sprintf("http://%s%s", t.entries[entry].BoundAddress(), path)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+credential)
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	t.requests++
+	if resp.StatusCode >= http.StatusBadRequest {
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body) // only to explain the status
+		return nil, errors.Newf("%s: %s", resp.Status, text)
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/test/scenario/caller_test.go
@@ -0,0 +1,135 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// registry finds the system of a script.
+type registry struct {
+	mu sync.Mutex
+	m  map[*testscript.TestScript]*system
+}
+
+func newRegistry() *registry { return &registry{m: map[*testscript.TestScript]*system{}} }
+
+func (r *registry) put(ts *testscript.TestScript, s *system) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.m[ts] = s
+}
+
+func (r *registry) get(ts *testscript.TestScript) *system {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.m[ts]
+}
+
+func (r *registry) remove(ts *testscript.TestScript) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.m, ts)
+}
+
+// call is a request of a caller as a script wrote it.
+type call struct {
+	organisation string
+	entry        string
+	max          string
+	rest         []string
+}
+
+func (s *system) parse(args []string) call {
+	c := call{organisation: "Org1", entry: s.entries[0], max: "24"}
+	for len(args) > 0 {
+		key, value, ok := strings.Cut(args[0], "=")
+		if !ok {
+			break
+		}
+		switch key {
+		case "as":
+			c.organisation = value
+		case "via":
+			c.entry = value
+		case "max":
+			c.max = value
+		}
+		args = args[1:]
+	}
+	c.rest = args
+	return c
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome string
+	reason  string
+	body    string
+}
+
+func (a answer) String() string {
+	return fmt.Sprintf("status=%d outcome=%q reason=%q body=%s", a.status, a.outcome, a.reason, a.body)
+}
+
+func (s *system) send(c call, path, key, body string) (a answer, err error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.addresses[c.entry].String()+path, strings.NewReader(body))
+	if err != nil {
+		return a, err
+	}
+	req.Header.Set("Authorization", "Bearer "+credential(c.organisation))
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := s.http.Do(req)
+	if err != nil {
+		return a, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return a, err
+	}
+	a = answer{status: resp.StatusCode, body: string(text)}
+	var problem struct{ Outcome, Reason string }
+	if resp.Header.Get("Content-Type") == "application/problem+json" {
+		if err := json.Unmarshal(text, &problem); err != nil {
+			return a, err
+		}
+		a.outcome, a.reason = problem.Outcome, problem.Reason
+	}
+	return a, nil
+}
+
+// cmdPrompt sends a completion request. A status other than 200 is printed and is no failure of the command.
+func cmdPrompt(s *system, ts *testscript.TestScript, args []string) error {
+	c := s.parse(args)
+	a, err := s.send(c, "/v1/completions", "", completion(c.rest[0], c.max))
+	if err != nil {
+		return err
+	}
+	s.print(ts, a.String())
+	return nil
+}
+
+func completion(prompt, maxTokens string) string {
+	text, _ := json.Marshal(prompt) // a string always encodes
+	return fmt.Sprintf(`{"model":"Notes","prompt":%s,"max_tokens":%s}`, text, maxTokens)
+}
+
+func cmdOrder(s *system, ts *testscript.TestScript, args []string) error {
+	c := s.parse(args)
+	a, err := s.send(c, "/services/Orders/orders", c.rest[0], c.rest[1])
+	if err != nil {
+		return err
+	}
+	s.print(ts, a.String())
+	return nil
+}
--- /dev/null
+++ b/test/scenario/commands_test.go
@@ -0,0 +1,256 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+type command func(s *system, ts *testscript.TestScript, args []string) error
+
+var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
+	"system":      cmdSystem,
+	"start":       wrap(cmdStart),
+	"sigkill":     wrap(cmdKill),
+	"sigstop":     wrap(signal(syscall.SIGSTOP)),
+	"sigcont":     wrap(signal(syscall.SIGCONT)),
+	"sigterm":     wrap(cmdStop),
+	"ready":       wrap(cmdReady),
+	"fault":       wrap(cmdFault),
+	"ctl":         wrap(cmdCtl),
+	"prompt":      wrap(cmdPrompt),
+	"order":       wrap(cmdOrder),
+	"runs":        wrap(cmdRuns),
+	"excess":      wrap(cmdExcess),
+	"posted":      wrap(cmdPosted),
+	"background":  wrap(cmdBackground),
+	"await":       wrap(cmdAwait),
+	"sleep":       wrap(cmdSleep),
+	"count":       wrap(cmdCount),
+	"unchanged":   wrap(cmdUnchanged),
+	"admin":       wrap(cmdAdmin),
+	"traffic":     wrap(cmdTraffic),
+	"traffic-end": wrap(cmdTrafficEnd),
+}
+
+func init() { commands["retry"] = cmdRetry }
+
+// systems holds the system of each running script.
+var systems = newRegistry()
+
+func cmdSystem(ts *testscript.TestScript, _ bool, args []string) {
+	sh := shape{entries: 2, models: 3, orders: 2, fencing: true}
+	for _, arg := range args {
+		key, value, _ := strings.Cut(arg, "=")
+		n, _ := strconv.Atoi(value) // a word is checked below
+		switch key {
+		case "entries":
+			sh.entries = n
+		case "models":
+			sh.models = n
+		case "orders":
+			sh.orders = n
+		case "stores":
+			sh.stores = n
+		case "fencing":
+			sh.fencing = value == "on"
+		default:
+			ts.Fatalf("unknown argument %s", arg)
+		}
+	}
+	s := newSystem(ts.Getenv("WORK"))
+	systems.put(ts, s)
+	ts.Defer(func() {
+		s.down()
+		systems.remove(ts)
+		s.keepLogs(ts.Name())
+	})
+	ts.Check(s.define(sh))
+	if err := s.up(); err != nil {
+		ts.Fatalf("%v\n%s", err, s.logs())
+	}
+}
+
+// wrap adapts a command to testscript. A negated command must fail.
+func wrap(c command) func(ts *testscript.TestScript, neg bool, args []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		err := c(systems.get(ts), ts, args)
+		if neg && err == nil {
+			ts.Fatalf("should have failed")
+		}
+		if !neg && err != nil {
+			ts.Fatalf("%v", err)
+		}
+	}
+}
+
+// repeatable holds the commands that retry may repeat.
+var repeatable = map[string]command{
+	"ctl": cmdCtl, "prompt": cmdPrompt, "order": cmdOrder, "runs": cmdRuns, "written": cmdWritten, "settled": cmdSettled,
+	"posted": cmdPosted,
+}
+
+// cmdRetry repeats a command and, behind "--", an expected part of its output, until both hold.
+func cmdRetry(ts *testscript.TestScript, _ bool, args []string) {
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	c, ok := repeatable[args[1]]
+	if !ok {
+		ts.Fatalf("retry cannot repeat %s", args[1])
+	}
+	rest, want := args[2:], ""
+	if i := slices.Index(rest, "--"); i >= 0 {
+		rest, want = rest[:i], rest[i+1]
+	}
+	s := systems.get(ts)
+	for end := time.Now().Add(limit); ; time.Sleep(20 * time.Millisecond) {
+		s.printed.Reset()
+		err := c(s, ts, rest)
+		if err == nil && strings.Contains(s.printed.String(), want) {
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("after %s: %v, printed %s", limit, err, s.printed.String())
+		}
+	}
+}
+
+func cmdStart(s *system, _ *testscript.TestScript, args []string) error {
+	p, ok := s.procs[args[0]]
+	if !ok {
+		return fmt.Errorf("no process %s", args[0])
+	}
+	return p.start()
+}
+
+func cmdReady(s *system, _ *testscript.TestScript, args []string) error {
+	defer s.rotation.Store(args[0], true)
+	return s.waitReady(args[0])
+}
+
+func cmdKill(s *system, _ *testscript.TestScript, args []string) error {
+	s.procs[args[0]].kill()
+	return nil
+}
+
+func signal(sig syscall.Signal) command {
+	return func(s *system, _ *testscript.TestScript, args []string) error { return s.procs[args[0]].signal(sig) }
+}
+
+func cmdStop(s *system, _ *testscript.TestScript, args []string) error {
+	p := s.procs[args[0]]
+	s.rotation.Store(args[0], false) // the balancer sends nothing to a leaving entry
+	if err := p.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.exited:
+	case <-time.After(readyTimeout):
+		return fmt.Errorf("%s does not stop", args[0])
+	}
+	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+		return fmt.Errorf("%s exited with %d\n%s", args[0], code, p.log)
+	}
+	return nil
+}
+
+func cmdFault(s *system, _ *testscript.TestScript, args []string) error {
+	url := "http://" + s.addresses[args[0]].String() + "/fault"
+	method, body := http.MethodPost, args[1]
+	if body == "clear" {
+		method, body = http.MethodDelete, ""
+	}
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := s.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body) // only to explain the status
+		return fmt.Errorf("fault: %s: %s", resp.Status, text)
+	}
+	return nil
+}
+
+func cmdCtl(s *system, ts *testscript.TestScript, args []string) error {
+	out, err := s.ctl(args...)
+	s.print(ts, out)
+	return err
+}
+
+// cmdRuns compares the number of runs of an order over the ledgers of all order services.
+func cmdRuns(s *system, _ *testscript.TestScript, args []string) error {
+	want, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	got := 0
+	for name := range s.addresses {
+		if !strings.HasSuffix(name, ".service") {
+			continue
+		}
+		var ledger []struct{ Key string }
+		if err := s.getJSON(name, "/ledger", &ledger); err != nil {
+			return err
+		}
+		for _, run := range ledger {
+			if run.Key == args[0] {
+				got++
+			}
+		}
+	}
+	if got != want {
+		return fmt.Errorf("order %s ran %d times, want %d", args[0], got, want)
+	}
+	return nil
+}
+
+func (s *system) getJSON(name, path string, v any) error {
+	resp, err := s.http.Get("http://" + s.addresses[name].String() + path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+func (s *system) print(ts *testscript.TestScript, text string) {
+	s.printed.WriteString(text)
+	fmt.Fprintln(ts.Stdout(), text)
+}
+
+// logs returns the last lines of every process.
+func (s *system) logs() string {
+	var b strings.Builder
+	for name, p := range s.procs {
+		lines := strings.Split(strings.TrimSpace(p.log.String()), "\n")
+		fmt.Fprintf(&b, "--- %s\n%s\n", name, strings.Join(lines[max(0, len(lines)-30):], "\n"))
+	}
+	return b.String()
+}
+
+// keepLogs writes the logs to PRIMROSE_LOGS if that is set.
+func (s *system) keepLogs(script string) {
+	dir := os.Getenv("PRIMROSE_LOGS")
+	if dir == "" {
+		return
+	}
+	for name, p := range s.procs {
+		file := filepath.Join(dir, strings.ReplaceAll(script, "/", "-")+"-"+name+".log")
+		_ = os.WriteFile(file, []byte(p.log.String()), 0o600) // the logs are an aid only
+	}
+}
--- /dev/null
+++ b/test/scenario/ledger_test.go
@@ -0,0 +1,72 @@
+package scenario
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"primrosecourse/internal/standin/engine"
+	"primrosecourse/pkg/token"
+)
+
+// cmdExcess compares what the engines counted beyond what they could bear.
+func cmdExcess(s *system, _ *testscript.TestScript, args []string) error {
+	want, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	got := 0
+	for name := range s.addresses {
+		if !strings.HasSuffix(name, ".engine") {
+			continue
+		}
+		var l engine.Ledger
+		if err := s.getJSON(name, "/ledger", &l); err != nil {
+			return err
+		}
+		got += l.Excess
+	}
+	if got != want {
+		return fmt.Errorf("engines received %d runs beyond what they could bear, want %d", got, want)
+	}
+	return nil
+}
+
+// cmdPosted compares the number of runs of a prompt at one engine, or at all for the name "all".
+func cmdPosted(s *system, _ *testscript.TestScript, args []string) error {
+	want, err := strconv.Atoi(args[2])
+	if err != nil {
+		return err
+	}
+	got := 0
+	for name := range s.addresses {
+		if name != args[0]+".engine" && (args[0] != "all" || !strings.HasSuffix(name, ".engine")) {
+			continue
+		}
+		var l engine.Ledger
+		if err := s.getJSON(name, "/ledger", &l); err != nil {
+			return err
+		}
+		for _, run := range l.Runs {
+			if run.Fingerprint == engine.Fingerprint(token.Encode(args[1])) {
+				got++
+			}
+		}
+	}
+	if got != want {
+		return fmt.Errorf("%s ran the prompt %d times, want %d", args[0], got, want)
+	}
+	return nil
+}
+
+// wholeAnswer is what the engines generate for a prompt, whichever of them run it.
+func wholeAnswer(prompt string, tokens int) string {
+	fingerprint := engine.Fingerprint(token.Encode(prompt))
+	answer := make([]uint32, tokens)
+	for i := range answer {
+		answer[i] = engine.Answer(fingerprint, i)
+	}
+	return token.Decode(answer)
+}
