--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -58,4 +58,6 @@
 	LoadPermitMissing
 	// QuarantineStored tells that a mark was written to the platform.
 	QuarantineStored
+	// AgentPartFailed tells that a part of the process ended with an error.
+	AgentPartFailed
 )
--- a/internal/event/id_string.go
+++ b/internal/event/id_string.go
@@ -36,6 +36,7 @@
 	_ = x[ConfigRefused-2025]
 	_ = x[LoadPermitMissing-2026]
 	_ = x[QuarantineStored-2027]
+	_ = x[AgentPartFailed-2028]
 	_ = x[ConfigStarted-3000]
 	_ = x[ConfigStopped-3001]
 	_ = x[ConfigReady-3002]
@@ -84,7 +85,7 @@
 
 const (
 	_ID_name_0 = "EntryStartedEntryStoppedAgentUnreachableAgentReachableAgentPushRejectedRequestRoutedRequestRefusedRequestResumedRequestEndedCallRoutedEntryReadyEntryDrainingEntryCutOffEntryConfigApplied"
-	_ID_name_1 = "AgentStartedAgentStoppedAgentAddressTakenEpochRaisedEpochNotRaisedAgentFencedEntryConnectedEntryDisconnectedEntryRejectedEntryTooSlowPromptAcceptedPromptRefusedPromptEndedCallRefusedCallEndedEngineTurnedColdEngineDownEngineServingEngineDiffersEngineOrderedEngineOrderFailedRequestSuspectedQuarantineNotStoredAgentDrainingAgentCutOffConfigRefusedLoadPermitMissingQuarantineStored"
+	_ID_name_1 = "AgentStartedAgentStoppedAgentAddressTakenEpochRaisedEpochNotRaisedAgentFencedEntryConnectedEntryDisconnectedEntryRejectedEntryTooSlowPromptAcceptedPromptRefusedPromptEndedCallRefusedCallEndedEngineTurnedColdEngineDownEngineServingEngineDiffersEngineOrderedEngineOrderFailedRequestSuspectedQuarantineNotStoredAgentDrainingAgentCutOffConfigRefusedLoadPermitMissingQuarantineStoredAgentPartFailed"
 	_ID_name_2 = "AgentFetchDecidedAgentFetchFailedAgentStoreFailedAgentExportedAgentExportFailed"
 	_ID_name_3 = "ConfigStartedConfigStoppedConfigReadyConfigAcceptedConfigInvalidConfigReadFailedConfigWatchGapConfigDirectReadConfigWatchingPeerConnectedPeerClosedPeerRefusedPeerContentSent"
 	_ID_name_4 = "OrderStartedOrderStoppedOrderShardTakenOrderShardLostOrderTakeoverFailedOrderPlatformFailedOrderOutcomeUnknownOrderResultNotStoredOrderSegmentsExpiredOrderSegmentMalformed"
@@ -93,7 +94,7 @@
 
 var (
 	_ID_index_0 = [...]uint8{0, 12, 24, 40, 54, 71, 84, 98, 112, 124, 134, 144, 157, 168, 186}
-	_ID_index_1 = [...]uint16{0, 12, 24, 41, 52, 66, 77, 91, 108, 121, 133, 147, 160, 171, 182, 191, 207, 217, 230, 243, 256, 273, 289, 308, 321, 332, 345, 362, 378}
+	_ID_index_1 = [...]uint16{0, 12, 24, 41, 52, 66, 77, 91, 108, 121, 133, 147, 160, 171, 182, 191, 207, 217, 230, 243, 256, 273, 289, 308, 321, 332, 345, 362, 378, 393}
 	_ID_index_2 = [...]uint8{0, 17, 33, 49, 62, 79}
 	_ID_index_3 = [...]uint8{0, 13, 26, 37, 51, 64, 80, 94, 110, 124, 137, 147, 158, 173}
 	_ID_index_4 = [...]uint8{0, 12, 24, 39, 53, 72, 91, 110, 130, 150, 171}
@@ -105,7 +106,7 @@
 	case 1000 <= i && i <= 1013:
 		i -= 1000
 		return _ID_name_0[_ID_index_0[i]:_ID_index_0[i+1]]
-	case 2000 <= i && i <= 2027:
+	case 2000 <= i && i <= 2028:
 		i -= 2000
 		return _ID_name_1[_ID_index_1[i]:_ID_index_1[i+1]]
 	case 2900 <= i && i <= 2904:
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -65,6 +65,7 @@
 	wake    chan struct{} // tells the dispatcher; has room for one
 	recheck chan struct{} // tells the keeper; has room for one
 	marks   chan wire.Mark
+	aborts  sync.Once
 	aborted chan struct{}
 	abort   sync.Once
 	cut     chan struct{} // closed when stopping
@@ -112,7 +113,6 @@
 		a.wake = make(chan struct{}, 1)
 		a.recheck = make(chan struct{}, 1)
 		a.marks = make(chan wire.Mark, markQueueLength)
-		a.aborted = make(chan struct{})
 		a.cut = make(chan struct{})
 		a.fenced = make(chan struct{})
 		a.epochOK = make(chan struct{})
@@ -152,7 +152,7 @@
 	go func() { served <- a.server.Serve(serving, listener) }()
 	select {
 	case <-ctx.Done():
-	case <-a.aborted:
+	case <-a.abortion():
 	case <-a.fenced:
 		err = ErrFenced
 	case err = <-served:
--- a/internal/process/agent/dispatch.go
+++ b/internal/process/agent/dispatch.go
@@ -9,6 +9,7 @@
 
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/engine"
+	"primrosecourse/pkg/fairqueue"
 	"primrosecourse/pkg/prefix"
 	"primrosecourse/pkg/quarantine"
 	"primrosecourse/pkg/warmup"
@@ -30,7 +31,13 @@
 // signs to the allowance: signs from two goroutines could arrive out of order and bring a dead incarnation back.
 func (a *Agent) dispatch(ctx context.Context) {
 	defer a.refuseQueued(func() *refusal { return refused(wire.ReasonDraining, "the agent stops") })
+	var seen *view
 	for ctx.Err() == nil {
+		changed := a.Configuration.Changed()
+		if v := a.current(); v != nil && v != seen {
+			seen = v
+			a.refuseUnfit(v)
+		}
 		wait := a.sign(ctx)
 		if p := a.next(ctx); p != nil {
 			a.submit(p)
@@ -38,6 +45,7 @@
 		}
 		select {
 		case <-a.wake:
+		case <-changed:
 		case <-time.After(wait):
 		case <-ctx.Done():
 		}
@@ -135,6 +143,15 @@
 	}
 }
 
+// refuseUnfit refuses queued prompts that a new configuration does not allow, so that they go elsewhere at once.
+func (a *Agent) refuseUnfit(v *view) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, item := range a.queue.Filter(func(item *fairqueue.Item[*prompt]) bool { return item.Value.fits(v) == nil }) {
+		item.Value.decided <- item.Value.fits(v)
+	}
+}
+
 // refuseQueued empties the queue.
 func (a *Agent) refuseQueued(why func() *refusal) {
 	a.mu.Lock()
--- a/internal/process/agent/drain.go
+++ b/internal/process/agent/drain.go
@@ -17,8 +17,14 @@
 
 // Abort makes Run end at once, during its graceful shutdown or before. What was running is cut off.
 func (a *Agent) Abort() {
-	a.init()
-	a.abort.Do(func() { close(a.aborted) })
+	aborted := a.abortion()
+	a.abort.Do(func() { close(aborted) })
+}
+
+// abortion returns the channel that Abort closes.
+func (a *Agent) abortion() chan struct{} {
+	a.aborts.Do(func() { a.aborted = make(chan struct{}) })
+	return a.aborted
 }
 
 // drain takes no new work, tells the entries and waits for what was accepted, up to DrainTimeout.
@@ -42,7 +48,7 @@
 		return
 	case <-timer.C:
 		a.cutOff("DrainTimeout passed")
-	case <-a.aborted:
+	case <-a.abortion():
 		a.cutOff("aborted")
 	}
 	select {
--- a/internal/process/agent/fixture_test.go
+++ b/internal/process/agent/fixture_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"strings"
@@ -133,9 +135,11 @@
 	return f
 }
 
+// freeAddress returns an address for a later listener. It is not of 127.0.0.1, whose ports are also given to outgoing
+// connections of other tests.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.N(254), rand.N(256), 1+rand.N(254)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/process/agent/keep_test.go
+++ b/internal/process/agent/keep_test.go
@@ -15,6 +15,7 @@
 	"primrosecourse/internal/process/engine"
 	standin "primrosecourse/internal/standin/engine"
 	"primrosecourse/internal/standin/fault"
+	"primrosecourse/pkg/settings"
 	"primrosecourse/pkg/wire"
 )
 
@@ -47,19 +48,37 @@
 	}
 }
 
-// TestSwapWithQueue guards against queued requests of the old version that run on the new one.
-func TestSwapWithQueue(t *testing.T) {
+// TestChangeWithQueue guards against queued requests that wait on, or run, although a new configuration does not allow
+// them.
+func TestChangeWithQueue(t *testing.T) {
+	leaving := deployment("v1")
+	leaving.Endpoints[0].State = settings.Leaving
+	for name, test := range map[string]struct {
+		next settings.Deployment
+		want wire.Reason
+	}{
+		"other weights": {deployment("v2"), wire.ReasonWrongVersion},
+		"leaving":       {leaving, wire.ReasonLeaving},
+	} {
+		t.Run(name, func(t *testing.T) { changeWithQueue(t, test.next, test.want) })
+	}
+}
+
+func changeWithQueue(t *testing.T, next settings.Deployment, want wire.Reason) {
 	is := is.New(t)
 	f := start(t, standin.Settings{})
 	f.engine.Pause(true)
 	p := f.dial()
-	for _, id := range []string{"R1", "R2"} {
-		p.submit(f.prompt(id, id)).accepted()
-	}
+	running := []stream{p.submit(f.prompt("R1", "a")), p.submit(f.prompt("R2", "b"))}
+	running[0].accepted()
+	running[1].accepted()
 	queued := p.submit(f.prompt("R3", "R3"))
 	f.queued(1)
-	f.config.set(deployment("v2"))
-	is.Equal(queued.refused().Reason, wire.ReasonWrongVersion)
+	f.config.set(next)
+	is.Equal(queued.refused().Reason, want)
+	f.engine.Pause(false)
+	is.Equal(running[0].end().Finish, wire.FinishLength)
+	is.Equal(running[1].end().Finish, wire.FinishLength)
 }
 
 // TestReadBack guards against work on an engine that serves something else than the configuration says.
--- /dev/null
+++ b/internal/process/agent/metrics.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+func listenMetrics(addr netip.AddrPort) (net.Listener, error) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	return l, errors.Wrap(err, "agent: metrics")
+}
+
+// serveMetrics answers on the listener until ctx is done.
+func serveMetrics(ctx context.Context, l net.Listener, a *Agent) (err error) {
+	defer func() { err = errors.Wrap(err, "agent: metrics") }()
+	server := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	select {
+	case <-ctx.Done():
+		err = server.Close()
+		<-served
+		return err
+	case err = <-served:
+		return err
+	}
+}
+
+// Handler serves GET /metrics (JSON), /healthz (the process runs) and /readyz (200 if the agent takes work, else 503).
+func (a *Agent) Handler() http.Handler {
+	a.init()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		load := a.Load()
+		for name, n := range map[string]int{
+			"running": load.Running, "queued": load.Queued, "queuedTokens": load.QueuedTokens, "allowance": load.Allowance,
+		} {
+			metrics.GetOrRegisterGauge(name, a.Metrics).Update(int64(n))
+		}
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(a.Metrics, w)
+	})
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !a.Ready() {
+			http.Error(w, a.Load().State.String(), http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/process/agent/orders.go
@@ -0,0 +1,137 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/platform"
+	"primrosecourse/internal/request/order"
+	"primrosecourse/pkg/claim"
+	"primrosecourse/pkg/settings"
+	"primrosecourse/pkg/wire"
+)
+
+// InstancePlatform is the part of the platform's API that order owners use.
+type InstancePlatform interface {
+	order.Platform
+	Instances(ctx context.Context) ([]platform.Instance, error)
+}
+
+// OrderOwner is the Orders of an agent. It runs an order.Owner with the limits of the first configuration in force; the
+// number of shards cannot change once orders have run. Its fields are set before Run.
+type OrderOwner struct {
+	Name          string
+	Incarnation   uint64
+	Platform      InstancePlatform
+	Service       order.Service
+	Configuration Configuration
+	Log           logr.Logger
+
+	owner atomic.Pointer[order.Owner]
+
+	mu     sync.Mutex
+	listed map[string]bool // instances that the platform last listed as live; nil before the first list
+}
+
+// instancesInterval is the time between two reads of the platform's list, which lags by more than that.
+const instancesInterval = 2 * time.Second
+
+// Run serves orders until ctx is done and finishes those under way.
+func (o *OrderOwner) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "orders") }()
+	var d *settings.Deployment
+	for d == nil {
+		changed := o.Configuration.Changed()
+		if s := o.Configuration.Current(); s != nil {
+			d = s.Deployment
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	owner := &order.Owner{
+		Platform: o.Platform, Service: o.Service, Name: o.Name, Incarnation: o.Incarnation, Log: o.Log,
+		Shards: d.Limits.ClaimShards, Retention: d.Limits.ClaimRetention, Preferred: o.preferred,
+		DrainTimeout: cutGrace, // the agent has waited for the calls under way before
+	}
+	o.owner.Store(owner)
+	var list sync.WaitGroup
+	list.Go(func() { o.list(ctx) })
+	defer list.Wait()
+	return owner.Run(ctx)
+}
+
+// Execute implements Orders.
+func (o *OrderOwner) Execute(ctx context.Context, call wire.Call) wire.Message {
+	owner := o.owner.Load()
+	if owner == nil {
+		r := refused(wire.ReasonOldConfig, "no configuration is in force yet")
+		return wire.Refused{Stream: call.Stream, Outcome: r.outcome, Reason: r.reason, Detail: r.detail, RetryAfter: r.retryAfter}
+	}
+	return owner.Execute(ctx, call)
+}
+
+// list follows the platform's list of instances. During an outage the last one stays.
+func (o *OrderOwner) list(ctx context.Context) {
+	for ctx.Err() == nil {
+		if instances, err := o.Platform.Instances(ctx); err == nil {
+			listed := make(map[string]bool, len(instances))
+			for _, i := range instances {
+				listed[i.Name] = !i.Leaving
+			}
+			o.mu.Lock()
+			o.listed = listed
+			o.mu.Unlock()
+		}
+		pause(ctx, instancesInterval)
+	}
+}
+
+// preferred returns the owner of a shard that is preferred among the live endpoints of the service. An endpoint counts
+// as live if the configuration wants it active and the platform lists it, or lists none of the service at all.
+func (o *OrderOwner) preferred(shard int) string {
+	s := o.Configuration.Current()
+	if s == nil {
+		return o.Name
+	}
+	v := newView(s, o.Name)
+	if v.endpoint == nil {
+		return o.Name
+	}
+	var active, live []string
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, e := range s.Deployment.Endpoints {
+		if e.Kind != settings.ServiceEndpoint || e.Service != v.endpoint.Service || newView(s, e.Name).leaving {
+			continue
+		}
+		active = append(active, e.Name)
+		if o.listed[e.Name] {
+			live = append(live, e.Name)
+		}
+	}
+	if len(live) == 0 {
+		live = active
+	}
+	owners := claim.Owners(shard, live)
+	if len(owners) == 0 {
+		return o.Name
+	}
+	return owners[0]
+}
+
+// logEnd logs the error of a part of the daemon that ended.
+func logEnd(log logr.Logger, err error) {
+	if err != nil {
+		event.Error(log, err, event.AgentPartFailed)
+	}
+}
--- a/internal/process/agent/prompt.go
+++ b/internal/process/agent/prompt.go
@@ -135,9 +135,8 @@
 	}
 }
 
-// check returns why a prompt may not run by the configuration and the state of the endpoint. It is called at the arrival
-// and again right before the submission.
-func (a *Agent) check(v *view, p *prompt) *refusal {
+// fits returns why a prompt may not run by the configuration.
+func (p *prompt) fits(v *view) *refusal {
 	switch {
 	case v.endpoint == nil:
 		return refused(wire.ReasonLeaving, "the endpoint is not in the configuration")
@@ -152,6 +151,15 @@
 	case p.WeightVersion != v.model.Version:
 		return refused(wire.ReasonWrongVersion, "the weight version is not the one in force")
 	}
+	return nil
+}
+
+// check returns why a prompt may not run by the configuration and the state of the endpoint. It is called at the arrival
+// and again right before the submission.
+func (a *Agent) check(v *view, p *prompt) *refusal {
+	if r := p.fits(v); r != nil {
+		return r
+	}
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -175,6 +183,10 @@
 	deadline, _ := p.ctx.Deadline()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	// A configuration that came since the check has been applied to the queue already.
+	if r := p.fits(a.current()); r != nil {
+		return nil, r
+	}
 	item, evicted, err := a.queue.Push(time.Now(), fairqueue.Request[*prompt]{
 		Organisation: p.Organisation, Priority: p.Priority, Deadline: deadline, Value: p,
 		Cost: float64(len(p.Prompt) + p.MaxTokens - len(p.Given)),
--- a/pkg/fairqueue/queue.go
+++ b/pkg/fairqueue/queue.go
@@ -172,6 +172,21 @@
 	return true
 }
 
+// Filter removes the items that keep does not want and returns them.
+func (q *Queue[T]) Filter(keep func(*Item[T]) bool) (removed []*Item[T]) {
+	for _, f := range q.backlog {
+		for _, item := range f.items {
+			if !keep(item) {
+				removed = append(removed, item)
+			}
+		}
+	}
+	for _, item := range removed {
+		q.Remove(item)
+	}
+	return removed
+}
+
 // RetryAfter estimates the time in which the present queue is served.
 func (q *Queue[T]) RetryAfter() time.Duration {
 	return min(max(time.Duration(q.length)*q.interval, minRetryAfter), maxRetryAfter)
--- a/pkg/fairqueue/queue_test.go
+++ b/pkg/fairqueue/queue_test.go
@@ -145,6 +145,15 @@
 					drop(item)
 				}
 			}
+			if rapid.IntRange(0, 9).Draw(t, "filter") == 0 {
+				odd := func(item *fairqueue.Item[int]) bool { return item.Value%2 == 1 }
+				for _, item := range q.Filter(odd) {
+					drop(item)
+				}
+				if slices.ContainsFunc(queued, func(item *fairqueue.Item[int]) bool { return !odd(item) }) {
+					t.Fatal("an even item stayed")
+				}
+			}
 			if q.Len() != len(queued) {
 				t.Fatalf("length %d, want %d", q.Len(), len(queued))
 			}
