--- a/internal/process/agent/daemon.go
+++ b/internal/process/agent/daemon.go
@@ -15,6 +15,7 @@
 	"primrosecourse/internal/process/platform"
 	"primrosecourse/internal/process/service"
 	"primrosecourse/internal/version/config"
+	"primrosecourse/internal/version/kvstore"
 	"primrosecourse/pkg/settings"
 )
 
@@ -68,9 +69,9 @@
 	if d.Engine.IsValid() {
 		c := engine.New(d.Engine)
 		defer c.Close()
-		movers := &Movers{Endpoint: d.Name, Engine: c, Configuration: tracker, Log: d.Log}
-		a.Kind, a.Engine, a.Blocks = settings.ModelEndpoint, c, movers
-		parts = append(parts, movers.Run)
+		blocks := &kvstore.Versions{Endpoint: d.Name, Engine: c, Configuration: tracker, Log: d.Log}
+		a.Kind, a.Engine, a.Blocks = settings.ModelEndpoint, c, blocks
+		parts = append(parts, blocks.Run)
 	} else {
 		c := service.New(d.Service)
 		defer c.Close()
--- a/internal/version/kvstore/versions.go
+++ b/internal/version/kvstore/versions.go
@@ -50,8 +50,8 @@
 	stores []settings.Store
 }
 
-// Run follows the configuration until ctx is done.
-func (v *Versions) Run(ctx context.Context) {
+// Run follows the configuration until ctx is done. It returns no error.
+func (v *Versions) Run(ctx context.Context) error {
 	defer v.replace(ctx, nil)
 	for {
 		changed := v.Configuration.Changed()
@@ -60,7 +60,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-changed:
 		}
 	}
@@ -68,7 +68,7 @@
 
 // Prepare imports blocks of a prompt that the engine lacks. Requests of a version that is not in force get none.
 func (v *Versions) Prepare(ctx context.Context, weightVersion, organisation string, ids []prefix.ID) (fetchedTokens int) {
-	if m := v.mover(weightVersion); m != nil {
+	if m := v.mover(weightVersion); m != nil && len(ids) > 0 {
 		return m.Prepare(ctx, organisation, ids)
 	}
 	return 0
--- a/internal/version/kvstore/versions_test.go
+++ b/internal/version/kvstore/versions_test.go
@@ -58,7 +58,7 @@
 			Engine: &fakeEngine{blocks: map[string][]byte{}}, Configuration: c, Endpoint: "Model1", Log: logr.Discard(),
 		}
 		ended := make(chan struct{})
-		go func() { v.Run(ctx); close(ended) }()
+		go func() { _ = v.Run(ctx); close(ended) }()
 		c.set("v1")
 		synctest.Wait()
 		first := v.mover("v1")
--- a/test/scenario/traffic_test.go
+++ b/test/scenario/traffic_test.go
@@ -58,13 +58,14 @@
 // prompts sends prompts that return with a few new words, and checks that equal prompts get equal whole answers.
 func (t *traffic) prompts(s *system, entry string, worker uint64) {
 	random := rand.New(rand.NewPCG(trafficSeed, worker))
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-t.stop:
 			return
 		default:
 		}
-		prompt := strings.Repeat(fmt.Sprintf("shared context %d. ", random.IntN(4)), 20)
+		prompt := strings.Repeat(fmt.Sprintf("shared context %d. ", random.IntN(4)), 20) +
+			fmt.Sprintf("New line %d of caller %d.", n, worker)
 		a, err := s.balance(entry, "/v1/completions", "", completion(prompt, "16"))
 		t.requests.Add(1)
 		if err != nil || a.status != 200 {
