--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -303,3 +305,56 @@
 	}
 	is.Equal(count, map[int]int{0: 1, 1: 3, 2: 2, 3: 3})
 }
+
+// recorder is a listener whose connections tell that they were closed.
+type recorder struct {
+	net.Listener
+	open atomic.Int32
+}
+
+type recorded struct {
+	net.Conn
+	once sync.Once
+	open *atomic.Int32
+}
+
+func (l *recorder) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.open.Add(1)
+	return &recorded{Conn: c, open: &l.open}, nil
+}
+
+func (c *recorded) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() { c.open.Add(-1) })
+	return err
+}
+
+// TestRunOwnsConnections guards against a server that returns while it still serves connections.
+func TestRunOwnsConnections(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := &recorder{Listener: listener}
+	ctx, cancel := context.WithCancel(r.ctx)
+	s := &peer.Server{Name: "S", Config: newConfiguration(1, "one"), Log: logr.Discard()}
+	done := make(chan error, 1)
+	r.wg.Go(func() { done <- s.Run(ctx, l) })
+	const conns = 50
+	for i := range conns {
+		c := r.dial(listener.Addr().(*net.TCPAddr).AddrPort())
+		if i%2 == 0 {
+			r.greet(c) // the other half hangs in its greeting
+		}
+	}
+	for l.open.Load() < conns {
+		runtime.Gosched()
+	}
+	cancel()
+	is.NoErr(<-done)
+	is.Equal(l.open.Load(), int32(0))
+}
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -93,13 +93,15 @@
 func (s *Server) serve(ctx context.Context, netConn net.Conn, contents chan struct{}) {
 	conn := wire.NewConn(netConn)
 	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { _ = netConn.SetReadDeadline(time.Now()) })
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	own := wire.Hello{
 		Protocol: wire.ProtocolVersion, Name: s.Name, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation,
 		ConfigVersion: s.Config.Version(),
 	}
 	hello, err := greet(conn, own, false)
-	stop()
+	if !stop() {
+		return
+	}
 	if err != nil {
 		log := s.Log
 		if errors.Is(err, io.ErrUnexpectedEOF) {
--- a/internal/process/loadpermits/permits_test.go
+++ b/internal/process/loadpermits/permits_test.go
@@ -62,6 +62,7 @@
 				wg.Wait()
 				is.Equal(most, loadpermits.DefaultSlots)
 				t.Logf("12 loads of 1 s took %v", time.Since(began))
+				is.True(time.Since(began) < loadpermits.DefaultExpiry) // no slot was lost until its expiry
 			})
 		})
 	}
