--- a/internal/connection/peer/doc.go
+++ b/internal/connection/peer/doc.go
@@ -4,7 +4,8 @@
 //
 // After the greeting both sides behave alike. A side whose version in force rises above the other's announces it with
 // a ConfigPush without content; the other side asks with ConfigWant on one of its connections, and gets the content.
-// A process with two connections therefore receives the content once. A push with content is offered to the
+// A process with two connections therefore receives the content once. The answer to ConfigWant is the difference from
+// the version that it names if the answering side knows it, and else the whole content, which Version 0 asks for. A push with content is offered to the
 // configuration whether it was asked for or not, which is how the command line spreads an accepted version itself. The
 // server also sends an empty ConfigPush each second as a heartbeat; the client pings every ten seconds.
 //
--- a/internal/connection/peer/session.go
+++ b/internal/connection/peer/session.go
@@ -44,6 +44,18 @@
 	Wants(version uint64) bool
 }
 
+// Differ is a Config that can tell versions as differences. Full-size contents are over 100 KB and change 19,000 times
+// a day, which is more than a process may spend on control.
+type Differ interface {
+	Config
+	// PushSince returns Push with the difference from an older version if it is known, and else with the whole content.
+	PushSince(version uint64) wire.ConfigPush
+	// Base returns the version that the content of a version should be asked for from, 0 for the whole content.
+	Base(version uint64) uint64
+	// Heartbeat returns Push without content.
+	Heartbeat() wire.ConfigPush
+}
+
 var (
 	// ErrGoodbye is returned when the peer closed the connection with a reason.
 	ErrGoodbye = errors.New("peer: closed by the peer")
@@ -73,7 +85,10 @@
 }
 
 // sendContent stands in the queue for the push of the version that is in force when it is written.
-type sendContent struct{ wire.Message }
+type sendContent struct {
+	wire.Message
+	since uint64
+}
 
 // run serves the connection until it ends or ctx is done, and closes it.
 func (s *session) run(ctx context.Context) (err error) {
@@ -161,13 +176,16 @@
 
 // announcement is the push of the version in force without its content.
 func (s *session) announcement() wire.ConfigPush {
+	if d, ok := s.config.(Differ); ok {
+		return d.Heartbeat()
+	}
 	push := s.config.Push()
 	push.Content = nil
 	return push
 }
 
 func (s *session) send(ctx context.Context, m wire.Message) error {
-	if _, ok := m.(sendContent); ok {
+	if content, ok := m.(sendContent); ok {
 		if s.contents != nil {
 			select {
 			case s.contents <- struct{}{}:
@@ -176,9 +194,10 @@
 				return nil
 			}
 		}
-		push := s.config.Push()
+		push := s.content(content.since)
 		m = push
-		event.Info(s.log.V(1), event.PeerContentSent, "peer", s.peer.Name, "version", push.Version)
+		event.Info(s.log.V(1), event.PeerContentSent, "peer", s.peer.Name, "version", push.Version, "base", push.Base,
+			"bytes", len(push.Content))
 	}
 	s.setWriteDeadline(writeTimeout)
 	if ctx.Err() != nil {
@@ -187,6 +206,21 @@
 	return s.conn.Write(m)
 }
 
+func (s *session) content(since uint64) wire.ConfigPush {
+	if d, ok := s.config.(Differ); ok {
+		return d.PushSince(since)
+	}
+	return s.config.Push()
+}
+
+// base returns the version that the content of a version is asked for from.
+func (s *session) base(version uint64) uint64 {
+	if d, ok := s.config.(Differ); ok {
+		return d.Base(version)
+	}
+	return s.config.Version()
+}
+
 // read handles messages until the connection ends. Its error is never nil.
 func (s *session) read() error {
 	limit := SilenceLimit
@@ -204,7 +238,7 @@
 			s.push(m)
 		case wire.ConfigWant:
 			if s.config.Version() > m.Version {
-				s.enqueue(sendContent{})
+				s.enqueue(sendContent{since: m.Version})
 			}
 		case wire.Ping:
 			s.raise(m.ConfigVersion)
@@ -242,7 +276,7 @@
 		return
 	}
 	if s.config.Wants(push.Version) {
-		s.enqueue(wire.ConfigWant{Version: s.config.Version()})
+		s.enqueue(wire.ConfigWant{Version: s.base(push.Version)})
 	} else if s.config.Version() > push.Version {
 		// The peer is behind although it was told on change; it may have asked elsewhere in vain.
 		s.enqueue(s.announcement())
--- a/internal/version/config/doc.go
+++ b/internal/version/config/doc.go
@@ -9,6 +9,9 @@
 // all while the platform is down. A process that hears no heartbeat for two seconds reads the platform itself, with
 // jitter and at most every few seconds.
 //
+// Between peers a version passes as the difference from the one before. It carries a checksum of its result; a process
+// that cannot apply it asks for the whole content.
+//
 // A process that starts has no configuration and serves none: Current is nil until the platform answered or, if that
 // failed, until BootstrapPeers distinct peers told the version that they have in force. The highest one is taken.
 //
--- a/internal/version/config/tracker.go
+++ b/internal/version/config/tracker.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
@@ -55,13 +56,17 @@
 
 	mu sync.Mutex
 	// held is the highest valid version known; it is in force once the tracker is ready.
-	held    *Snapshot
+	held *Snapshot
+	// deltas lead to held.
+	deltas  chain
 	ready   bool
 	changed chan struct{}
 	// confirmed is when the platform last said that held is current, zero if never.
 	confirmed time.Time
 	// invalid is the highest version whose content was invalid.
 	invalid uint64
+	// spoiled is the version whose delta could not be applied last; all of it is asked for instead.
+	spoiled uint64
 	// wanted is the version that a peer was asked for last, at wantedAt.
 	wanted   uint64
 	wantedAt time.Time
@@ -141,16 +146,61 @@
 
 // Push returns the version in force for a peer that is behind, with Version 0 until the tracker is ready.
 func (t *Tracker) Push() wire.ConfigPush {
+	push, s := t.announce()
+	if s != nil {
+		push.Content = s.stored()
+	}
+	return push
+}
+
+// PushSince returns the version in force for a peer that has an older one: the difference, if it is known, or else all
+// of it.
+func (t *Tracker) PushSince(version uint64) wire.ConfigPush {
+	push, s := t.announce()
+	if s == nil {
+		return push
+	}
+	t.mu.Lock()
+	content := []byte(nil)
+	if t.held == s && version > 0 {
+		content = t.deltas.since(version)
+	}
+	t.mu.Unlock()
+	if len(content) == 0 {
+		push.Content = s.stored()
+		return push
+	}
+	push.Base, push.Content = version, content
+	return push
+}
+
+// Base returns the version that the content of a version should be asked for from: the one known, or 0 for all of it.
+func (t *Tracker) Base(version uint64) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.held == nil || version == t.spoiled {
+		return 0
+	}
+	return t.held.Version
+}
+
+// Heartbeat returns Push without its content.
+func (t *Tracker) Heartbeat() wire.ConfigPush {
+	push, _ := t.announce()
+	return push
+}
+
+func (t *Tracker) announce() (wire.ConfigPush, *Snapshot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.ready {
-		return wire.ConfigPush{}
+		return wire.ConfigPush{}, nil
 	}
-	push := wire.ConfigPush{Version: t.held.Version, Content: t.held.content, ConfirmedAgo: neverConfirmed}
+	push := wire.ConfigPush{Version: t.held.Version, ConfirmedAgo: neverConfirmed}
 	if !t.confirmed.IsZero() {
 		push.ConfirmedAgo = time.Since(t.confirmed)
 	}
-	return push
+	return push, t.held
 }
 
 // neverConfirmed is the ConfirmedAgo of a version that no platform confirmed to this process or its peers.
@@ -160,10 +210,15 @@
 // confirms the version known, and is never accepted. The error tells why the content is invalid.
 func (t *Tracker) Offer(push wire.ConfigPush) (accepted bool, err error) {
 	t.init()
-	if len(push.Content) > 0 {
-		if accepted, err = t.take(push.Version, push.Content, "push"); err != nil {
-			return false, err
-		}
+	switch {
+	case len(push.Content) == 0:
+	case push.Base > 0:
+		accepted, err = t.takeDelta(push)
+	default:
+		accepted, err = t.take(push.Version, push.Content, "push")
+	}
+	if err != nil {
+		return false, err
 	}
 	if push.ConfirmedAgo >= 0 && push.ConfirmedAgo < neverConfirmed {
 		t.confirm(push.Version, time.Now().Add(-push.ConfirmedAgo))
@@ -191,11 +246,49 @@
 
 // take puts a version in force, or holds it until the tracker is ready.
 func (t *Tracker) take(version uint64, content []byte, source string) (accepted bool, err error) {
-	if t.has(version) {
+	held := t.holds()
+	if held != nil && version <= held.Version {
 		return false, nil
 	}
 	// The content is decoded outside the lock, since it may be large.
 	s, err := decode(version, content)
+	var deltas []delta
+	// Agents have no subscribers and need no deltas.
+	if err == nil && held != nil && t.IsEntry {
+		deltas = append(deltas, delta{
+			Base: held.Version, Version: version, Sum: xxhash.Sum64(s.raw), Hunk: diff(held.raw, s.raw),
+		})
+	}
+	return t.enter(version, s, deltas, source, err)
+}
+
+// takeDelta puts a version in force that came as the difference from the one known.
+func (t *Tracker) takeDelta(push wire.ConfigPush) (accepted bool, err error) {
+	held := t.holds()
+	if held == nil || push.Base != held.Version || push.Version <= held.Version {
+		// Another version came in between. The next heartbeat makes the peer be asked again.
+		return false, nil
+	}
+	raw, deltas, err := patchAll(held.raw, held.Version, push.Content, push.Version)
+	if err != nil {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.spoiled, t.wanted = push.Version, 0
+		event.Error(t.Log, err, event.ConfigInvalid, "version", push.Version, "source", "delta")
+		return false, err
+	}
+	s, err := decodeRaw(push.Version, raw, nil)
+	return t.enter(push.Version, s, deltas, "delta", err)
+}
+
+func (t *Tracker) holds() *Snapshot {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.held
+}
+
+// enter puts a decoded version in force if it is still higher, or notes that it is invalid.
+func (t *Tracker) enter(version uint64, s *Snapshot, deltas []delta, source string, err error) (bool, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err != nil {
@@ -209,8 +302,12 @@
 		return false, nil
 	}
 	t.held = s
+	if len(deltas) == 0 {
+		t.deltas = nil
+	}
+	t.deltas = t.deltas.add(deltas...)
 	t.confirmed = time.Time{}
-	event.Info(t.Log, event.ConfigAccepted, "version", version, "source", source, "bytes", len(content))
+	event.Info(t.Log, event.ConfigAccepted, "version", version, "source", source, "bytes", len(s.raw))
 	if t.ready {
 		t.signal()
 	} else {
@@ -219,12 +316,6 @@
 	return true, nil
 }
 
-func (t *Tracker) has(version uint64) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.held != nil && version <= t.held.Version
-}
-
 // confirm notes that a version was current at the platform at a time.
 func (t *Tracker) confirm(version uint64, at time.Time) {
 	t.mu.Lock()
--- a/pkg/wire/message.go
+++ b/pkg/wire/message.go
@@ -169,8 +169,10 @@
 // ConfigPush carries an accepted configuration.
 type ConfigPush struct {
 	Version uint64
-	// Content is the canonical JSON of the deployment; empty in a version heartbeat.
+	// Content is the value of Config/Current as stored; empty in a version heartbeat. If Base is not 0, it is the
+	// difference from version Base, in a form that internal/version/config defines.
 	Content []byte
+	Base    uint64
 	// ConfirmedAgo is how long ago the platform last confirmed that Version is current.
 	ConfirmedAgo time.Duration
 }
