--- a/internal/request/order/machine_test.go
+++ b/internal/request/order/machine_test.go
@@ -235,7 +235,7 @@
 	return map[string]func(*rapid.T){
 		"": m.check,
 		"order": func(t *rapid.T) {
-			key := fmt.Sprint("k", rapid.IntRange(0, 2).Draw(t, "key"))
+			key := fmt.Sprint("k", rapid.IntRange(0, 9).Draw(t, "key"))
 			body := rapid.SampledFrom([]string{"one", "one", "one", "two"}).Draw(t, "body")
 			timeout := rapid.SampledFrom([]time.Duration{time.Second, time.Minute}).Draw(t, "timeout")
 			m.attempt(m.pick(), key, body, timeout)
--- a/internal/request/order/owner_test.go
+++ b/internal/request/order/owner_test.go
@@ -170,6 +170,32 @@
 			close(s.service.gate)
 			return []wire.Message{<-first, second}
 		}, []string{"201 k run 1", "NotRun ReasonKeyReused"}, 1},
+		{"same key with another body before the claim is durable", func(s *site, o *Owner) []wire.Message {
+			o.Execute(ctx, order("first", ""))
+			s.platform.Faults.Set(fault.Rule{Kind: fault.Delay, Method: "PUT", Count: 1, Delay: time.Second})
+			first := attempt(o, k)
+			return []wire.Message{o.Execute(ctx, order("k", "two")), <-first}
+		}, []string{"NotRun ReasonKeyReused", "201 k run 1"}, 1},
+		{"caller gone between claim and send", func(s *site, o *Owner) []wire.Message {
+			o.Execute(ctx, order("first", ""))
+			s.platform.Faults.Set(fault.Rule{Kind: fault.Delay, Method: "PUT", Count: 1, Delay: time.Second})
+			gone, cancel := context.WithTimeout(ctx, time.Second/2)
+			defer cancel()
+			first := o.Execute(gone, k)
+			time.Sleep(time.Second)
+			if n := s.service.count("k"); n != 0 {
+				s.t.Errorf("order of a caller that was told 'not run' ran %d times", n)
+			}
+			return []wire.Message{first, o.Execute(ctx, k)}
+		}, []string{"NotRun ReasonCancelled", "201 k run 1"}, 1},
+		{"more orders than the queue", func(s *site, o *Owner) []wire.Message {
+			s.service.gate = make(chan struct{})
+			o.QueueLength = 1
+			first := attempt(o, order("first", ""))
+			second := o.Execute(ctx, k)
+			close(s.service.gate)
+			return []wire.Message{<-first, second}
+		}, []string{"201 first run 1", "NotRun ReasonBusy retry"}, 0},
 		{"large response stored as status", func(s *site, o *Owner) []wire.Message {
 			s.service.body = make([]byte, claim.MaxStoredBytes+1)
 			o.Execute(ctx, k)
