--- a/internal/request/order/commit.go
+++ b/internal/request/order/commit.go
@@ -20,6 +20,9 @@
 // commit writes as many pending records as fit into the last segment with one conditional update, and settles the
 // write if it failed or its reply was lost.
 func (s *shard) commit(work context.Context) {
+	if s.owner.writes.Wait(work) != nil {
+		return
+	}
 	s.mu.Lock()
 	s.dropEnded()
 	batch := make([]claim.Record, len(s.pending))
--- a/internal/request/order/owner.go
+++ b/internal/request/order/owner.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/platform"
@@ -58,7 +59,11 @@
 	PlatformTimeout time.Duration
 	// DrainTimeout bounds the time after ctx of Run ends in which orders in progress finish. Default 30 s.
 	DrainTimeout time.Duration
-	Log          logr.Logger
+	// WritesPerSecond and ReadsPerSecond bound the use of the platform, which bears several hundred writes and 2,000
+	// reads a second from all agents. Commits that wait gather more orders. Defaults 100 and 300.
+	WritesPerSecond int
+	ReadsPerSecond  int
+	Log             logr.Logger
 
 	mu       sync.Mutex
 	running  bool
@@ -66,6 +71,8 @@
 	idle     chan struct{}
 	sequence uint64
 	shards   []*shard
+	writes   *rate.Limiter
+	reads    *rate.Limiter
 	// work ends when nothing of the owner may go on.
 	work context.Context
 }
@@ -108,6 +115,11 @@
 	o.ReplyTimeout = cmp.Or(o.ReplyTimeout, 5*time.Minute)
 	o.PlatformTimeout = cmp.Or(o.PlatformTimeout, 2*time.Second)
 	o.DrainTimeout = cmp.Or(o.DrainTimeout, 30*time.Second)
+	o.WritesPerSecond = cmp.Or(o.WritesPerSecond, 100)
+	o.ReadsPerSecond = cmp.Or(o.ReadsPerSecond, 300)
+	// A fifth of a second's calls may go at once, so that a single order waits only for the platform.
+	o.writes = rate.NewLimiter(rate.Limit(o.WritesPerSecond), max(o.WritesPerSecond/5, 1))
+	o.reads = rate.NewLimiter(rate.Limit(o.ReadsPerSecond), max(o.ReadsPerSecond/5, 1))
 	if o.Preferred == nil {
 		o.Preferred = func(int) string { return o.Name }
 	}
--- a/internal/request/order/takeover.go
+++ b/internal/request/order/takeover.go
@@ -25,6 +25,9 @@
 		if l, err = s.load(work); err != nil {
 			break
 		}
+		if err = s.owner.writes.Wait(work); err != nil {
+			break
+		}
 		t := l.last.Takeover(s.owner.Name, s.owner.Incarnation)
 		if t.Version, err = s.raise(work, t); err == nil {
 			s.take(l, t, began)
@@ -67,6 +70,9 @@
 	slices.Sort(numbers)
 	l = &log{index: &claim.Index{}}
 	for i, n := range numbers {
+		if err := s.owner.reads.Wait(work); err != nil {
+			return nil, err
+		}
 		t, err := s.get(work, n)
 		if errors.Is(err, platform.ErrNotFound) && i < len(numbers)-1 {
 			continue // it expired since it was listed
--- a/internal/standin/orders/service.go
+++ b/internal/standin/orders/service.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"primrosecourse/internal/standin/fault"
 )
 
 // maxBodyBytes bounds the body of an order.
@@ -24,6 +26,8 @@
 type Service struct {
 	// Latency is the time between the arrival of an order and its run.
 	Latency time.Duration
+	// Faults fails calls. A reply that is lost is lost after the order ran; Refuse and Outage answer without a run.
+	Faults fault.Hook
 
 	mu     sync.Mutex
 	ledger []Run
@@ -39,7 +43,7 @@
 	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, s.Ledger())
 	})
-	return mux
+	return s.Faults.Wrap(mux, "/ledger")
 }
 
 // Ledger returns the runs so far, oldest first.
--- a/internal/standin/orders/service_test.go
+++ b/internal/standin/orders/service_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"primrosecourse/internal/standin/fault"
 )
 
 // TestLedger guards the property that tests rely on: the stand-in runs a repeated order again and lists both runs.
@@ -30,4 +32,14 @@
 	is.Equal(len(runs), 2)
 	is.Equal(runs[1].Key, "k")
 	is.Equal(runs[1].Body, "x")
+
+	s.Faults.Set(fault.Rule{Kind: fault.Outage, Route: "/orders", Count: 1})
+	is.Equal(call("POST", "/orders", "x").Code, http.StatusServiceUnavailable)
+	is.Equal(len(s.Ledger()), 2)
+	s.Faults.Set(fault.Rule{Kind: fault.ReplyLost, Route: "/orders", Count: 1})
+	func() {
+		defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+		call("POST", "/orders", "x")
+	}()
+	is.Equal(len(s.Ledger()), 3) // the reply is lost after the run
 }
