--- /dev/null
+++ b/cmd/primrose-bench/clock.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is the virtual time at which every run starts.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// clock is an event queue with virtual time, counted from epoch. Events of the same time run in the order in which they
+// were added, so that a run depends on nothing but its input.
+type clock struct {
+	now    time.Duration
+	number uint64
+	events eventHeap
+}
+
+type clockEvent struct {
+	at     time.Duration
+	number uint64
+	do     func()
+}
+
+// time returns the virtual time as the decision packages take it.
+func (c *clock) time() time.Time { return epoch.Add(c.now) }
+
+func (c *clock) after(d time.Duration, do func()) { c.at(c.now+max(0, d), do) }
+
+func (c *clock) at(t time.Duration, do func()) {
+	c.number++
+	heap.Push(&c.events, clockEvent{t, c.number, do})
+}
+
+// every calls do at each interval up to the end.
+func (c *clock) every(interval, end time.Duration, do func()) {
+	if c.now+interval <= end {
+		c.after(interval, func() {
+			do()
+			c.every(interval, end, do)
+		})
+	}
+}
+
+// run runs events until none is left.
+func (c *clock) run() {
+	for len(c.events) > 0 {
+		e := heap.Pop(&c.events).(clockEvent)
+		c.now = e.at
+		e.do()
+	}
+}
+
+type eventHeap []clockEvent
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].number < h[j].number
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(clockEvent)) }
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = clockEvent{}
+	*h = (*h)[:last]
+	return e
+}
