--- a/internal/connection/agent/pool.go
+++ b/internal/connection/agent/pool.go
@@ -24,9 +24,13 @@
 
 // Config is the configuration in force at the entry.
 type Config interface {
-	// Push returns the configuration; its Version is 0 before there is one.
+	// Version returns the version in force, 0 before there is one.
+	Version() uint64
+	// Wants tells whether the content of a version should be asked for now; it is true on one of many connections.
+	Wants(version uint64) bool
+	// Push returns the configuration with its content.
 	Push() wire.ConfigPush
-	// Offer takes a configuration from a peer if it is newer.
+	// Offer takes a configuration from a peer if it is newer. One without content confirms the version.
 	Offer(push wire.ConfigPush) (bool, error)
 }
 
@@ -60,12 +64,16 @@
 	// Dial connects to an agent. Default TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 
-	// DialTimeout bounds dialing and the exchange of Hello. Default 1 s.
+	// DialTimeout bounds dialing and the exchange of Hello. Default 300 ms: inside a region both take a few milliseconds, and
+	// a request that waits longer for a lost failure domain misses its time to first token, while others would serve it.
 	DialTimeout time.Duration
 	// IdleTimeout is the time without streams after which a connection is closed. Default 30 s.
 	IdleTimeout time.Duration
 	// HeartbeatInterval is the silence after which a waiting connection is pinged. Default 500 ms.
 	HeartbeatInterval time.Duration
+	// KeepAlive is the time without a message to the agent after which it is pinged, whether or not streams are open.
+	// Agents disconnect an entry that they have not heard for 30 s. Default 20 s, which is once in an idle connection.
+	KeepAlive time.Duration
 	// PeerTimeout is the silence after which an agent counts as down. Default 2 s.
 	PeerTimeout time.Duration
 	// BackoffMin and BackoffMax bound the time between two probes. Defaults 100 ms and 2 s.
@@ -94,9 +102,10 @@
 		p.ctx, p.cancel = context.WithCancel(context.Background())
 		p.done = make(chan struct{})
 		p.peers = make(map[string]*peer)
-		p.DialTimeout = cmp.Or(p.DialTimeout, time.Second)
+		p.DialTimeout = cmp.Or(p.DialTimeout, 300*time.Millisecond)
 		p.IdleTimeout = cmp.Or(p.IdleTimeout, 30*time.Second)
 		p.HeartbeatInterval = cmp.Or(p.HeartbeatInterval, 500*time.Millisecond)
+		p.KeepAlive = cmp.Or(p.KeepAlive, 20*time.Second)
 		p.PeerTimeout = cmp.Or(p.PeerTimeout, 2*time.Second)
 		p.BackoffMin = cmp.Or(p.BackoffMin, 100*time.Millisecond)
 		p.BackoffMax = cmp.Or(p.BackoffMax, 2*time.Second)
@@ -168,7 +177,7 @@
 func (p *Pool) Submit(ctx context.Context, to Target, s wire.Submit) (*Stream, error) {
 	return p.open(ctx, to, len(s.Given), func(id uint64) []wire.Message {
 		s.Stream = id
-		s.ConfigVersion = cmp.Or(s.ConfigVersion, p.Config.Push().Version)
+		s.ConfigVersion = cmp.Or(s.ConfigVersion, p.Config.Version())
 		if p.Marks != nil {
 			if mark, ok := p.Marks.Find(s.Fingerprint, time.Now()); ok {
 				return []wire.Message{mark, s}
@@ -183,7 +192,7 @@
 func (p *Pool) Call(ctx context.Context, to Target, c wire.Call) (m wire.Message, err error) {
 	stream, err := p.open(ctx, to, isCall, func(id uint64) []wire.Message {
 		c.Stream = id
-		c.ConfigVersion = cmp.Or(c.ConfigVersion, p.Config.Push().Version)
+		c.ConfigVersion = cmp.Or(c.ConfigVersion, p.Config.Version())
 		return []wire.Message{c}
 	})
 	if err != nil {
@@ -196,11 +205,17 @@
 func (p *Pool) open(ctx context.Context, to Target, given int, messages func(id uint64) []wire.Message) (_ *Stream, err error) {
 	p.init()
 	defer func() { err = errors.Wrapf(err, "request to %s", to.Name) }()
-	c, err := p.peer(to).connect(ctx)
-	if err != nil {
-		return nil, notSent(err)
+	for attempt := 0; ; attempt++ {
+		c, err := p.peer(to).connect(ctx)
+		if err != nil {
+			return nil, notSent(err)
+		}
+		s, err := c.open(given, messages)
+		// A connection that ends just now, for example because it was idle, says nothing about the agent.
+		if err == nil || attempt > 0 || !errors.Is(err, errUnusable) {
+			return s, err
+		}
 	}
-	return c.open(given, messages)
 }
 
 func (p *Pool) peer(to Target) *peer {
