--- a/cmd/primrose-bench/agent.go
+++ b/cmd/primrose-bench/agent.go
@@ -73,6 +73,7 @@
 	for held < len(r.chain) && a.index[r.chain[held]] {
 		held++
 	}
+	r.cached = held * a.world.plan.block
 	present := r.chain[held:]
 	for i, id := range present {
 		if s := a.world.storeOf(id); s == nil || !s.has(id) {
@@ -129,7 +130,7 @@
 		return
 	}
 	_, evicted, err := a.queue.Push(a.world.clock.time(), fairqueue.Request[*request]{Organisation: r.org.Name,
-		Cost: float64(r.tokens + r.answer - r.given), Deadline: epoch.Add(r.deadline()), Value: r})
+		Cost: float64(max(0, r.tokens-r.cached-r.fetched) + r.answer), Deadline: epoch.Add(r.deadline()), Value: r})
 	if evicted != nil {
 		a.refuse(evicted.Value, wire.ReasonBusy)
 	}
--- a/cmd/primrose-bench/entry.go
+++ b/cmd/primrose-bench/entry.go
@@ -29,9 +29,11 @@
 	tried    []string
 	attempts int
 	// given counts the tokens that the caller has; first is when the first one arrived, negative before.
-	given    int
-	first    time.Duration
-	taken    bool
+	given int
+	first time.Duration
+	taken bool
+	// cached is what the agent expected the engine to hold, fetched what it imported beside it.
+	cached   int
 	fetched  int
 	slow     float64
 	finished int
--- a/internal/process/agent/interfaces.go
+++ b/internal/process/agent/interfaces.go
@@ -56,6 +56,8 @@
 
 // Blocks moves cache blocks between the engine and the stores.
 type Blocks interface {
+	// Held returns the number of leading tokens of a prompt that the engine holds, as far as its cache events tell.
+	Held(weightVersion string, ids []prefix.ID) (tokens int)
 	// Prepare imports blocks of a prompt that the engine lacks, and returns the number of their tokens.
 	Prepare(ctx context.Context, weightVersion, organisation string, ids []prefix.ID) (fetchedTokens int)
 	// Keep takes notice of blocks that a run used.
--- a/internal/process/agent/prompt.go
+++ b/internal/process/agent/prompt.go
@@ -29,6 +29,8 @@
 	suspect bool
 	ids     []prefix.ID
 
+	// heldTokens is what the engine was expected to hold at the arrival, fetchedTokens what was imported beside it.
+	heldTokens    int
 	fetchedTokens int
 	started       time.Time
 }
@@ -80,6 +82,7 @@
 	}
 	if a.Blocks != nil {
 		ids := prefix.Chain(p.Organisation, p.WeightVersion, p.Prompt, v.blockTokens())
+		p.heldTokens = a.Blocks.Held(p.WeightVersion, ids)
 		p.fetchedTokens = a.Blocks.Prepare(p.ctx, p.WeightVersion, p.Organisation, ids)
 	}
 	item, r := a.enqueue(p)
@@ -171,13 +174,16 @@
 	return nil
 }
 
+// enqueue queues a prompt by the work that it brings: the prompt tokens that no cache holds, and the answer. By its whole
+// length, a few cached prompts in the queue looked like half a minute of work to the entries, and long cached ones waited
+// behind short ones that take more time. Tokens already given are computed instead of generated.
 func (a *Agent) enqueue(p *prompt) (*fairqueue.Item[*prompt], *refusal) {
 	deadline, _ := p.ctx.Deadline()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	item, evicted, err := a.queue.Push(time.Now(), fairqueue.Request[*prompt]{
 		Organisation: p.Organisation, Priority: p.Priority, Deadline: deadline, Value: p,
-		Cost: float64(len(p.Prompt) + p.MaxTokens - len(p.Given)),
+		Cost: float64(max(0, len(p.Prompt)-p.heldTokens-p.fetchedTokens) + p.MaxTokens),
 	})
 	if evicted != nil {
 		r := refused(wire.ReasonBusy, "the queue is full and the organisation is above its share")
--- a/internal/version/kvstore/versions.go
+++ b/internal/version/kvstore/versions.go
@@ -66,6 +66,14 @@
 	}
 }
 
+// Held returns the number of leading tokens of a prompt that the engine holds, 0 for a version that is not in force.
+func (v *Versions) Held(weightVersion string, ids []prefix.ID) (tokens int) {
+	if m := v.mover(weightVersion); m != nil {
+		return m.Held(ids) * m.blockTokens()
+	}
+	return 0
+}
+
 // Prepare imports blocks of a prompt that the engine lacks. Requests of a version that is not in force get none.
 func (v *Versions) Prepare(ctx context.Context, weightVersion, organisation string, ids []prefix.ID) (fetchedTokens int) {
 	if m := v.mover(weightVersion); m != nil {
