--- a/internal/process/agent/orders.go
+++ b/internal/process/agent/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,8 +98,10 @@
 }
 
 // preferred returns the owner of a shard that is preferred among the live endpoints of the service. An endpoint counts
-// as live if the configuration wants it active and the platform lists it, or lists none of the service at all.
-func (o *OrderOwner) preferred(shard int) string {
+// as live if the configuration wants it active, the entry could reach it, and the platform lists it or lists none of the
+// service at all. The platform's list lags; without the entry's word the shards of an endpoint that stops would be
+// refused until the list follows. A wrong word costs a takeover: the claim log is the fence.
+func (o *OrderOwner) preferred(shard int, unavailable []string) string {
 	s := o.Configuration.Current()
 	if s == nil {
 		return o.Name
@@ -111,7 +114,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, e := range s.Deployment.Endpoints {
-		if e.Kind != settings.ServiceEndpoint || e.Service != v.endpoint.Service || newView(s, e.Name).leaving {
+		if e.Kind != settings.ServiceEndpoint || e.Service != v.endpoint.Service || newView(s, e.Name).leaving ||
+			e.Name != o.Name && slices.Contains(unavailable, e.Name) {
 			continue
 		}
 		active = append(active, e.Name)
--- a/internal/request/caller/call.go
+++ b/internal/request/caller/call.go
@@ -127,6 +127,7 @@
 				return wire.Reply{}, refusalOf(ctx)
 			}
 			last, next = &refusal{reason: "NoEndpoint", detail: "the endpoint cannot be reached"}, ""
+			c.message.Unavailable = append(c.message.Unavailable, endpoint)
 			continue
 		}
 		switch m := m.(type) {
@@ -141,6 +142,9 @@
 			if m.Outcome != wire.NotRun || !followed(m.Reason) {
 				return wire.Reply{}, last
 			}
+			if stops(m.Reason) {
+				c.message.Unavailable = append(c.message.Unavailable, endpoint)
+			}
 		default:
 			return wire.Reply{}, c.unknown(ctx)
 		}
@@ -169,6 +173,11 @@
 	return false
 }
 
+// stops tells whether an endpoint that refuses with this reason gives its shards up.
+func stops(r wire.Reason) bool {
+	return r == wire.ReasonDraining || r == wire.ReasonLeaving || r == wire.ReasonServiceDown
+}
+
 // unknown is the end of an order whose reply did not come.
 func (c *call) unknown(ctx context.Context) *refusal {
 	f := refuse("ReplyLost", "")
--- a/internal/request/order/fake_test.go
+++ b/internal/request/order/fake_test.go
@@ -148,7 +148,7 @@
 func (s *site) owner(name string, set ...func(*Owner)) (*Owner, func()) {
 	s.starts++
 	o := &Owner{Platform: &s.platform, Service: &s.service, Name: name, Incarnation: s.starts, Shards: 1,
-		Preferred: func(int) string { s.mu.Lock(); defer s.mu.Unlock(); return s.preferred }}
+		Preferred: func(int, []string) string { s.mu.Lock(); defer s.mu.Unlock(); return s.preferred }}
 	for _, f := range set {
 		f(o)
 	}
--- a/internal/request/order/machine_test.go
+++ b/internal/request/order/machine_test.go
@@ -125,7 +125,7 @@
 	m.owners[i], m.stops[i] = m.site.owner(name, func(o *Owner) {
 		o.Platform, o.Service = p, p
 		o.PlatformTimeout, o.DrainTimeout = time.Hour, time.Nanosecond
-		o.Preferred = func(int) string {
+		o.Preferred = func(int, []string) string {
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			if p.prefers {
--- a/internal/request/order/owner.go
+++ b/internal/request/order/owner.go
@@ -43,8 +43,9 @@
 	Shards int
 	// Retention is how long the outcome of an order is kept. It must be far longer than any deadline. Default 24 h.
 	Retention time.Duration
-	// Preferred names the preferred live owner of a shard, empty if there is none. Nil stands for this agent.
-	Preferred func(shard int) string
+	// Preferred names the preferred live owner of a shard without the unavailable ones, empty if there is none. Nil
+	// stands for this agent.
+	Preferred func(shard int, unavailable []string) string
 	// QueueLength bounds the orders in progress of one shard. Default 256.
 	QueueLength int
 	// MaxRecords bounds the orders that the index of one shard remembers; above it new orders are refused. Default
@@ -121,7 +122,7 @@
 	o.writes = rate.NewLimiter(rate.Limit(o.WritesPerSecond), max(o.WritesPerSecond/5, 1))
 	o.reads = rate.NewLimiter(rate.Limit(o.ReadsPerSecond), max(o.ReadsPerSecond/5, 1))
 	if o.Preferred == nil {
-		o.Preferred = func(int) string { return o.Name }
+		o.Preferred = func(int, []string) string { return o.Name }
 	}
 	if o.Log.GetSink() == nil {
 		o.Log = logr.Discard()
--- a/internal/request/order/shard.go
+++ b/internal/request/order/shard.go
@@ -119,7 +119,7 @@
 	if s.owner.work.Err() != nil {
 		return nil, nil, false, refuse(wire.NotRun, wire.ReasonDraining, "the agent stops")
 	}
-	if preferred := s.owner.Preferred(s.number); preferred != s.owner.Name {
+	if preferred := s.owner.Preferred(s.number, r.call.Unavailable); preferred != s.owner.Name {
 		return nil, nil, false, wire.Refused{Outcome: wire.NotRun, Reason: wire.ReasonNotOwner, Redirect: preferred,
 			Detail: "another agent owns the shard"}
 	}
--- a/pkg/wire/message.go
+++ b/pkg/wire/message.go
@@ -130,8 +130,11 @@
 	Body          []byte
 	// IdempotencyKey is set for calls that may not be repeated; they run at most once per organisation and key.
 	IdempotencyKey string
-	Timeout        time.Duration
-	RequestID      string
+	// Unavailable names endpoints that the entry could not reach or that refused the call because they stop. The agent
+	// leaves them out when it decides who owns the shard of the key.
+	Unavailable []string
+	Timeout     time.Duration
+	RequestID   string
 }
 
 // Reply is the response of a plain service.
