--- a/internal/connection/agent/conn.go
+++ b/internal/connection/agent/conn.go
@@ -23,6 +23,8 @@
 	out   chan *outgoing
 	// done is closed when the connection takes and delivers no more; cause then holds why.
 	done chan struct{}
+	// leaving is closed when the peer said Goodbye.
+	leaving chan struct{}
 
 	mu      sync.Mutex
 	cause   error
@@ -62,6 +64,7 @@
 		return nil, err
 	}
 	c := &conn{peer: p, wire: wire.NewConn(nc), out: make(chan *outgoing, queueLength), done: make(chan struct{}),
+		leaving: make(chan struct{}),
 		streams: make(map[uint64]*Stream), since: time.Now(), written: time.Now()}
 	// Ends the exchange when the pool ends.
 	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
@@ -182,6 +185,9 @@
 			c.farewell("entry stops")
 			c.close(ErrClosed)
 			return
+		case <-c.leaving:
+			c.leave()
+			return
 		case o := <-c.out:
 			if o.state.CompareAndSwap(queued, taken) && !c.writeAll(o.messages) {
 				return
@@ -195,6 +201,39 @@
 	}
 }
 
+// leave answers the peer's Goodbye. What the writer has not taken is withdrawn, for another endpoint to serve; the peer
+// answers what it has read and closes the connection after it.
+func (c *conn) leave() {
+	for {
+		select {
+		case o := <-c.out:
+			if o.state.CompareAndSwap(queued, withdrawn) {
+				c.withdraw(o)
+			}
+			continue
+		default:
+		}
+		break
+	}
+	c.farewell("the peer stops")
+	timer := time.NewTimer(c.peer.pool.PeerTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.done:
+	case <-c.peer.pool.ctx.Done():
+		c.close(ErrClosed)
+	case <-timer.C:
+		c.close(errGoodbye)
+	}
+}
+
+// withdraw ends the stream of a request that was not sent.
+func (c *conn) withdraw(o *outgoing) {
+	for _, m := range o.messages {
+		c.failStream(m, errGoodbye)
+	}
+}
+
 func (c *conn) writeAll(list []wire.Message) bool {
 	// A peer that takes no bytes for the timeout is as silent as one that sends none.
 	c.written = time.Now()
--- a/internal/connection/agent/receive.go
+++ b/internal/connection/agent/receive.go
@@ -44,8 +44,12 @@
 		}
 	case wire.Goodbye:
 		c.mu.Lock()
+		first := !c.goodbye
 		c.goodbye = true
 		c.mu.Unlock()
+		if first {
+			close(c.leaving)
+		}
 	default:
 		p.outOfTurn.Inc(1)
 	}
--- a/internal/connection/entry/connection.go
+++ b/internal/connection/entry/connection.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,8 @@
 	conn   *wire.Conn
 	*writer
 	peer wire.Hello
+	// leaveBy is when a shutdown stops to wait for the peer's Goodbye, in Unix nanoseconds; 0 before a shutdown.
+	leaveBy atomic.Int64
 	// announced is the highest version announced to the peer. Only the reader uses it.
 	announced uint64
 	streams   sync.WaitGroup
@@ -36,14 +39,14 @@
 	}
 	written := make(chan error, 1)
 	go func() { written <- c.writer.run() }()
-	// Streams end when the connection does, but at a shutdown after the Goodbye.
+	// At a shutdown the peer is told and reading goes on until its Goodbye, so that requests which were on their way are
+	// refused as not run. Closing at once would leave the entry with an unknown outcome.
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, func() {
 		c.send(wire.Goodbye{Reason: "the agent stops"})
-		c.finish()
-		cancel()
-		// Ends the read below.
-		_ = nc.SetReadDeadline(time.Unix(1, 0))
+		by := time.Now().Add(s.GoodbyeTimeout)
+		c.leaveBy.Store(by.UnixNano())
+		_ = nc.SetReadDeadline(by)
 	})
 	err := c.read(streamCtx)
 	stop()
@@ -91,7 +94,7 @@
 		Protocol: wire.ProtocolVersion, Name: s.Name, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation,
 		ConfigVersion: s.Configuration.Version(),
 	})
-	m, err := c.next(ctx, s.HelloTimeout)
+	m, err := c.next(s.HelloTimeout)
 	if err != nil {
 		return err
 	}
@@ -112,7 +115,7 @@
 		c.send(mark)
 	}
 	for {
-		m, err := c.next(ctx, s.IdleTimeout)
+		m, err := c.next(s.IdleTimeout)
 		if err != nil {
 			return err
 		}
@@ -122,11 +125,12 @@
 	}
 }
 
-// next reads a message. The deadline that a shutdown sets is not overwritten: ctx is done before it is set.
-func (c *connection) next(ctx context.Context, timeout time.Duration) (wire.Message, error) {
-	_ = c.conn.NetConn().SetReadDeadline(time.Now().Add(timeout))
-	if ctx.Err() != nil {
-		return nil, ctx.Err()
+// next reads a message. The deadline that a shutdown sets is kept: leaveBy is set before it and read after the other.
+func (c *connection) next(timeout time.Duration) (wire.Message, error) {
+	nc := c.conn.NetConn()
+	_ = nc.SetReadDeadline(time.Now().Add(timeout))
+	if by := c.leaveBy.Load(); by != 0 {
+		_ = nc.SetReadDeadline(time.Unix(0, by))
 	}
 	return c.conn.Read()
 }
--- a/internal/connection/entry/server.go
+++ b/internal/connection/entry/server.go
@@ -53,6 +53,8 @@
 	// second. Defaults 5 s and 30 s.
 	HelloTimeout time.Duration
 	IdleTimeout  time.Duration
+	// GoodbyeTimeout bounds the wait for the peer's Goodbye at a shutdown. Default 1 s.
+	GoodbyeTimeout time.Duration
 	// WriteTimeout bounds one write. Default 5 s.
 	WriteTimeout time.Duration
 	// BufferBytes bounds the answers that wait to be written on a connection. Default 8 MiB.
@@ -69,6 +71,7 @@
 func (s *Server) setDefaults() {
 	for field, value := range map[*time.Duration]time.Duration{
 		&s.HelloTimeout: 5 * time.Second, &s.IdleTimeout: 30 * time.Second, &s.WriteTimeout: 5 * time.Second,
+		&s.GoodbyeTimeout: time.Second,
 	} {
 		if *field <= 0 {
 			*field = value
@@ -82,8 +85,8 @@
 	s.conns = map[*connection]struct{}{}
 }
 
-// Serve accepts connections until ctx is done. Then it says Goodbye on each, writes what is buffered, closes them and
-// returns once their streams have ended. The listener is closed.
+// Serve accepts connections until ctx is done. Then it says Goodbye on each, goes on reading until the peer's Goodbye,
+// writes what is buffered, closes the connections and returns once their streams have ended. The listener is closed.
 func (s *Server) Serve(ctx context.Context, l net.Listener) (err error) {
 	defer func() { err = errors.Wrap(err, "entry: serve") }()
 	s.mu.Lock()
--- a/internal/request/caller/call.go
+++ b/internal/request/caller/call.go
@@ -97,6 +97,17 @@
 // once sends a call that may not be repeated. It goes to the owner of its shard, and to another endpoint only while it
 // certainly did not run.
 func (c *call) once(ctx context.Context) (wire.Reply, *refusal) {
+	for {
+		reply, f := c.round(ctx)
+		if f == nil || f.outcome != wire.NotRun || !c.h.pause(ctx, c.q.begun, f) {
+			return reply, f
+		}
+		c.tried, c.message.Unavailable = nil, nil
+	}
+}
+
+// round offers the call to the owners of its shard until one takes it.
+func (c *call) round(ctx context.Context) (wire.Reply, *refusal) {
 	shards := c.q.state.deployment.Limits.ClaimShards
 	if shards <= 0 {
 		shards = 16
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -67,6 +67,12 @@
 	Affinity *routing.Affinity
 	Budget   *retry.Budget
 	Metrics  metrics.Registry
+	// ReachPatience is how long a request waits while no endpoint can be reached. When agents are replaced one after the
+	// other, the entry finds each again by a probe, at the latest after 2 s. Default 2 s; negative for none.
+	ReachPatience time.Duration
+	// SuspectPatience is how long a suspect of a crash waits for its turn, since only one runs on an endpoint at a time.
+	// Default 10 s; negative for none.
+	SuspectPatience time.Duration
 
 	once    sync.Once
 	mux     *http.ServeMux
@@ -87,6 +93,8 @@
 		h.Hints = cmp.Or(h.Hints, routing.NewHints(0))
 		h.Affinity = cmp.Or(h.Affinity, routing.NewAffinity())
 		h.Budget = cmp.Or(h.Budget, &retry.Budget{Burst: retryBurst})
+		h.ReachPatience = cmp.Or(h.ReachPatience, 2*time.Second)
+		h.SuspectPatience = cmp.Or(h.SuspectPatience, 10*time.Second)
 		if h.Metrics == nil {
 			h.Metrics = metrics.NewRegistry()
 		}
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,8 +33,9 @@
 
 	// given are the tokens that the caller has, or that are kept for it.
 	given []uint32
-	// tried are the endpoints that are not tried again.
+	// tried are the endpoints that are not tried again, spent those of them that ran the prompt or may have.
 	tried    []string
+	spent    []string
 	attempts int
 	// ranOn counts the endpoints that ran it, or may have; crashes those of them that crashed.
 	ranOn, crashes int
@@ -81,7 +83,9 @@
 		case u.crashes > 0 && u.ranOn >= maxRunsAfterCrash:
 			return &refusal{reason: "Quarantined", outcome: wire.Ran, detail: "endpoints crashed under the request"}
 		case u.attempts >= maxAttempts:
-			return f
+			if !u.wait(ctx, f) {
+				return f
+			}
 		case v == costly && !u.h.Budget.Retry(time.Now()):
 			u.h.count("RetryBudgetSpent")
 			return &refusal{reason: ReasonRetryBudget, outcome: f.outcome, retryAfter: f.retryAfter,
@@ -100,6 +104,17 @@
 	}
 }
 
+// wait pauses before the endpoints that refused the prompt are tried again. It reports false if the last refusal is not
+// one that passes soon, or if the request has waited long enough.
+func (u *run) wait(ctx context.Context, f *refusal) bool {
+	if !u.h.pause(ctx, u.q.begun, f) {
+		return false
+	}
+	u.tried = slices.Clone(u.spent)
+	u.attempts = 0
+	return true
+}
+
 // outcome is what is known of the whole request, which is more than what its last refusal says.
 func (u *run) outcome(f *refusal) wire.Outcome {
 	switch {
@@ -127,10 +142,14 @@
 	d := p.model.router.Route(now, p.prompt, u.tried)
 	u.logRouted(&d, p.state.version)
 	if len(d.Weighed) == 0 {
-		if u.last != nil {
-			return final, u.last
+		f := u.last
+		if f == nil {
+			f = refuse("NoEndpoint", "")
+		}
+		if u.wait(ctx, f) {
+			return free, f
 		}
-		return final, refuse("NoEndpoint", "")
+		return final, f
 	}
 	chosen := &d.Weighed[0]
 	u.attempts++
@@ -225,6 +244,7 @@
 	}
 	u.accepted = true
 	u.runs = true
+	u.spent = append(u.spent, chosen.Endpoint)
 	u.ranOn++
 	block := max(1, p.model.BlockTokens)
 	chain := p.prompt.Chain
@@ -245,6 +265,7 @@
 	u.sent = true
 	if !u.runs {
 		u.ranOn++
+		u.spent = append(u.spent, u.tried[len(u.tried)-1])
 	}
 	return costly, &refusal{reason: ReasonConnectionLost, outcome: wire.OutcomeUnknown}
 }
@@ -255,8 +276,9 @@
 	switch m.Reason {
 	case wire.ReasonNotEntitled, wire.ReasonOverLimit, wire.ReasonDeadline, wire.ReasonQuarantined, wire.ReasonBadRequest:
 		return final, f
-	case wire.ReasonDraining, wire.ReasonLeaving, wire.ReasonOldConfig, wire.ReasonWrongVersion, wire.ReasonUnknownModel:
-		// Planned stops and changes of the configuration must not use up what outages need.
+	case wire.ReasonDraining, wire.ReasonLeaving, wire.ReasonOldConfig, wire.ReasonWrongVersion, wire.ReasonUnknownModel,
+		wire.ReasonSuspectRunning:
+		// Planned stops, changes of the configuration and the isolation of suspects must not use up what outages need.
 		if m.Outcome == wire.NotRun {
 			return free, f
 		}
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -96,7 +96,7 @@
 
 // repeatable holds the commands that retry may repeat.
 var repeatable = map[string]command{
-	"ctl": cmdCtl, "prompt": cmdPrompt, "order": cmdOrder, "runs": cmdRuns, "written": cmdWritten, "settled": cmdSettled,
+	"ctl": cmdCtl, "prompt": cmdPrompt, "order": cmdOrder, "runs": cmdRuns, "written": cmdWritten, "faults": cmdFaults, "settled": cmdSettled,
 	"posted": cmdPosted,
 }
 
--- a/test/scenario/doc.go
+++ b/test/scenario/doc.go
@@ -20,6 +20,7 @@
 //	runs KEY N                     the order services ran the order N times in all
 //	posted MODEL|all TEXT N        the engines saw N runs of the prompt
 //	written KIND N                 the platform took at least N writes of the kind
+//	faults N STAND-IN...           N faults are left; one with a Count ends when it was used
 //	settled MODEL                  the engine has no run under way
 //	count MODEL, unchanged MODEL   the engine got no run in between
 //	retry DURATION COMMAND... [-- TEXT]
--- a/test/scenario/faults_test.go
+++ b/test/scenario/faults_test.go
@@ -11,6 +11,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"primrosecourse/internal/standin/engine"
+	"primrosecourse/internal/standin/fault"
 	"primrosecourse/internal/standin/platform"
 )
 
@@ -81,6 +82,26 @@
 	return nil
 }
 
+// cmdFaults succeeds once N faults are left at a stand-in's: those with a Count end when they were used up.
+func cmdFaults(s *system, _ *testscript.TestScript, args []string) error {
+	want, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	got := 0
+	for _, name := range args[1:] {
+		var rules []fault.Rule
+		if err := s.getJSON(name, "/fault", &rules); err != nil {
+			return err
+		}
+		got += len(rules)
+	}
+	if got != want {
+		return fmt.Errorf("%d faults are left, want %d", got, want)
+	}
+	return nil
+}
+
 // ledger reads the ledger of an engine.
 func (s *system) ledger(model string) (l engine.Ledger, err error) {
 	err = s.getJSON(model+".engine", "/ledger", &l)
