--- a/internal/request/order/owner.go
+++ b/internal/request/order/owner.go
@@ -59,6 +59,9 @@
 	PlatformTimeout time.Duration
 	// DrainTimeout bounds the time after ctx of Run ends in which orders in progress finish. Default 30 s.
 	DrainTimeout time.Duration
+	// CompleteDelay is how long a result waits for a claim of the same shard whose write it can join. If the process dies
+	// meanwhile, later tries get an unknown outcome instead of the response. Default 100 ms.
+	CompleteDelay time.Duration
 	// WritesPerSecond and ReadsPerSecond bound the use of the platform, which bears several hundred writes and 2,000
 	// reads a second from all agents. Commits that wait gather more orders. Defaults 100 and 300.
 	WritesPerSecond int
@@ -115,6 +118,7 @@
 	o.ReplyTimeout = cmp.Or(o.ReplyTimeout, 5*time.Minute)
 	o.PlatformTimeout = cmp.Or(o.PlatformTimeout, 2*time.Second)
 	o.DrainTimeout = cmp.Or(o.DrainTimeout, 30*time.Second)
+	o.CompleteDelay = cmp.Or(o.CompleteDelay, 100*time.Millisecond)
 	o.WritesPerSecond = cmp.Or(o.WritesPerSecond, 100)
 	o.ReadsPerSecond = cmp.Or(o.ReadsPerSecond, 300)
 	// A fifth of a second's calls may go at once, so that a single order waits only for the platform.
--- a/internal/request/order/run.go
+++ b/internal/request/order/run.go
@@ -21,7 +21,7 @@
 	defer s.abort()
 	flushing := false
 	for {
-		if wait := s.step(work); wait > 0 {
+		if wait := s.step(work, flushing); wait > 0 {
 			retry.Reset(wait)
 		}
 		if flushing && s.settled() {
@@ -40,16 +40,20 @@
 	}
 }
 
-// step takes the shard if somebody wants it, and commits what is pending. It returns the time until the next try.
-func (s *shard) step(work context.Context) (wait time.Duration) {
+// step takes the shard if somebody wants it, and commits what is pending, with flushing at once. It returns the time
+// until the next try.
+func (s *shard) step(work context.Context, flushing bool) (wait time.Duration) {
 	for work.Err() == nil {
 		s.mu.Lock()
 		taking, owned, pending := s.taking, s.owned, len(s.pending)
 		wait = time.Until(s.retryAt)
+		if !flushing {
+			wait = max(wait, s.groupingTime())
+		}
 		s.mu.Unlock()
 		switch {
 		case taking != nil:
-			if !owned && wait <= 0 {
+			if !owned && !time.Now().Before(s.retryAfter()) {
 				s.takeover(work)
 			}
 			s.mu.Lock()
@@ -67,6 +71,25 @@
 	return 0
 }
 
+// groupingTime returns how long the pending records may wait for a claim to join.
+func (s *shard) groupingTime() time.Duration {
+	for _, p := range s.pending {
+		if p.flight != nil {
+			return 0
+		}
+	}
+	if len(s.pending) == 0 {
+		return 0
+	}
+	return time.Until(s.pending[0].record.At.Add(s.owner.CompleteDelay))
+}
+
+func (s *shard) retryAfter() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retryAt
+}
+
 func (s *shard) settled() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
