--- a/internal/request/order/commit.go
+++ b/internal/request/order/commit.go
@@ -122,6 +122,7 @@
 		s.sealed = append(s.sealed, claim.Sealed{Number: t.Number, Version: t.Version, Newest: t.Segment.Newest()})
 		s.tail = t.Next()
 	}
+	s.count()
 	s.finishDurable(durable)
 	s.abandonFound()
 }
--- a/internal/request/order/owner.go
+++ b/internal/request/order/owner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,12 +44,13 @@
 	Shards int
 	// Retention is how long the outcome of an order is kept. It must be far longer than any deadline. Default 24 h.
 	Retention time.Duration
-	// Preferred names the preferred live owner of a shard, empty if there is none. Nil stands for this agent.
+	// Preferred names the preferred live owner of a shard, empty if there is none. It is called for each order and must
+	// not block. Nil stands for this agent.
 	Preferred func(shard int) string
 	// QueueLength bounds the orders in progress of one shard. Default 256.
 	QueueLength int
-	// MaxRecords bounds the orders that the index of one shard remembers; above it new orders are refused. Default
-	// 100,000.
+	// MaxRecords bounds the orders that the indexes of all owned shards remember; above it new orders are refused. 100,000
+	// take up to 17 MB. Default 350,000.
 	MaxRecords int
 	// DefaultTimeout is the deadline of an order that names none. Default 2 min.
 	DefaultTimeout time.Duration
@@ -73,9 +75,11 @@
 	active   int
 	idle     chan struct{}
 	sequence uint64
-	shards   []*shard
-	writes   *rate.Limiter
-	reads    *rate.Limiter
+	// records counts the orders in the indexes of all shards.
+	records atomic.Int64
+	shards  []*shard
+	writes  *rate.Limiter
+	reads   *rate.Limiter
 	// work ends when nothing of the owner may go on.
 	work context.Context
 }
@@ -113,7 +117,7 @@
 	o.Shards = cmp.Or(o.Shards, 16)
 	o.Retention = cmp.Or(o.Retention, 24*time.Hour)
 	o.QueueLength = cmp.Or(o.QueueLength, 256)
-	o.MaxRecords = cmp.Or(o.MaxRecords, 100_000)
+	o.MaxRecords = cmp.Or(o.MaxRecords, 350_000)
 	o.DefaultTimeout = cmp.Or(o.DefaultTimeout, 2*time.Minute)
 	o.ReplyTimeout = cmp.Or(o.ReplyTimeout, 5*time.Minute)
 	o.PlatformTimeout = cmp.Or(o.PlatformTimeout, 2*time.Second)
--- a/internal/request/order/owner_test.go
+++ b/internal/request/order/owner_test.go
@@ -196,6 +196,13 @@
 			close(s.service.gate)
 			return []wire.Message{<-first, second}
 		}, []string{"201 first run 1", "NotRun ReasonBusy retry"}, 0},
+		{"more orders than the index", func(s *site, o *Owner) []wire.Message {
+			o.MaxRecords = 1
+			first := o.Execute(ctx, order("first", ""))
+			second := o.Execute(ctx, k)
+			time.Sleep(50 * time.Hour) // the first one expires
+			return []wire.Message{first, second, o.Execute(ctx, k)}
+		}, []string{"201 first run 1", "NotRun ReasonBusy retry", "201 k run 1"}, 1},
 		{"large response stored as status", func(s *site, o *Owner) []wire.Message {
 			s.service.body = make([]byte, claim.MaxStoredBytes+1)
 			o.Execute(ctx, k)
--- a/internal/request/order/run.go
+++ b/internal/request/order/run.go
@@ -144,6 +144,7 @@
 	var old []claim.Sealed
 	if s.owned {
 		s.index.Expire(now, s.owner.Retention)
+		s.count()
 		old = s.sealed[:claim.Expired(s.sealed, now, s.owner.Retention)]
 	}
 	s.mu.Unlock()
--- a/internal/request/order/send.go
+++ b/internal/request/order/send.go
@@ -79,7 +79,11 @@
 	number := s.tail.Number
 	s.mu.Unlock()
 	if number != e.Segment {
-		t, err := s.get(ctx, e.Segment)
+		var t claim.Tail
+		err := s.owner.reads.Wait(ctx)
+		if err == nil {
+			t, err = s.get(ctx, e.Segment)
+		}
 		if err != nil {
 			m := refuse(wire.Ran, wire.ReasonPlatformDown, "the order ran; its response cannot be read now")
 			m.RetryAfter = minRetryAfter
--- a/internal/request/order/shard.go
+++ b/internal/request/order/shard.go
@@ -46,10 +46,12 @@
 	owned    bool
 	tail     claim.Tail
 	index    *claim.Index
-	sealed   []claim.Sealed
-	flights  map[claim.Key]*flight
-	unsent   map[claim.Nonce]*unsent
-	pending  []pending
+	// counted is the part of Owner.records that stands for index.
+	counted int
+	sealed  []claim.Sealed
+	flights map[claim.Key]*flight
+	unsent  map[claim.Nonce]*unsent
+	pending []pending
 	// confirmed is when the platform last confirmed the ownership.
 	confirmed time.Time
 	retryAt   time.Time
@@ -168,7 +170,7 @@
 	if now.Before(s.retryAt) {
 		return refuseLater(wire.ReasonPlatformDown, "the claim log cannot be written", s.retryAt.Sub(now))
 	}
-	if s.index.Len() >= s.owner.MaxRecords {
+	if s.owner.records.Load() >= int64(s.owner.MaxRecords) {
 		return refuseLater(wire.ReasonBusy, "the claim log is full", time.Minute)
 	}
 	if len(s.flights) >= s.owner.QueueLength {
@@ -208,6 +210,13 @@
 	s.signal()
 }
 
+// count brings Owner.records up to date after the index changed.
+func (s *shard) count() {
+	n := s.index.Len()
+	s.owner.records.Add(int64(n - s.counted))
+	s.counted = n
+}
+
 // remember notes that a claim was certainly not sent.
 func (s *shard) remember(claimed claim.Record) *unsent {
 	u := &unsent{claimed: claimed}
@@ -220,6 +229,7 @@
 // lose gives the shard up: no write of this term can take effect any more, or the owner no longer knows the log.
 func (s *shard) lose(to string) {
 	s.owned, s.index, s.sealed, s.tail = false, &claim.Index{}, nil, claim.Tail{}
+	s.count()
 	rest := s.pending
 	s.pending = nil
 	for _, p := range rest {
--- a/internal/request/order/takeover.go
+++ b/internal/request/order/takeover.go
@@ -113,6 +113,7 @@
 	s.owned, s.index, s.sealed = true, l.index, l.sealed
 	s.advance(t, nil, began)
 	s.index.Expire(time.Now(), s.owner.Retention)
+	s.count()
 	event.Info(s.owner.Log, event.OrderShardTaken, "shard", s.number, "term", t.Segment.Term, "from", l.last.Segment.Owner,
 		"orders", s.index.Len(), "segments", len(l.sealed)+1, "took", time.Since(began))
 }
