--- a/internal/request/order/commit.go
+++ b/internal/request/order/commit.go
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithTimeout(work, s.owner.PlatformTimeout)
 	defer cancel()
 	return s.owner.Platform.Put(ctx, platform.Object{
-		Kind: claim.ObjectKind, Name: claim.Name(s.number, t.Number), Version: t.Version, Value: value,
+		Kind: claim.ObjectKind, Name: claim.Name(s.service, s.number, t.Number), Version: t.Version, Value: value,
 	})
 }
 
@@ -68,7 +68,7 @@
 func (s *shard) get(work context.Context, number uint64) (t claim.Tail, err error) {
 	ctx, cancel := context.WithTimeout(work, s.owner.PlatformTimeout)
 	defer cancel()
-	obj, err := s.owner.Platform.Get(ctx, claim.ObjectKind, claim.Name(s.number, number))
+	obj, err := s.owner.Platform.Get(ctx, claim.ObjectKind, claim.Name(s.service, s.number, number))
 	if err != nil {
 		return claim.Tail{}, err
 	}
--- a/internal/request/order/expiry_test.go
+++ b/internal/request/order/expiry_test.go
@@ -26,7 +26,7 @@
 			is.Equal(brief(o.Execute(context.Background(), order(fmt.Sprint(i), "")))[:3], "201")
 		}
 		stop()
-		is.True(len(s.platform.Store.List(claim.ObjectKind, claim.Prefix(0))) >= 4)
+		is.True(len(s.platform.Store.List(claim.ObjectKind, claim.Prefix("Orders", 0))) >= 4)
 		o, _ = s.owner("A")
 		synctest.Wait()
 		for i := range 20 {
@@ -52,14 +52,14 @@
 		a.Execute(ctx, order("first", ""))
 		synctest.Wait()
 
-		shard := a.shards[0]
+		shard := a.shardsOf("Orders")[0]
 		shard.mu.Lock()
 		sealed := shard.tail
 		sealed.Segment.Sealed = true
 		value, err := sealed.Segment.Encode()
 		is.NoErr(err)
 		sealed.Version, err = s.platform.Store.Put(platform.Object{Kind: claim.ObjectKind,
-			Name: claim.Name(0, sealed.Number), Version: sealed.Version, Value: value})
+			Name: claim.Name("Orders", 0, sealed.Number), Version: sealed.Version, Value: value})
 		is.NoErr(err)
 		shard.advance(sealed, nil, time.Now())
 		shard.mu.Unlock()
@@ -72,7 +72,7 @@
 			b.Execute(ctx, order(fmt.Sprint(i), ""))
 		}
 		time.Sleep(2 * time.Hour) // the successor deletes what expired
-		_, err = s.platform.Store.Get(claim.ObjectKind, claim.Name(0, sealed.Number+1))
+		_, err = s.platform.Store.Get(claim.ObjectKind, claim.Name("Orders", 0, sealed.Number+1))
 		is.True(err != nil)
 		b.Execute(ctx, order("k", "one"))
 		time.Sleep(time.Second) // the result is recorded after the caller got it
--- a/internal/request/order/owner.go
+++ b/internal/request/order/owner.go
@@ -32,6 +32,9 @@
 	Do(ctx context.Context, call wire.Call) (wire.Reply, error)
 }
 
+// maxServices bounds the services of one owner. An agent has one, and a new one only if its configuration changes.
+const maxServices = 8
+
 // Owner runs the orders of the shards that this agent owns. Set the exported fields before Run.
 type Owner struct {
 	Platform Platform
@@ -40,7 +43,7 @@
 	Name string
 	// Incarnation must differ between any two starts of any agent and must not be 0.
 	Incarnation uint64
-	// Shards is the number of claim logs, the same for all agents. Default 16.
+	// Shards is the number of claim logs of a service, the same for all agents. Default 16.
 	Shards int
 	// Retention is how long the outcome of an order is kept. It must be far longer than any deadline. Default 24 h.
 	Retention time.Duration
@@ -77,7 +80,11 @@
 	sequence uint64
 	// records counts the orders in the indexes of all shards.
 	records atomic.Int64
-	shards  []*shard
+	// shards holds the shards of each service that had an order.
+	shards  map[string][]*shard
+	writers sync.WaitGroup
+	flush   chan struct{}
+	ended   bool
 	writes  *rate.Limiter
 	reads   *rate.Limiter
 	// work ends when nothing of the owner may go on.
@@ -92,8 +99,7 @@
 	}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	flush := make(chan struct{})
-	ended := o.start(work, flush)
+	o.start(work)
 	event.Info(o.Log, event.OrderStarted, "shards", o.Shards, "incarnation", o.Incarnation)
 	<-ctx.Done()
 
@@ -103,17 +109,18 @@
 	case <-o.drain():
 	case <-work.Done():
 	}
-	close(flush)
-	for range o.shards {
-		<-ended
-	}
+	close(o.flush)
+	o.mu.Lock()
+	o.ended = true
+	o.mu.Unlock()
+	o.writers.Wait()
 	stop()
 	<-o.drain()
 	event.Info(o.Log, event.OrderStopped, "cutOff", !limit.Stop())
 	return nil
 }
 
-func (o *Owner) start(work context.Context, flush <-chan struct{}) (ended chan struct{}) {
+func (o *Owner) start(work context.Context) {
 	o.Shards = cmp.Or(o.Shards, 16)
 	o.Retention = cmp.Or(o.Retention, 24*time.Hour)
 	o.QueueLength = cmp.Or(o.QueueLength, 256)
@@ -134,20 +141,26 @@
 	if o.Log.GetSink() == nil {
 		o.Log = logr.Discard()
 	}
-	o.work, o.idle = work, make(chan struct{})
-	ended = make(chan struct{}, o.Shards)
-	for number := range o.Shards {
-		s := newShard(o, number)
-		o.shards = append(o.shards, s)
-		go func() {
-			s.run(work, flush)
-			ended <- struct{}{}
-		}()
-	}
+	o.work, o.idle, o.flush, o.shards = work, make(chan struct{}), make(chan struct{}), map[string][]*shard{}
 	o.mu.Lock()
 	o.running = true
 	o.mu.Unlock()
-	return ended
+}
+
+// shardsOf returns the shards of a service and starts them with its first order. It returns nil if the owner ended or
+// serves too many services.
+func (o *Owner) shardsOf(service string) []*shard {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if list, ok := o.shards[service]; ok || o.ended || len(o.shards) >= maxServices {
+		return list
+	}
+	for number := range o.Shards {
+		s := newShard(o, service, number)
+		o.shards[service] = append(o.shards[service], s)
+		o.writers.Go(func() { s.run(o.work, o.flush) })
+	}
+	return o.shards[service]
 }
 
 // enter counts a piece of work that a drain waits for. It returns false while the owner takes no new work.
@@ -212,6 +225,10 @@
 	if timeout <= 0 {
 		timeout = o.DefaultTimeout
 	}
-	s := o.shards[claim.Shard(call.Organisation, call.IdempotencyKey, o.Shards)]
+	shards := o.shardsOf(call.Service)
+	if shards == nil {
+		return refuse(wire.NotRun, wire.ReasonNoEndpoint, "the agent does not run orders of this service")
+	}
+	s := shards[claim.Shard(call.Organisation, call.IdempotencyKey, o.Shards)]
 	return s.execute(ctx, newRequest(call, time.Now().Add(timeout)))
 }
--- a/internal/request/order/owner_test.go
+++ b/internal/request/order/owner_test.go
@@ -196,7 +196,12 @@
 			close(s.service.gate)
 			return []wire.Message{<-first, second}
 		}, []string{"201 first run 1", "NotRun ReasonBusy retry"}, 0},
-		{"more orders than the index", func(s *site, o *Owner) []wire.Message {
+		{"same key for another service", func(_ *site, o *Owner) []wire.Message {
+			other := k
+			other.Service = "Proofs"
+			return []wire.Message{o.Execute(ctx, order("first", "")), o.Execute(ctx, k), o.Execute(ctx, other)}
+		}, []string{"201 first run 1", "201 k run 1", "201 k run 2"}, 2},
+		{"more orders than the index", func(_ *site, o *Owner) []wire.Message {
 			o.MaxRecords = 1
 			first := o.Execute(ctx, order("first", ""))
 			second := o.Execute(ctx, k)
--- a/internal/request/order/run.go
+++ b/internal/request/order/run.go
@@ -151,7 +151,7 @@
 	deleted := 0
 	for _, segment := range old {
 		ctx, cancel := context.WithTimeout(ctx, s.owner.PlatformTimeout)
-		err := s.owner.Platform.Delete(ctx, claim.ObjectKind, claim.Name(s.number, segment.Number), segment.Version)
+		err := s.owner.Platform.Delete(ctx, claim.ObjectKind, claim.Name(s.service, s.number, segment.Number), segment.Version)
 		cancel()
 		if err != nil && !gone(err) {
 			break // the next sweep tries again
--- a/internal/request/order/shard.go
+++ b/internal/request/order/shard.go
@@ -37,9 +37,11 @@
 
 // shard is one claim log. Its own goroutine is the only one that writes the log.
 type shard struct {
-	owner  *Owner
-	number int
-	wake   chan struct{}
+	owner *Owner
+	// service names the plain service whose orders the log holds.
+	service string
+	number  int
+	wake    chan struct{}
 
 	mu       sync.Mutex
 	attempts int
@@ -60,9 +62,10 @@
 	taking chan struct{}
 }
 
-func newShard(o *Owner, number int) *shard {
+func newShard(o *Owner, service string, number int) *shard {
 	return &shard{
 		owner:   o,
+		service: service,
 		number:  number,
 		wake:    make(chan struct{}, 1),
 		index:   &claim.Index{},
--- a/internal/request/order/takeover.go
+++ b/internal/request/order/takeover.go
@@ -55,7 +55,7 @@
 	defer func() { err = errors.Wrapf(err, "read claim log %d", s.number) }()
 	ctx, cancel := context.WithTimeout(work, s.owner.PlatformTimeout)
 	defer cancel()
-	objects, err := s.owner.Platform.List(ctx, claim.ObjectKind, claim.Prefix(s.number))
+	objects, err := s.owner.Platform.List(ctx, claim.ObjectKind, claim.Prefix(s.service, s.number))
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -175,7 +175,7 @@
 	is.Equal(x.Len(), 0)
 	is.True(Stale(start.Add(7*time.Hour), start, 24*time.Hour))
 	is.True(!Stale(start.Add(5*time.Hour), start, 24*time.Hour))
-	n, err := Number(Name(3, 17))
+	n, err := Number(Name("a/b", 3, 17))
 	is.NoErr(err)
 	is.Equal(n, uint64(17))
 }
--- a/pkg/claim/segment.go
+++ b/pkg/claim/segment.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -34,15 +35,19 @@
 }
 
 // Name returns the object name of a segment. Names of one shard sort by segment number.
-func Name(shard int, number uint64) string { return fmt.Sprintf("%s%010d", Prefix(shard), number) }
+func Name(service string, shard int, number uint64) string {
+	return fmt.Sprintf("%s%010d", Prefix(service, shard), number)
+}
 
-// Prefix returns the prefix of the object names of all segments of a shard.
-func Prefix(shard int) string { return fmt.Sprintf("%04d/", shard) }
+// Prefix returns the prefix of the object names of all segments of a shard. Each service has logs of its own, because
+// its endpoints cannot run the orders of another one.
+func Prefix(service string, shard int) string {
+	return fmt.Sprintf("%s/%04d/", url.PathEscape(service), shard)
+}
 
 // Number returns the segment number in an object name.
 func Number(name string) (n uint64, err error) {
-	_, digits, _ := strings.Cut(name, "/")
-	n, err = strconv.ParseUint(digits, 10, 64)
+	n, err = strconv.ParseUint(name[strings.LastIndexByte(name, '/')+1:], 10, 64)
 	return n, errors.Wrapf(err, "claim: object name %q", name)
 }
 
