--- a/internal/request/order/commit.go
+++ b/internal/request/order/commit.go
@@ -24,6 +24,9 @@
 		return
 	}
 	s.mu.Lock()
+	if claim.Stale(time.Now(), s.confirmed, s.owner.Retention) {
+		s.lose("")
+	}
 	s.dropEnded()
 	batch := make([]claim.Record, len(s.pending))
 	for i, p := range s.pending {
--- a/internal/request/order/expiry_test.go
+++ b/internal/request/order/expiry_test.go
@@ -41,6 +41,11 @@
 // sealed a segment. The segment that it would create next was created by its successor and has expired since, so the
 // creation would succeed and fence nobody.
 func TestStaleOwnerTakesTheShardAgain(t *testing.T) {
+	t.Run("idle", func(t *testing.T) { testStaleOwner(t, false) })
+	t.Run("with a record that waits", func(t *testing.T) { testStaleOwner(t, true) })
+}
+
+func testStaleOwner(t *testing.T, waiting bool) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx := context.Background()
@@ -77,6 +82,12 @@
 		b.Execute(ctx, order("k", "one"))
 		time.Sleep(time.Second) // the result is recorded after the caller got it
 		s.prefer("A")
+		if waiting {
+			r := claim.NewClaim(claim.KeyOf("Org1", "earlier"), claim.Digest{}, claim.Nonce{Incarnation: 1, Sequence: 99}, time.Now())
+			shard.mu.Lock()
+			shard.pending = append(shard.pending, pending{record: r.Abandon(time.Now())})
+			shard.mu.Unlock()
+		}
 		is.Equal(brief(a.Execute(ctx, order("k", "one")))[:len("replayed 201 k run 1")], "replayed 201 k run 1")
 		is.Equal(s.service.count("k"), 1)
 		is.Equal(brief(a.Execute(ctx, order("first", "")))[:len("201 first run 2")], "201 first run 2") // forgotten
