--- a/internal/request/order/owner_test.go
+++ b/internal/request/order/owner_test.go
@@ -82,7 +82,7 @@
 			s.service.gate <- struct{}{} // to the first order, which waits longest
 			synctest.Wait()
 			s.service.gate <- struct{}{}
-			synctest.Wait()
+			time.Sleep(time.Second) // the write of the result fails
 			s.prefer("A")
 			second := attempt(o, k)
 			return []wire.Message{<-first, <-elsewhere, <-second}
@@ -105,7 +105,7 @@
 		}, []string{"NotRun ReasonPlatformDown retry", "201 k run 1"}, 1},
 		{"claim appears after it was refused", func(s *site, o *Owner) []wire.Message {
 			o.Execute(ctx, order("first", ""))
-			synctest.Wait()
+			time.Sleep(time.Second) // nothing is pending
 			s.platform.set(1, false)
 			first := o.Execute(ctx, k)
 			s.platform.release(0)
@@ -139,7 +139,7 @@
 		}, []string{"201 k run 1", "replayed 201 k run 1", "replayed 201 k run 1"}, 1},
 		{"deadline between claim and send", func(s *site, o *Owner) []wire.Message {
 			o.Execute(ctx, order("first", ""))
-			synctest.Wait()
+			time.Sleep(time.Second) // nothing is pending
 			s.platform.Faults.Set(fault.Rule{Kind: fault.Delay, Method: "PUT", Count: 1, Delay: time.Second})
 			first := o.Execute(ctx, within(time.Second/2))
 			time.Sleep(time.Second)
@@ -196,10 +196,22 @@
 			close(s.service.gate)
 			return []wire.Message{<-first, second}
 		}, []string{"201 first run 1", "NotRun ReasonBusy retry"}, 0},
+		{"same key for another service", func(_ *site, o *Owner) []wire.Message {
+			other := k
+			other.Service = "Proofs"
+			return []wire.Message{o.Execute(ctx, order("first", "")), o.Execute(ctx, k), o.Execute(ctx, other)}
+		}, []string{"201 first run 1", "201 k run 1", "201 k run 2"}, 2},
+		{"more orders than the index", func(_ *site, o *Owner) []wire.Message {
+			o.MaxRecords = 1
+			first := o.Execute(ctx, order("first", ""))
+			second := o.Execute(ctx, k)
+			time.Sleep(50 * time.Hour) // the first one expires
+			return []wire.Message{first, second, o.Execute(ctx, k)}
+		}, []string{"201 first run 1", "NotRun ReasonBusy retry", "201 k run 1"}, 1},
 		{"large response stored as status", func(s *site, o *Owner) []wire.Message {
 			s.service.body = make([]byte, claim.MaxStoredBytes+1)
 			o.Execute(ctx, k)
-			synctest.Wait()
+			time.Sleep(time.Second) // the result is recorded
 			return []wire.Message{o.Execute(ctx, k)}
 		}, []string{`replayed 201 {"Stored":"status only","DroppedBytes":4097}`}, 1},
 		{"not the preferred owner", func(s *site, o *Owner) []wire.Message {
