--- a/cmd/primrose-agent/main_test.go
+++ b/cmd/primrose-agent/main_test.go
@@ -179,6 +179,46 @@
 	}
 }
 
+// TestSecondSignal guards against a process that cannot be ended, and work that is cut off without a trace.
+func TestSecondSignal(t *testing.T) {
+	is := is.New(t)
+	objects := serve(t, standin.NewServer().Run)
+	e := engine.New(engine.Settings{Model: "M1", Version: "v1"})
+	e.Pause(true)
+	address := serve(t, e.Serve)
+	accept(t, objects)
+	listen := free(t)
+	signals := make(chan os.Signal, 2)
+	exit := make(chan int, 1)
+	var out output
+	go func() {
+		exit <- run([]string{
+			"-Name", "Engine1", "-FailureDomain", "South", "-Listen", listen.String(), "-Platform", objects.String(),
+			"-Engine", address.String(),
+		}, &out, signals)
+	}()
+	for !strings.Contains(out.text(), "EngineServing") {
+		time.Sleep(time.Millisecond)
+	}
+	nc, err := net.Dial("tcp", listen.String())
+	is.NoErr(err)
+	c := wire.NewConn(nc)
+	defer c.Close()
+	is.NoErr(c.Write(wire.Hello{Protocol: wire.ProtocolVersion, Name: "Entry1", ConfigVersion: 1}))
+	is.NoErr(c.Write(wire.Submit{
+		Stream: 1, ConfigVersion: 1, Organisation: "Org1", Model: "M1", WeightVersion: "v1", MaxTokens: 4,
+		Prompt: token.Encode("text"), RequestID: "R1",
+	}))
+	for m := wire.Message(nil); m == nil || m.MessageType() != wire.TypeAccepted; {
+		m, err = c.Read()
+		is.NoErr(err)
+	}
+	signals <- syscall.SIGTERM
+	signals <- syscall.SIGTERM
+	is.Equal(<-exit, 0)
+	is.True(strings.Contains(out.text(), `"Requests":["R1"]`))
+}
+
 // accept puts a configuration in force.
 func accept(t *testing.T, objects netip.AddrPort) {
 	t.Helper()
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -73,6 +73,7 @@
 	fenced  chan struct{}
 	epochOK chan struct{} // closed once epoch is set
 	epoch   uint64
+	served  engineStatus // that was logged as serving; only the keeper uses it
 
 	// work counts the requests and calls that were let in.
 	work sync.WaitGroup
--- a/internal/process/agent/keep.go
+++ b/internal/process/agent/keep.go
@@ -73,11 +73,13 @@
 		return a.ReconcileInterval
 	}
 	if s.serves(v) {
-		if changed {
+		if changed || a.served != s {
 			event.Info(a.Log, event.EngineServing, "Model", h.Model, "Version", h.Version, "Role", h.Role)
 		}
+		a.served = s
 		return a.ReconcileInterval
 	}
+	a.served = engineStatus{}
 	event.Info(a.Log, event.EngineDiffers, "Model", h.Model, "Version", h.Version, "Role", h.Role,
 		"WantModel", v.model.Name, "WantVersion", v.model.Version, "WantRole", RoleServe)
 	return a.order(ctx, s)
--- a/internal/process/agent/movers.go
+++ b/internal/process/agent/movers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"sync"
 
 	"github.com/go-logr/logr"
@@ -24,21 +25,27 @@
 
 	mu      sync.Mutex
 	version string
-	mover   *kvstore.Mover // nil if there is no store
+	mover   *kvstore.Mover
 }
 
-// Run starts a Mover for each weight version and set of stores until ctx is done.
+// plan is what a Mover is made from.
+type plan struct {
+	weights     string
+	blockTokens int
+	costs       retention.Costs
+	stores      []settings.Store
+}
+
+// Run keeps a Mover for the weight version in force until ctx is done. A configuration change that concerns neither
+// weights nor stores keeps it: at full size one comes every 5 s, and each new Mover forgets which blocks were seen.
 func (m *Movers) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		changed := m.Configuration.Changed()
-		next, clients := m.build()
+		current := m.plan()
+		mover, clients := m.start(current)
 		version, cancel := context.WithCancel(ctx)
 		ended := make(chan error, 1)
-		go func() { ended <- next.Run(version) }()
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
+		go func() { ended <- mover.Run(version) }()
+		m.await(ctx, current)
 		cancel()
 		<-ended
 		for _, c := range clients {
@@ -48,30 +55,46 @@
 	return nil
 }
 
-// build puts a Mover for the configuration in force in place. A configuration change restarts it even if it concerns
-// neither weights nor stores: the index is a hint and comes back with the next cache events.
-func (m *Movers) build() (*kvstore.Mover, []*store.Client) {
-	var weights string
-	var clients []*store.Client
-	mover := kvstore.New("")
-	if s := m.Configuration.Current(); s != nil {
-		if v := newView(s, m.Endpoint); v.model != nil {
-			weights = v.model.Version
-			mover = kvstore.New(weights)
-			mover.BlockTokens = v.blockTokens()
-			mover.Costs = costs(s.Deployment, v.model)
-			mover.Stores = map[string]kvstore.Store{}
-			for _, st := range s.Deployment.Stores {
-				c := store.New(st.Address)
-				clients = append(clients, c)
-				mover.Stores[st.Name] = c
-			}
+// await returns when the configuration makes another plan, or ctx is done.
+func (m *Movers) await(ctx context.Context, current plan) {
+	for {
+		changed := m.Configuration.Changed()
+		if !reflect.DeepEqual(m.plan(), current) {
+			return
 		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (m *Movers) plan() (p plan) {
+	s := m.Configuration.Current()
+	if s == nil {
+		return p
+	}
+	v := newView(s, m.Endpoint)
+	if v.model == nil {
+		return p
+	}
+	return plan{v.model.Version, v.blockTokens(), costs(s.Deployment, v.model), s.Deployment.Stores}
+}
+
+// start puts a Mover in place.
+func (m *Movers) start(p plan) (mover *kvstore.Mover, clients []*store.Client) {
+	mover = kvstore.New(p.weights)
+	mover.Engine, mover.Log, mover.BlockTokens, mover.Costs = m.Engine, m.Log, p.blockTokens, p.costs
+	mover.Stores = map[string]kvstore.Store{}
+	for _, s := range p.stores {
+		c := store.New(s.Address)
+		clients = append(clients, c)
+		mover.Stores[s.Name] = c
 	}
-	mover.Engine, mover.Log = m.Engine, m.Log
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.version, m.mover = weights, mover
+	m.version, m.mover = p.weights, mover
 	return mover, clients
 }
 
--- a/internal/process/agent/orders.go
+++ b/internal/process/agent/orders.go
@@ -36,7 +36,7 @@
 	owner atomic.Pointer[order.Owner]
 
 	mu     sync.Mutex
-	listed map[string]bool // instances that the platform last listed as live; nil before the first list
+	owners []string // the live endpoints of the service
 }
 
 // instancesInterval is the time between two reads of the platform's list, which lags by more than that.
@@ -63,6 +63,7 @@
 		Shards: d.Limits.ClaimShards, Retention: d.Limits.ClaimRetention, Preferred: o.preferred,
 		DrainTimeout: cutGrace, // the agent has waited for the calls under way before
 	}
+	o.update(nil)
 	o.owner.Store(owner)
 	var list sync.WaitGroup
 	list.Go(func() { o.list(ctx) })
@@ -80,53 +81,64 @@
 	return owner.Execute(ctx, call)
 }
 
-// list follows the platform's list of instances. During an outage the last one stays.
+// list follows the platform's list of instances and the configuration. During an outage the last list stays.
 func (o *OrderOwner) list(ctx context.Context) {
+	var listed map[string]bool
 	for ctx.Err() == nil {
+		changed := o.Configuration.Changed()
 		if instances, err := o.Platform.Instances(ctx); err == nil {
-			listed := make(map[string]bool, len(instances))
+			listed = make(map[string]bool, len(instances))
 			for _, i := range instances {
 				listed[i.Name] = !i.Leaving
 			}
-			o.mu.Lock()
-			o.listed = listed
-			o.mu.Unlock()
 		}
-		pause(ctx, instancesInterval)
+		o.update(listed)
+		timer := time.NewTimer(instancesInterval)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
 	}
 }
 
-// preferred returns the owner of a shard that is preferred among the live endpoints of the service. An endpoint counts
-// as live if the configuration wants it active and the platform lists it, or lists none of the service at all.
-func (o *OrderOwner) preferred(shard int) string {
+// update finds the live endpoints of the service: those that the configuration wants active and the platform lists, or
+// all active ones if it lists none of them.
+func (o *OrderOwner) update(listed map[string]bool) {
 	s := o.Configuration.Current()
-	if s == nil {
-		return o.Name
-	}
 	v := newView(s, o.Name)
-	if v.endpoint == nil {
-		return o.Name
+	leaving := map[string]bool{}
+	for _, domain := range s.Deployment.FailureDomains {
+		leaving[domain.Name] = domain.State == settings.Leaving
 	}
 	var active, live []string
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	for _, e := range s.Deployment.Endpoints {
-		if e.Kind != settings.ServiceEndpoint || e.Service != v.endpoint.Service || newView(s, e.Name).leaving {
+		if v.endpoint == nil || e.Kind != settings.ServiceEndpoint || e.Service != v.endpoint.Service ||
+			e.State == settings.Leaving || leaving[e.FailureDomain] {
 			continue
 		}
 		active = append(active, e.Name)
-		if o.listed[e.Name] {
+		if listed[e.Name] {
 			live = append(live, e.Name)
 		}
 	}
 	if len(live) == 0 {
 		live = active
 	}
-	owners := claim.Owners(shard, live)
-	if len(owners) == 0 {
-		return o.Name
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.owners = live
+}
+
+// preferred returns the preferred owner of a shard among the live endpoints.
+func (o *OrderOwner) preferred(shard int) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if owners := claim.Owners(shard, o.owners); len(owners) > 0 {
+		return owners[0]
 	}
-	return owners[0]
+	return o.Name
 }
 
 // logEnd logs the error of a part of the daemon that ended.
