--- /dev/null
+++ b/internal/process/agent/bench_test.go
@@ -0,0 +1,49 @@
+package agent_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	standin "primrosecourse/internal/standin/engine"
+	"primrosecourse/pkg/wire"
+)
+
+// BenchmarkPrompt measures whole prompts of 64 tokens with answers of 8, by the number of callers that each wait for
+// their answer. The time holds the stand-in of the engine and both ends of the connection.
+func BenchmarkPrompt(b *testing.B) {
+	for _, callers := range []int{1, 8, 64} {
+		b.Run(fmt.Sprint("Callers=", callers), func(b *testing.B) {
+			f := setUp(b, standin.Settings{WarmStart: true, BatchLimit: 64, DecodeRate: 1e6})
+			d := deployment("v1")
+			d.Endpoints[0].BatchLimit, d.Limits.QueueLength = 64, 128
+			f.config.set(d)
+			f.Log = logr.New(logSink{f.logged})
+			f.run().await("EngineServing")
+			p := f.dial()
+			text := strings.Repeat("x", 60)
+			work := make(chan int)
+			var wg sync.WaitGroup
+			for range callers {
+				wg.Go(func() {
+					for i := range work {
+						s := p.submit(f.prompt(fmt.Sprint("R", i), fmt.Sprint(text, i)))
+						if _, last := s.finish(); last.(wire.End).Finish != wire.FinishLength {
+							b.Errorf("got %#v", last)
+						}
+					}
+				})
+			}
+			i := 0
+			for b.Loop() {
+				work <- i
+				i++
+			}
+			close(work)
+			wg.Wait()
+		})
+	}
+}
--- a/internal/process/agent/fixture_test.go
+++ b/internal/process/agent/fixture_test.go
@@ -81,7 +81,7 @@
 // fixture is an agent beside a stand-in of an engine.
 type fixture struct {
 	*agent.Agent
-	t       *testing.T
+	t       testing.TB
 	engine  *standin.Engine
 	client  *engine.Client
 	config  *configuration
@@ -94,7 +94,7 @@
 }
 
 // setUp starts the engine and prepares the agent.
-func setUp(t *testing.T, s standin.Settings) *fixture {
+func setUp(t testing.TB, s standin.Settings) *fixture {
 	t.Helper()
 	s.Model, s.Version, s.BlockTokens = "M1", "v1", 8
 	if s.BatchLimit == 0 {
@@ -137,7 +137,7 @@
 
 // freeAddress returns an address for a later listener. It is not of 127.0.0.1, whose ports are also given to outgoing
 // connections of other tests.
-func freeAddress(t *testing.T) netip.AddrPort {
+func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.N(254), rand.N(256), 1+rand.N(254)))
 	if err != nil {
@@ -163,7 +163,7 @@
 	return f
 }
 
-func start(t *testing.T, s standin.Settings) *fixture {
+func start(t testing.TB, s standin.Settings) *fixture {
 	t.Helper()
 	f := setUp(t, s).run()
 	f.await("EngineServing")
@@ -338,7 +338,7 @@
 	return end
 }
 
-func receive[T wire.Message](t *testing.T, c <-chan wire.Message) T {
+func receive[T wire.Message](t testing.TB, c <-chan wire.Message) T {
 	t.Helper()
 	for {
 		select {
--- a/internal/process/agent/keep_test.go
+++ b/internal/process/agent/keep_test.go
@@ -175,17 +175,21 @@
 	}
 }
 
-// logSink passes the names of events on.
+// logSink passes the names of events on, as far as the channel has room.
 type logSink struct{ names chan string }
 
-func (s logSink) Init(logr.RuntimeInfo)             {}
-func (s logSink) Enabled(int) bool                  { return true }
-func (s logSink) Info(_ int, name string, _ ...any) { s.names <- name }
-func (s logSink) Error(_ error, name string, _ ...any) {
-	s.names <- name
+func (s logSink) Init(logr.RuntimeInfo)                {}
+func (s logSink) Enabled(int) bool                     { return true }
+func (s logSink) Error(_ error, name string, _ ...any) { s.Info(0, name) }
+func (s logSink) WithValues(...any) logr.LogSink       { return s }
+func (s logSink) WithName(string) logr.LogSink         { return s }
+
+func (s logSink) Info(_ int, name string, _ ...any) {
+	select {
+	case s.names <- name:
+	default:
+	}
 }
-func (s logSink) WithValues(...any) logr.LogSink { return s }
-func (s logSink) WithName(string) logr.LogSink   { return s }
 
 // TestEpoch guards against an epoch that is not raised, or raised twice after a lost reply, and against an outage of the
 // platform that stops prompts.
