--- a/cmd/primrose-bench/report.go
+++ b/cmd/primrose-bench/report.go
@@ -49,7 +49,7 @@
 	o := outcome{Scenario: scenario, Choice: choice, All: percentilesOf(m.all), Long: percentilesOf(m.classes[long]),
 		Short: percentilesOf(m.classes[short]), Small: percentilesOf(m.small), LinkBytes: m.linkBytes, Retries: m.retries,
 		OverAllowance: m.Excess, AcceptedAndLost: m.Lost, Organisations: m.Orgs,
-		Unaccounted: m.arrived - m.completed - m.failed + m.twice + m.left}
+		Unaccounted: m.arrived - m.completed - m.failed + m.twice + m.left + max(0, m.Lost-m.failed)}
 	for _, c := range m.Orgs {
 		o.Requests += c.Requests
 		o.Late += c.Late
--- a/pkg/routing/cost.go
+++ b/pkg/routing/cost.go
@@ -39,6 +39,9 @@
 const (
 	// ClassReady means that the endpoint should take the request.
 	ClassReady Class = iota
+	// ClassSpare means an endpoint that should take the request, but is neither among the first homePlaces of the ring for
+	// the prompt's key nor known to hold a part of it. A copy of the prompt's blocks there would push out those of others.
+	ClassSpare
 	// ClassFull means a cold endpoint whose allowance is used up; it will most likely refuse.
 	ClassFull
 	// ClassUnavailable means that the endpoint is down, draining or leaving.
@@ -52,6 +55,8 @@
 	Source        Source
 	// Place is the position on the ring for the prompt's key, -1 if it is not among the first.
 	Place int
+	// Spare tells that the prompt has a key and that this is not a place for it.
+	Spare bool
 	// Cached is the expected number of prompt tokens in the memory of the engine.
 	Cached int
 	// Observation is what is known of its load.
@@ -81,6 +86,9 @@
 	w := Weighed{Candidate: candidate}
 	o := &candidate.Observation
 	w.Wait, w.Class = c.wait(now, &candidate)
+	if candidate.Spare && w.Class == ClassReady {
+		w.Class = ClassSpare
+	}
 	if o.Load.State == wire.StateCold {
 		w.Cold = cmp.Or(c.ColdTime, 300*time.Millisecond)
 	}
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -7,6 +7,9 @@
 //
 //	FirstTokenWeight * expected first token + RecomputeWeight * recompute seconds + LinkWeight * link seconds
 //
+// A prompt with a key goes to one of the first two endpoints of the ring or to the hinted one while any of them is ready; the
+// others are spare.
+//
 // The expected first token is the expected wait, an allowance for a cold endpoint, the time to read cached blocks from a
 // store where that is faster than computing them, and the time to compute the rest. A load report counts less with age:
 // after LoadHalfLife half of the expected wait comes from the report and half from PriorWait.
--- a/pkg/routing/enum_string.go
+++ b/pkg/routing/enum_string.go
@@ -50,13 +50,14 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[ClassReady-0]
-	_ = x[ClassFull-1]
-	_ = x[ClassUnavailable-2]
+	_ = x[ClassSpare-1]
+	_ = x[ClassFull-2]
+	_ = x[ClassUnavailable-3]
 }
 
-const _Class_name = "ClassReadyClassFullClassUnavailable"
+const _Class_name = "ClassReadyClassSpareClassFullClassUnavailable"
 
-var _Class_index = [...]uint8{0, 10, 19, 35}
+var _Class_index = [...]uint8{0, 10, 20, 29, 45}
 
 func (i Class) String() string {
 	idx := int(i) - 0
--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -47,6 +47,11 @@
 // two suffice to keep the longest queue short.
 const randomCandidates = 2
 
+// homePlaces is the number of places of the ring among which load decides for a prompt with a key. With two, a story is kept
+// by at most two engines. With all places and the random endpoints, a busy moment spread each story over most engines; they
+// then evicted each other's stories and spent all their time on computing them again.
+const homePlaces = 2
+
 // Prompt is what routing needs to know of a request.
 type Prompt struct {
 	Key    Key
@@ -120,18 +125,18 @@
 		if p.Key.Source == KeyNone {
 			c.Source, c.Place = SourceRandom, -1
 		}
-		list = r.add(list, i, c, full, match, now, tried)
+		list = r.add(list, i, c, p.Key.Source, full, match, now, tried)
 	}
 	if match.Blocks > 0 {
 		if i, ok := r.Ring.Find(match.Endpoint); ok {
-			list = r.add(list, i, Candidate{Source: SourceHint, Place: -1}, full, match, now, tried)
+			list = r.add(list, i, Candidate{Source: SourceHint, Place: -1}, p.Key.Source, full, match, now, tried)
 		}
 	}
 	for k := range randomCandidates {
 		if n := uint64(r.Ring.Len()); n > 0 {
 			i := int((p.Random >> (32 * k) & 0xffffffff) * n >> 32)
 			if !r.rampedOut(i, now, p.Random) {
-				list = r.add(list, i, Candidate{Source: SourceRandom, Place: -1}, full, match, now, tried)
+				list = r.add(list, i, Candidate{Source: SourceRandom, Place: -1}, p.Key.Source, full, match, now, tried)
 			}
 		}
 	}
@@ -145,15 +150,18 @@
 }
 
 // add appends endpoint i of the ring unless it was tried or is listed.
-func (r *Router) add(list []Weighed, i int, c Candidate, full int, match Match, now time.Time, tried []string) []Weighed {
+func (r *Router) add(list []Weighed, i int, c Candidate, key KeySource, full int, match Match, now time.Time,
+	tried []string,
+) []Weighed {
 	e := r.Ring.Endpoint(i)
 	if slices.Contains(tried, e.Name) ||
 		slices.ContainsFunc(list, func(w Weighed) bool { return w.Endpoint == e.Name }) {
 		return list
 	}
 	c.Endpoint, c.FailureDomain = e.Name, e.FailureDomain
+	c.Spare = key != KeyNone && (c.Place < 0 || c.Place >= homePlaces)
 	if match.Blocks > 0 && match.Endpoint == e.Name {
-		c.Source = SourceHint
+		c.Source, c.Spare = SourceHint, false
 		held := float64(match.Blocks * r.Costs.blockTokens())
 		c.Cached = int(held * half(now.Sub(match.At), cmp.Or(r.Costs.EngineHalfLife, 5*time.Minute)))
 	}
@@ -170,7 +178,7 @@
 	switch {
 	case len(list) == 0:
 		return ReasonNoCandidate
-	case list[0].Class != ClassReady:
+	case list[0].Class > ClassSpare:
 		return ReasonLastResort
 	case len(list) == 1:
 		return ReasonOnlyCandidate
@@ -178,7 +186,7 @@
 	first := &list[0]
 	for i := range list[1:] {
 		if other := &list[i+1]; other.Cached > first.Cached {
-			if other.Class != ClassReady || other.Wait+other.Cold > first.Wait+first.Cold {
+			if other.Class > ClassSpare || other.Wait+other.Cold > first.Wait+first.Cold {
 				return ReasonLoad
 			}
 			return ReasonCost
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -136,6 +136,31 @@
 	}
 }
 
+// Guards against a busy moment that spreads a story over all engines, and against a prompt without places when its own are
+// gone.
+func TestRouteKeepsAStoryTogether(t *testing.T) {
+	is := is.New(t)
+	busy := wire.LoadState{State: wire.StateWarm, Allowance: 16, Running: 16, Queued: 16, QueuedTokens: 999999}
+	c := chain(8)
+	prompt := routing.Prompt{Key: routing.Key{Hash: 1, Source: routing.KeyFirstOwnBlock}, Chain: c, Tokens: 8200, Random: 77}
+	r := router(nil)
+	homes := r.Ring.Append(nil, 1, now, 2)
+	for _, i := range homes {
+		r.Loads.Report(r.Ring.Endpoint(i).Name, busy, now)
+	}
+	d := r.Route(now, prompt, nil)
+	is.Equal(d.Weighed[0].Place, 0)
+	is.Equal(d.Weighed[2].Class, routing.ClassSpare)
+	for _, i := range homes {
+		r.Loads.Down(r.Ring.Endpoint(i).Name, now)
+	}
+	d = r.Route(now, prompt, nil)
+	is.Equal(d.Weighed[0].Class, routing.ClassSpare)
+	is.True(d.Reason != routing.ReasonLastResort)
+	prompt.Key = routing.Key{}
+	is.Equal(r.Route(now, prompt, nil).Weighed[0].Class, routing.ClassReady) // a prompt without a key may go anywhere
+}
+
 // Guards against a choice among nothing, and a last resort that is not told.
 func TestRouteWithoutEndpoints(t *testing.T) {
 	is := is.New(t)
