--- a/cmd/primrose-bench/agent.go
+++ b/cmd/primrose-bench/agent.go
@@ -163,7 +163,7 @@
 		if item == nil {
 			return
 		}
-		u := a.engine.submit(item.Value)
+		u := a.engine.submit(item.Value, item.EnginePriority())
 		a.allowance.Accepted(now, u.incarnation)
 		a.world.meter.computed(u.request, u.hit)
 		load := a.load()
--- a/cmd/primrose-bench/engine.go
+++ b/cmd/primrose-bench/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 
 	"primrosecourse/pkg/prefix"
@@ -16,7 +17,7 @@
 	coldSlowdown = 2
 )
 
-// engine is the fake at the interface of the model engine. It computes prompts one after the other and decodes one token of
+// engine is the fake at the interface of the model engine. It computes one prompt at a time, the one of the highest priority, and decodes one token of
 // every run a step; a step takes longer while a prompt is computed. Between two events all rates are constant.
 type engine struct {
 	clock           *clock
@@ -42,6 +43,7 @@
 // run is a request in the batch.
 type run struct {
 	request   *request
+	priority  int
 	hit       int
 	left      float64 // prompt tokens to compute
 	submitted time.Duration
@@ -81,8 +83,8 @@
 	}
 }
 
-// submit takes a run into the batch and returns the leading prompt tokens that need not be computed.
-func (e *engine) submit(r *request) *run {
+// submit takes a run into the batch, where prompts are computed in the order of priority and arrival, and returns the leading prompt tokens that need not be computed.
+func (e *engine) submit(r *request, priority int) *run {
 	e.advance()
 	if e.running() >= e.capacity() {
 		e.excess++
@@ -92,9 +94,13 @@
 		hit = r.held() / r.world.plan.block * r.world.plan.block
 	}
 	tokens := r.tokens + r.given
-	u := &run{request: r, hit: min(hit, tokens-1), submitted: e.clock.now, incarnation: e.incarnation}
+	u := &run{request: r, hit: min(hit, tokens-1), priority: priority, submitted: e.clock.now, incarnation: e.incarnation}
 	u.left = float64(tokens - u.hit)
-	e.waiting = append(e.waiting, u)
+	at := len(e.waiting)
+	for at > 0 && e.waiting[at-1].priority < priority {
+		at--
+	}
+	e.waiting = slices.Insert(e.waiting, at, u)
 	e.schedule()
 	return u
 }
--- a/internal/process/agent/dispatch.go
+++ b/internal/process/agent/dispatch.go
@@ -121,6 +121,7 @@
 			return nil
 		}
 		p := item.Value
+		p.enginePriority = item.EnginePriority()
 		if p.ctx.Err() != nil {
 			p.decided <- p.ended()
 			continue
@@ -173,7 +174,7 @@
 func (a *Agent) submit(p *prompt) {
 	req := engine.Request{
 		RequestID: p.id, Model: p.Model, Version: p.WeightVersion, Prompt: p.Prompt, Given: p.Given,
-		MaxTokens: p.MaxTokens, Priority: p.Priority, Blocks: make([]string, len(p.ids)),
+		MaxTokens: p.MaxTokens, Priority: p.enginePriority, Blocks: make([]string, len(p.ids)),
 	}
 	for i, id := range p.ids {
 		req.Blocks[i] = id.String()
--- a/internal/process/agent/prompt.go
+++ b/internal/process/agent/prompt.go
@@ -28,6 +28,8 @@
 	cutRun  context.CancelFunc // ends runCtx, and with it the stream from the engine
 	suspect bool
 	ids     []prefix.ID
+	// enginePriority is the priority at the engine.
+	enginePriority int
 
 	// heldTokens is what the engine was expected to hold at the arrival, fetchedTokens what was imported beside it.
 	heldTokens    int
--- a/pkg/fairqueue/queue.go
+++ b/pkg/fairqueue/queue.go
@@ -36,10 +36,21 @@
 	Queued time.Time
 
 	key    time.Time // Queued, later by Ageing for long items
+	short  bool
 	number uint64
 	index  int // in the heap of its flow, -1 when it left
 }
 
+// EnginePriority is the priority under which an engine should compute the item: that of the request, and within it a short
+// item before a long one. The queue orders only what an engine has not taken yet; without it, a long prompt that is computed
+// in the batch holds up all short ones behind it for seconds.
+func (i *Item[T]) EnginePriority() int {
+	if i.short {
+		return 2*i.Priority + 1
+	}
+	return 2 * i.Priority
+}
+
 // FullError tells that the queue has no room.
 type FullError struct {
 	// RetryAfter is the time in which the present queue is expected to be served.
@@ -117,8 +128,8 @@
 		q.Remove(evicted)
 	}
 	q.number++
-	item = &Item[T]{Request: r, Queued: now, key: now, number: q.number}
-	if r.Cost > q.settings.ShortCost {
+	item = &Item[T]{Request: r, Queued: now, key: now, short: r.Cost <= q.settings.ShortCost, number: q.number}
+	if !item.short {
 		item.key = now.Add(q.settings.Ageing)
 	}
 	f := q.flows[r.Organisation]
--- a/pkg/fairqueue/queue_test.go
+++ b/pkg/fairqueue/queue_test.go
@@ -26,6 +26,21 @@
 	deadline           float64
 }
 
+// Guards against a long item that an engine computes before short ones, and against a class that overrules the caller's
+// priority.
+func TestEnginePriority(t *testing.T) {
+	is := is.New(t)
+	q := fairqueue.New[int](fairqueue.Settings{ShortCost: 100})
+	priority := func(priority int, cost float64) int {
+		item, _, err := q.Push(start, fairqueue.Request[int]{Organisation: "Org1", Cost: cost, Priority: priority})
+		is.NoErr(err)
+		return item.EnginePriority()
+	}
+	order := []int{priority(-1, 101), priority(-1, 100), priority(0, 101), priority(0, 100), priority(1, 101)}
+	is.True(slices.IsSorted(order))
+	is.Equal(len(slices.Compact(order)), 5)
+}
+
 // TestOrder guards against starved organisations, long requests ahead of short ones, starved long requests and late
 // service of requests past their deadline.
 func TestOrder(t *testing.T) {
