--- a/pkg/routing/cost.go
+++ b/pkg/routing/cost.go
@@ -24,6 +24,9 @@
 	LoadHalfLife time.Duration
 	// ColdTime is the extra time of a first token at a cold endpoint. Default 300 ms.
 	ColdTime time.Duration
+	// CopyWeight is what a second of recomputing costs the other prompts of the fleet, in seconds of their first tokens: the
+	// copy pushes out as many blocks of others, which are then computed again in front of others still. Default 8.
+	CopyWeight float64
 	// EngineHalfLife is the time after which half of the blocks left the memory of an engine. Default 5 min.
 	EngineHalfLife time.Duration
 }
@@ -103,7 +106,8 @@
 	}
 	w.Prefill = seconds(float64(tokens-cached-fetched) / c.prefillRate())
 	w.Recompute = seconds(float64(max(0, min(held, tokens)-cached-fetched)) / c.prefillRate())
-	w.Cost = weight(c.Policy.FirstTokenWeight)*w.FirstToken().Seconds() +
+	others := cmp.Or(c.CopyWeight, 8) * w.Recompute.Seconds()
+	w.Cost = weight(c.Policy.FirstTokenWeight)*(w.FirstToken().Seconds()+others) +
 		weight(c.Policy.RecomputeWeight)*w.Recompute.Seconds() + weight(c.Policy.LinkWeight)*w.Fetch.Seconds()
 	return w
 }
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -5,7 +5,8 @@
 // endpoints of the ring for the key, the endpoint that the hint table names for the longest known prefix, and two random
 // endpoints. Each candidate gets a cost:
 //
-//	FirstTokenWeight * expected first token + RecomputeWeight * recompute seconds + LinkWeight * link seconds
+//	FirstTokenWeight * (expected first token + CopyWeight * recompute seconds) +
+//	RecomputeWeight * recompute seconds + LinkWeight * link seconds
 //
 // A prompt with a key goes to one of the first two endpoints of the ring or to the hinted one while any of them is ready; the
 // others are spare.
