--- a/cmd/primrose-bench/main.go
+++ b/cmd/primrose-bench/main.go
@@ -19,7 +19,7 @@
 //	short request                  40 to 900 tokens, two in five with 1 to 3 shared blocks before them
 //	engine cache                       1,024 blocks (128 GiB of 128 KiB a token), store 16,384 blocks
 //
-// Conversations are born from 72 h before the run on, so that the run starts with a full population. The first 30 minutes
+// Conversations are born from 72 h before the run on, so that the run starts with a full population. The first four hours
 // warm the caches up and are not measured; two hours are.
 //
 // The rates were chosen before the first measurement, by two rules for the fleet that is left with the largest failure
@@ -69,7 +69,7 @@
 	flag.StringVar(&o.choice, "Choice", "", "one way of choosing endpoints; all if empty")
 	flag.StringVar(&o.format, "Format", "table", "table or json")
 	flag.StringVar(&o.examples, "Examples", "examples", "directory of the deployments")
-	flag.DurationVar(&o.warmUp, "WarmUp", 30*time.Minute, "virtual time before the measurement")
+	flag.DurationVar(&o.warmUp, "WarmUp", 4*time.Hour, "virtual time before the measurement")
 	flag.DurationVar(&o.measured, "Measured", 2*time.Hour, "measured virtual time")
 	flag.Parse()
 	if err := command(&o, os.Stdout); err != nil {
--- a/cmd/primrose-bench/plan.go
+++ b/cmd/primrose-bench/plan.go
@@ -26,7 +26,7 @@
 }
 
 func plans() []plan {
-	common := plan{Turns: 8, History: 72 * time.Hour, WarmUp: 30 * time.Minute, Measured: 2 * time.Hour, EngineBlocks: 1024,
+	common := plan{Turns: 8, History: 72 * time.Hour, WarmUp: 4 * time.Hour, Measured: 2 * time.Hour, EngineBlocks: 1024,
 		StoreBlocks: 16384, block: 1024}
 	k, l := common, common
 	k.Site, k.LongModel, k.ShortModel = "kleinkloof", "Notes", "Titles"
