--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -5,7 +5,11 @@
 // endpoints of the ring for the key, the endpoint that the hint table names for the longest known prefix, and two random
 // endpoints. Each candidate gets a cost:
 //
-//	FirstTokenWeight * expected first token + RecomputeWeight * recompute seconds + LinkWeight * link seconds
+//	FirstTokenWeight * (expected first token + CopyWeight * recompute seconds) +
+//	RecomputeWeight * recompute seconds + LinkWeight * link seconds
+//
+// A prompt with a key goes to one of the first two endpoints of the ring or to the hinted one while any of them is ready; the
+// others are spare.
 //
 // The expected first token is the expected wait, an allowance for a cold endpoint, the time to read cached blocks from a
 // store where that is faster than computing them, and the time to compute the rest. A load report counts less with age:
