--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -16,6 +16,7 @@
 
 	"primrosecourse/internal/connection/entry"
 	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/loadpermits"
 	"primrosecourse/pkg/fairqueue"
 	"primrosecourse/pkg/quarantine"
 	"primrosecourse/pkg/settings"
@@ -38,8 +39,11 @@
 	Service       Service
 	Platform      Platform
 	Configuration Configuration
-	// Permits bounds weight loads. Default PlatformPermits over Platform.
+	// Permits bounds weight loads. Default the permits of the site, over Platform.
 	Permits Permits
+	// PermitPatience is the wait for a load permit after which the platform is asked whether it answers at all. Default
+	// 5 s.
+	PermitPatience time.Duration
 	// Blocks moves cache blocks; optional.
 	Blocks Blocks
 	// SpreadMark is told the marks that this agent makes, beside the connected entries; optional.
@@ -61,6 +65,7 @@
 	wake    chan struct{} // tells the dispatcher; has room for one
 	recheck chan struct{} // tells the keeper; has room for one
 	marks   chan wire.Mark
+	aborts  sync.Once
 	aborted chan struct{}
 	abort   sync.Once
 	cut     chan struct{} // closed when stopping
@@ -68,6 +73,7 @@
 	fenced  chan struct{}
 	epochOK chan struct{} // closed once epoch is set
 	epoch   uint64
+	served  engineStatus // that was logged as serving; only the keeper uses it
 
 	// work counts the requests and calls that were let in.
 	work sync.WaitGroup
@@ -100,12 +106,14 @@
 			a.ConfigWait = 500 * time.Millisecond
 		}
 		if a.Permits == nil {
-			a.Permits = &PlatformPermits{Platform: a.Platform, Holder: a.Name, Log: a.Log}
+			a.Permits = &sitePermits{loadpermits.Permits{Platform: a.Platform, Holder: a.Name}}
+		}
+		if a.PermitPatience <= 0 {
+			a.PermitPatience = 5 * time.Second
 		}
 		a.wake = make(chan struct{}, 1)
 		a.recheck = make(chan struct{}, 1)
 		a.marks = make(chan wire.Mark, markQueueLength)
-		a.aborted = make(chan struct{})
 		a.cut = make(chan struct{})
 		a.fenced = make(chan struct{})
 		a.epochOK = make(chan struct{})
@@ -145,7 +153,7 @@
 	go func() { served <- a.server.Serve(serving, listener) }()
 	select {
 	case <-ctx.Done():
-	case <-a.aborted:
+	case <-a.abortion():
 	case <-a.fenced:
 		err = ErrFenced
 	case err = <-served:
@@ -216,6 +224,10 @@
 		Running: len(a.active) + a.calls, Queued: a.queue.Len(), QueuedTokens: int(a.queue.Cost()),
 		Allowance: a.allowance.Limit(), State: wire.StateWarm,
 	}
+	// What the engine computes delays a new prompt as much as what is queued, and the batch hides it from the queue.
+	for _, p := range a.active {
+		load.QueuedTokens += p.prefillTokens
+	}
 	if v != nil {
 		load.ConfigVersion = v.version()
 	}
--- a/internal/process/agent/keep.go
+++ b/internal/process/agent/keep.go
@@ -73,11 +73,13 @@
 		return a.ReconcileInterval
 	}
 	if s.serves(v) {
-		if changed {
+		if changed || a.served != s {
 			event.Info(a.Log, event.EngineServing, "Model", h.Model, "Version", h.Version, "Role", h.Role)
 		}
+		a.served = s
 		return a.ReconcileInterval
 	}
+	a.served = engineStatus{}
 	event.Info(a.Log, event.EngineDiffers, "Model", h.Model, "Version", h.Version, "Role", h.Role,
 		"WantModel", v.model.Name, "WantVersion", v.model.Version, "WantRole", RoleServe)
 	return a.order(ctx, s)
@@ -116,7 +118,7 @@
 	v := a.current()
 	o := engine.Order{Kind: "SetRole", Role: RoleServe, Epoch: a.epoch}
 	if s.model != v.model.Name || s.version != v.model.Version {
-		release, err := a.permit(ctx, len(v.snapshot.Deployment.Endpoints))
+		release, err := a.permit(ctx)
 		if err != nil {
 			return 0
 		}
@@ -146,10 +148,3 @@
 		"Epoch", o.Epoch, "Duration", time.Since(started).String())
 	return 0 // read back at once
 }
-
-func (a *Agent) permit(ctx context.Context, endpoints int) (func(), error) {
-	if p, ok := a.Permits.(*PlatformPermits); ok {
-		p.setEndpoints(endpoints)
-	}
-	return a.Permits.Acquire(ctx)
-}
--- a/internal/process/agent/prompt.go
+++ b/internal/process/agent/prompt.go
@@ -28,8 +28,14 @@
 	cutRun  context.CancelFunc // ends runCtx, and with it the stream from the engine
 	suspect bool
 	ids     []prefix.ID
+	// enginePriority is the priority at the engine.
+	enginePriority int
 
+	// heldTokens is what the engine was expected to hold at the arrival, fetchedTokens what was imported beside it.
+	heldTokens    int
 	fetchedTokens int
+	// prefillTokens are what the engine has to compute, from the acceptance to the first token.
+	prefillTokens int
 	started       time.Time
 }
 
@@ -80,6 +86,7 @@
 	}
 	if a.Blocks != nil {
 		ids := prefix.Chain(p.Organisation, p.WeightVersion, p.Prompt, v.blockTokens())
+		p.heldTokens = a.Blocks.Held(p.WeightVersion, ids)
 		p.fetchedTokens = a.Blocks.Prepare(p.ctx, p.WeightVersion, p.Organisation, ids)
 	}
 	item, r := a.enqueue(p)
@@ -135,9 +142,8 @@
 	}
 }
 
-// check returns why a prompt may not run by the configuration and the state of the endpoint. It is called at the arrival
-// and again right before the submission.
-func (a *Agent) check(v *view, p *prompt) *refusal {
+// fits returns why a prompt may not run by the configuration.
+func (p *prompt) fits(v *view) *refusal {
 	switch {
 	case v.endpoint == nil:
 		return refused(wire.ReasonLeaving, "the endpoint is not in the configuration")
@@ -152,6 +158,15 @@
 	case p.WeightVersion != v.model.Version:
 		return refused(wire.ReasonWrongVersion, "the weight version is not the one in force")
 	}
+	return nil
+}
+
+// check returns why a prompt may not run by the configuration and the state of the endpoint. It is called at the arrival
+// and again right before the submission.
+func (a *Agent) check(v *view, p *prompt) *refusal {
+	if r := p.fits(v); r != nil {
+		return r
+	}
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -171,13 +186,20 @@
 	return nil
 }
 
+// enqueue queues a prompt by the work that it brings: the prompt tokens that no cache holds, and the answer. By its whole
+// length, a few cached prompts in the queue looked like half a minute of work to the entries, and long cached ones waited
+// behind short ones that take more time. Tokens already given are computed instead of generated.
 func (a *Agent) enqueue(p *prompt) (*fairqueue.Item[*prompt], *refusal) {
 	deadline, _ := p.ctx.Deadline()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	// A configuration that came since the check has been applied to the queue already.
+	if r := p.fits(a.current()); r != nil {
+		return nil, r
+	}
 	item, evicted, err := a.queue.Push(time.Now(), fairqueue.Request[*prompt]{
 		Organisation: p.Organisation, Priority: p.Priority, Deadline: deadline, Value: p,
-		Cost: float64(len(p.Prompt) + p.MaxTokens - len(p.Given)),
+		Cost: float64(max(0, len(p.Prompt)-p.heldTokens-p.fetchedTokens) + p.MaxTokens),
 	})
 	if evicted != nil {
 		r := refused(wire.ReasonBusy, "the queue is full and the organisation is above its share")
--- a/internal/request/order/owner.go
+++ b/internal/request/order/owner.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/platform"
@@ -30,6 +32,9 @@
 	Do(ctx context.Context, call wire.Call) (wire.Reply, error)
 }
 
+// maxServices bounds the services of one owner. An agent has one, and a new one only if its configuration changes.
+const maxServices = 8
+
 // Owner runs the orders of the shards that this agent owns. Set the exported fields before Run.
 type Owner struct {
 	Platform Platform
@@ -38,16 +43,17 @@
 	Name string
 	// Incarnation must differ between any two starts of any agent and must not be 0.
 	Incarnation uint64
-	// Shards is the number of claim logs, the same for all agents. Default 16.
+	// Shards is the number of claim logs of a service, the same for all agents. Default 16.
 	Shards int
 	// Retention is how long the outcome of an order is kept. It must be far longer than any deadline. Default 24 h.
 	Retention time.Duration
-	// Preferred names the preferred live owner of a shard, empty if there is none. Nil stands for this agent.
-	Preferred func(shard int) string
+	// Preferred names the preferred live owner of a shard without the unavailable ones, empty if there is none. It is
+	// called for each order and must not block. Nil stands for this agent.
+	Preferred func(shard int, unavailable []string) string
 	// QueueLength bounds the orders in progress of one shard. Default 256.
 	QueueLength int
-	// MaxRecords bounds the orders that the index of one shard remembers; above it new orders are refused. Default
-	// 100,000.
+	// MaxRecords bounds the orders that the indexes of all owned shards remember; above it new orders are refused. 100,000
+	// take up to 17 MB. Default 350,000.
 	MaxRecords int
 	// DefaultTimeout is the deadline of an order that names none. Default 2 min.
 	DefaultTimeout time.Duration
@@ -58,14 +64,29 @@
 	PlatformTimeout time.Duration
 	// DrainTimeout bounds the time after ctx of Run ends in which orders in progress finish. Default 30 s.
 	DrainTimeout time.Duration
-	Log          logr.Logger
+	// CompleteDelay is how long a result waits for a claim of the same shard whose write it can join. If the process dies
+	// meanwhile, later tries get an unknown outcome instead of the response. Default 100 ms.
+	CompleteDelay time.Duration
+	// WritesPerSecond and ReadsPerSecond bound the use of the platform, which bears several hundred writes and 2,000
+	// reads a second from all agents. Commits that wait gather more orders. Defaults 100 and 300.
+	WritesPerSecond int
+	ReadsPerSecond  int
+	Log             logr.Logger
 
 	mu       sync.Mutex
 	running  bool
 	active   int
 	idle     chan struct{}
 	sequence uint64
-	shards   []*shard
+	// records counts the orders in the indexes of all shards.
+	records atomic.Int64
+	// shards holds the shards of each service that had an order.
+	shards  map[string][]*shard
+	writers sync.WaitGroup
+	flush   chan struct{}
+	ended   bool
+	writes  *rate.Limiter
+	reads   *rate.Limiter
 	// work ends when nothing of the owner may go on.
 	work context.Context
 }
@@ -78,8 +99,7 @@
 	}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	flush := make(chan struct{})
-	ended := o.start(work, flush)
+	o.start(work)
 	event.Info(o.Log, event.OrderStarted, "shards", o.Shards, "incarnation", o.Incarnation)
 	<-ctx.Done()
 
@@ -89,45 +109,58 @@
 	case <-o.drain():
 	case <-work.Done():
 	}
-	close(flush)
-	for range o.shards {
-		<-ended
-	}
+	close(o.flush)
+	o.mu.Lock()
+	o.ended = true
+	o.mu.Unlock()
+	o.writers.Wait()
 	stop()
 	<-o.drain()
 	event.Info(o.Log, event.OrderStopped, "cutOff", !limit.Stop())
 	return nil
 }
 
-func (o *Owner) start(work context.Context, flush <-chan struct{}) (ended chan struct{}) {
+func (o *Owner) start(work context.Context) {
 	o.Shards = cmp.Or(o.Shards, 16)
 	o.Retention = cmp.Or(o.Retention, 24*time.Hour)
 	o.QueueLength = cmp.Or(o.QueueLength, 256)
-	o.MaxRecords = cmp.Or(o.MaxRecords, 100_000)
+	o.MaxRecords = cmp.Or(o.MaxRecords, 350_000)
 	o.DefaultTimeout = cmp.Or(o.DefaultTimeout, 2*time.Minute)
 	o.ReplyTimeout = cmp.Or(o.ReplyTimeout, 5*time.Minute)
 	o.PlatformTimeout = cmp.Or(o.PlatformTimeout, 2*time.Second)
 	o.DrainTimeout = cmp.Or(o.DrainTimeout, 30*time.Second)
+	o.CompleteDelay = cmp.Or(o.CompleteDelay, 100*time.Millisecond)
+	o.WritesPerSecond = cmp.Or(o.WritesPerSecond, 100)
+	o.ReadsPerSecond = cmp.Or(o.ReadsPerSecond, 300)
+	// A fifth of a second's calls may go at once, so that a single order waits only for the platform.
+	o.writes = rate.NewLimiter(rate.Limit(o.WritesPerSecond), max(o.WritesPerSecond/5, 1))
+	o.reads = rate.NewLimiter(rate.Limit(o.ReadsPerSecond), max(o.ReadsPerSecond/5, 1))
 	if o.Preferred == nil {
-		o.Preferred = func(int) string { return o.Name }
+		o.Preferred = func(int, []string) string { return o.Name }
 	}
 	if o.Log.GetSink() == nil {
 		o.Log = logr.Discard()
 	}
-	o.work, o.idle = work, make(chan struct{})
-	ended = make(chan struct{}, o.Shards)
-	for number := range o.Shards {
-		s := newShard(o, number)
-		o.shards = append(o.shards, s)
-		go func() {
-			s.run(work, flush)
-			ended <- struct{}{}
-		}()
-	}
+	o.work, o.idle, o.flush, o.shards = work, make(chan struct{}), make(chan struct{}), map[string][]*shard{}
 	o.mu.Lock()
 	o.running = true
 	o.mu.Unlock()
-	return ended
+}
+
+// shardsOf returns the shards of a service and starts them with its first order. It returns nil if the owner ended or
+// serves too many services.
+func (o *Owner) shardsOf(service string) []*shard {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if list, ok := o.shards[service]; ok || o.ended || len(o.shards) >= maxServices {
+		return list
+	}
+	for number := range o.Shards {
+		s := newShard(o, service, number)
+		o.shards[service] = append(o.shards[service], s)
+		o.writers.Go(func() { s.run(o.work, o.flush) })
+	}
+	return o.shards[service]
 }
 
 // enter counts a piece of work that a drain waits for. It returns false while the owner takes no new work.
@@ -192,6 +225,10 @@
 	if timeout <= 0 {
 		timeout = o.DefaultTimeout
 	}
-	s := o.shards[claim.Shard(call.Organisation, call.IdempotencyKey, o.Shards)]
+	shards := o.shardsOf(call.Service)
+	if shards == nil {
+		return refuse(wire.NotRun, wire.ReasonNoEndpoint, "the agent does not run orders of this service")
+	}
+	s := shards[claim.Shard(call.Organisation, call.IdempotencyKey, o.Shards)]
 	return s.execute(ctx, newRequest(call, time.Now().Add(timeout)))
 }
--- a/internal/version/kvstore/versions.go
+++ b/internal/version/kvstore/versions.go
@@ -50,8 +50,8 @@
 	stores []settings.Store
 }
 
-// Run follows the configuration until ctx is done.
-func (v *Versions) Run(ctx context.Context) {
+// Run follows the configuration until ctx is done. It returns no error.
+func (v *Versions) Run(ctx context.Context) error {
 	defer v.replace(ctx, nil)
 	for {
 		changed := v.Configuration.Changed()
@@ -60,15 +60,23 @@
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-changed:
 		}
 	}
 }
 
+// Held returns the number of leading tokens of a prompt that the engine holds, 0 for a version that is not in force.
+func (v *Versions) Held(weightVersion string, ids []prefix.ID) (tokens int) {
+	if m := v.mover(weightVersion); m != nil {
+		return m.Held(ids) * m.blockTokens()
+	}
+	return 0
+}
+
 // Prepare imports blocks of a prompt that the engine lacks. Requests of a version that is not in force get none.
 func (v *Versions) Prepare(ctx context.Context, weightVersion, organisation string, ids []prefix.ID) (fetchedTokens int) {
-	if m := v.mover(weightVersion); m != nil {
+	if m := v.mover(weightVersion); m != nil && len(ids) > 0 {
 		return m.Prepare(ctx, organisation, ids)
 	}
 	return 0
