--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -135,6 +135,7 @@
 	if previous != nil {
 		close(previous.superseded)
 	}
+	h.Budget.SetRatio(d.Limits.RetryRatio)
 	h.Loads.Keep(func(name string) bool { _, ok := s.rings.Endpoints[name]; return ok })
 	event.Info(h.Log, event.EntryConfigApplied, "version", version, "endpoints", len(d.Endpoints))
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -21,6 +21,15 @@
 	begun bool
 }
 
+// SetRatio changes Ratio from the next request on. A ratio of 0 or less is ignored.
+func (b *Budget) SetRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if ratio > 0 {
+		b.Ratio = ratio
+	}
+}
+
 // Request records a request; retries are not recorded as requests.
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// Guards against a ratio of the configuration that has no effect.
+func TestSetRatio(t *testing.T) {
+	is := is.New(t)
+	b := &retry.Budget{Burst: 1}
+	is.True(b.Retry(start))
+	b.SetRatio(1)
+	b.SetRatio(0)
+	b.Request(start)
+	is.True(b.Retry(start))
+}
+
 func BenchmarkBudget(b *testing.B) {
 	for _, requests := range []int{1, 10, 100} {
 		b.Run(fmt.Sprintf("requests=%d", requests), func(b *testing.B) {
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -244,6 +244,24 @@
 	}
 }
 
+// A change of the configuration that touches no endpoint, which is the common one.
+func BenchmarkRings(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			d := &settings.Deployment{Models: []settings.Model{{Name: "M0"}, {Name: "M1"}}}
+			for i := range n {
+				d.Endpoints = append(d.Endpoints, settings.Endpoint{Name: fmt.Sprint("E", i), FailureDomain: fmt.Sprint(i % 26),
+					Model: fmt.Sprint("M", i%2)})
+			}
+			s := routing.Rings(d, "", nil)
+			b.ReportAllocs()
+			for b.Loop() {
+				routing.Rings(d, "", s)
+			}
+		})
+	}
+}
+
 func BenchmarkHints(b *testing.B) {
 	for _, blocks := range []int{1, 10, 100} {
 		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
