--- a/pkg/routing/rings.go
+++ b/pkg/routing/rings.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 
 	"primrosecourse/pkg/ring"
 	"primrosecourse/pkg/settings"
@@ -15,9 +14,18 @@
 	Services map[string]*ring.Ring
 	// Endpoints holds the endpoints of the deployment by name.
 	Endpoints map[string]settings.Endpoint
-	sources   map[string]source
+	sources   map[group]source
 }
 
+// group names the endpoints of a model or of a service.
+type group struct {
+	kind settings.EndpointKind
+	name string
+}
+
+// members are the endpoints of a group, those of the region and those of all regions.
+type members struct{ near, all []ring.Endpoint }
+
 // source is what a ring was built from.
 type source struct {
 	domains   []ring.Domain
@@ -32,7 +40,7 @@
 		Models:    make(map[string]*ring.Ring),
 		Services:  make(map[string]*ring.Ring),
 		Endpoints: make(map[string]settings.Endpoint, len(d.Endpoints)),
-		sources:   make(map[string]source),
+		sources:   make(map[group]source),
 	}
 	domains := make(map[string]settings.FailureDomain)
 	var ramps []ring.Domain
@@ -42,17 +50,16 @@
 			ramps = append(ramps, ring.Domain{Name: f.Name, ReturnedAt: f.ReturnedAt, RampTime: d.Limits.RampTime})
 		}
 	}
-	type group struct{ near, all []ring.Endpoint }
-	groups := make(map[string]*group)
+	groups := make(map[group]*members)
 	for _, e := range d.Endpoints {
 		s.Endpoints[e.Name] = e
-		key := "Model/" + e.Model
+		key := group{e.Kind, e.Model}
 		if e.Kind == settings.ServiceEndpoint {
-			key = "Service/" + e.Service
+			key.name = e.Service
 		}
 		g := groups[key]
 		if g == nil {
-			g = &group{}
+			g = &members{}
 			groups[key] = g
 		}
 		f := domains[e.FailureDomain]
@@ -65,7 +72,8 @@
 			g.near = append(g.near, member)
 		}
 	}
-	get := func(key string, g *group) *ring.Ring {
+	get := func(key group) *ring.Ring {
+		g := cmp.Or(groups[key], &members{})
 		from := source{ramps, g.near}
 		if len(g.near) == 0 {
 			from.endpoints = g.all
@@ -80,20 +88,17 @@
 		return ring.New(from.domains, from.endpoints)
 	}
 	for _, m := range d.Models {
-		key := "Model/" + m.Name
-		s.Models[m.Name] = get(key, cmp.Or(groups[key], &group{}))
+		s.Models[m.Name] = get(group{settings.ModelEndpoint, m.Name})
 	}
 	for _, v := range d.Services {
-		key := "Service/" + v.Name
-		s.Services[v.Name] = get(key, cmp.Or(groups[key], &group{}))
+		s.Services[v.Name] = get(group{settings.ServiceEndpoint, v.Name})
 	}
 	return s
 }
 
-func (s *RingSet) ring(key string) *ring.Ring {
-	if name, ok := strings.CutPrefix(key, "Model/"); ok {
-		return s.Models[name]
+func (s *RingSet) ring(key group) *ring.Ring {
+	if key.kind == settings.ServiceEndpoint {
+		return s.Services[key.name]
 	}
-	name, _ := strings.CutPrefix(key, "Service/")
-	return s.Services[name]
+	return s.Models[key.name]
 }
