--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -235,6 +235,9 @@
 	case v.endpoint == nil || v.leaving:
 		load.State = wire.StateLeaving
 	case a.Kind == settings.ServiceEndpoint:
+		if a.Orders != nil && !a.Orders.Ready() {
+			load.State = wire.StateUnknown
+		}
 	case !a.status.serves(v):
 		load.State = wire.StateDown
 	case a.allowance.Cold():
--- a/internal/process/agent/interfaces.go
+++ b/internal/process/agent/interfaces.go
@@ -41,6 +41,8 @@
 	// Execute runs a call at most once for its organisation and key, and returns wire.Reply or wire.Refused. A call
 	// that was sent is not given up when ctx ends.
 	Execute(ctx context.Context, call wire.Call) wire.Message
+	// Ready reports whether Execute takes orders. Until it does, the agent's state is unknown.
+	Ready() bool
 }
 
 // Service runs the calls that may be repeated.
@@ -56,6 +58,8 @@
 
 // Blocks moves cache blocks between the engine and the stores.
 type Blocks interface {
+	// Held returns the number of leading tokens of a prompt that the engine holds, as far as its cache events tell.
+	Held(weightVersion string, ids []prefix.ID) (tokens int)
 	// Prepare imports blocks of a prompt that the engine lacks, and returns the number of their tokens.
 	Prepare(ctx context.Context, weightVersion, organisation string, ids []prefix.ID) (fetchedTokens int)
 	// Keep takes notice of blocks that a run used.
--- a/internal/process/agent/orders.go
+++ b/internal/process/agent/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,7 +37,8 @@
 	owner atomic.Pointer[order.Owner]
 
 	mu     sync.Mutex
-	owners []string // the live endpoints of the service
+	active []string // endpoints of the service that the configuration wants
+	live   []string // those of them that the platform lists
 }
 
 // instancesInterval is the time between two reads of the platform's list, which lags by more than that.
@@ -71,6 +73,12 @@
 	return owner.Run(ctx)
 }
 
+// Ready implements Orders.
+func (o *OrderOwner) Ready() bool {
+	owner := o.owner.Load()
+	return owner != nil && owner.Ready()
+}
+
 // Execute implements Orders.
 func (o *OrderOwner) Execute(ctx context.Context, call wire.Call) wire.Message {
 	owner := o.owner.Load()
@@ -103,8 +111,8 @@
 	}
 }
 
-// update finds the live endpoints of the service: those that the configuration wants active and the platform lists, or
-// all active ones if it lists none of them.
+// update finds the endpoints of the service that the configuration wants active, and those of them that the platform
+// lists.
 func (o *OrderOwner) update(listed map[string]bool) {
 	s := o.Configuration.Current()
 	v := newView(s, o.Name)
@@ -123,20 +131,28 @@
 			live = append(live, e.Name)
 		}
 	}
-	if len(live) == 0 {
-		live = active
-	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.owners = live
+	o.active, o.live = active, live
 }
 
-// preferred returns the preferred owner of a shard among the live endpoints.
-func (o *OrderOwner) preferred(shard int) string {
+// preferred returns the owner of a shard that is preferred among the live endpoints of the service. An endpoint counts
+// as live if the configuration wants it active, the entry could reach it, and the platform lists it or lists none of the
+// service at all. The platform's list lags; without the entry's word the shards of an endpoint that stops would be
+// refused until the list follows. A wrong word costs a takeover: the claim log is the fence.
+func (o *OrderOwner) preferred(shard int, unavailable []string) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if owners := claim.Owners(shard, o.owners); len(owners) > 0 {
-		return owners[0]
+	for _, names := range [][]string{o.live, o.active} {
+		reachable := make([]string, 0, len(names))
+		for _, name := range names {
+			if name == o.Name || !slices.Contains(unavailable, name) {
+				reachable = append(reachable, name)
+			}
+		}
+		if owners := claim.Owners(shard, reachable); len(owners) > 0 {
+			return owners[0]
+		}
 	}
 	return o.Name
 }
--- a/internal/request/caller/call.go
+++ b/internal/request/caller/call.go
@@ -97,6 +97,17 @@
 // once sends a call that may not be repeated. It goes to the owner of its shard, and to another endpoint only while it
 // certainly did not run.
 func (c *call) once(ctx context.Context) (wire.Reply, *refusal) {
+	for {
+		reply, f := c.round(ctx)
+		if f == nil || f.outcome != wire.NotRun || !c.h.pause(ctx, c.q.begun, f) {
+			return reply, f
+		}
+		c.tried, c.message.Unavailable = nil, nil
+	}
+}
+
+// round offers the call to the owners of its shard until one takes it.
+func (c *call) round(ctx context.Context) (wire.Reply, *refusal) {
 	shards := c.q.state.deployment.Limits.ClaimShards
 	if shards <= 0 {
 		shards = 16
@@ -127,6 +138,7 @@
 				return wire.Reply{}, refusalOf(ctx)
 			}
 			last, next = &refusal{reason: "NoEndpoint", detail: "the endpoint cannot be reached"}, ""
+			c.message.Unavailable = append(c.message.Unavailable, endpoint)
 			continue
 		}
 		switch m := m.(type) {
@@ -141,6 +153,9 @@
 			if m.Outcome != wire.NotRun || !followed(m.Reason) {
 				return wire.Reply{}, last
 			}
+			if stops(m.Reason) {
+				c.message.Unavailable = append(c.message.Unavailable, endpoint)
+			}
 		default:
 			return wire.Reply{}, c.unknown(ctx)
 		}
@@ -169,6 +184,11 @@
 	return false
 }
 
+// stops tells whether an endpoint that refuses with this reason gives its shards up.
+func stops(r wire.Reason) bool {
+	return r == wire.ReasonDraining || r == wire.ReasonLeaving || r == wire.ReasonServiceDown
+}
+
 // unknown is the end of an order whose reply did not come.
 func (c *call) unknown(ctx context.Context) *refusal {
 	f := refuse("ReplyLost", "")
