--- a/cmd/primrose-agent/main_test.go
+++ b/cmd/primrose-agent/main_test.go
@@ -171,6 +171,7 @@
 			}
 			is.Equal(get("http://"+metrics.String()+"/healthz"), http.StatusOK)
 			is.Equal(get("http://"+metrics.String()+"/metrics"), http.StatusOK)
+			is.NoErr(c.Close()) // the agent does not wait for its Goodbye then
 			signals <- syscall.SIGTERM
 			is.Equal(<-exit, 0)
 			is.True(strings.Contains(out.text(), "AgentStopped"))
--- a/internal/process/agent/drain_test.go
+++ b/internal/process/agent/drain_test.go
@@ -85,6 +85,8 @@
 	return wire.Reply{Status: 201}
 }
 
+func (orders) Ready() bool { return true }
+
 func (orders) Do(_ context.Context, m wire.Call) (wire.Reply, error) {
 	if m.Path == "/broken" {
 		return wire.Reply{}, errors.New("broken")
