--- a/pkg/retention/costs.go
+++ b/pkg/retention/costs.go
@@ -27,15 +27,20 @@
 	return seconds(float64(tokens), c.PrefillTokensPerSecond)
 }
 
+// othersWeight is what a second of computing costs the prompts that wait for the same engine, in seconds of their first
+// tokens. A transfer delays only its own prompt. At planned rates a block takes about as long either way, and without this
+// weight a site that weighs first tokens most never fetched.
+const othersWeight = 2
+
 // ShouldFetch reports whether fetching the cache of tokens costs less than computing it. A second of fetching delays the
-// first token and uses the link; a second of computing delays the first token and repeats work.
+// first token and uses the link; a second of computing delays the first token, holds up others and repeats work.
 func (c Costs) ShouldFetch(tokens int) bool {
 	if tokens <= 0 || c.LinkBytesPerSecond <= 0 {
 		return false
 	}
 	first := weight(c.FirstTokenWeight)
 	fetch := (first + weight(c.LinkWeight)) * c.FetchTime(tokens).Seconds()
-	recompute := (first + weight(c.RecomputeWeight)) * c.RecomputeTime(tokens).Seconds()
+	recompute := ((1+othersWeight)*first + weight(c.RecomputeWeight)) * c.RecomputeTime(tokens).Seconds()
 	return fetch < recompute
 }
 
