--- a/cmd/primrose-bench/agent.go
+++ b/cmd/primrose-bench/agent.go
@@ -103,7 +103,7 @@
 		return
 	}
 	s, asked := a.world.storeOf(ids[0]), a.world.clock.now
-	if !s.has(ids[0]) || !a.fetchCosts(ids).ShouldFetch(len(ids)*a.world.plan.block) {
+	if !s.has(ids[0]) {
 		a.enqueue(r)
 		return
 	}
--- a/internal/version/kvstore/mover.go
+++ b/internal/version/kvstore/mover.go
@@ -130,12 +130,7 @@
 	if !fetch {
 		return 0
 	}
-	for i, id := range present {
-		// The link may turn out slower than expected, or busy. A transfer of tens of blocks that was begun over a link at a
-		// tenth of its rate held the first token up for 40 s.
-		if rest := present[i:]; i > 0 && !m.costs(rest).ShouldFetch(len(rest)*m.blockTokens()) {
-			break
-		}
+	for _, id := range present {
 		if err := m.importBlock(ctx, organisation, id); err != nil {
 			event.Info(m.Log, event.AgentFetchFailed, "Block", id.String(), "Error", err.Error())
 			break
