--- a/test/scenario/traffic_test.go
+++ b/test/scenario/traffic_test.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -78,12 +80,15 @@
 	}
 }
 
-// balance sends a request as the platform's balancer does: to the preferred entry if it is in rotation, otherwise to
-// another one, and once more if an entry that shuts down refused it.
+// balance sends a request as the platform's balancer does: to the preferred entry if it is in rotation, otherwise to the
+// next one, and again while entries that shut down refuse it. Entries may leave and come back between two attempts.
 func (s *system) balance(preferred, path, key, body string) (a answer, err error) {
-	entries := append([]string{preferred}, s.entries...)
-	for _, entry := range entries {
+	at := slices.Index(s.entries, preferred)
+	for range 50 {
+		entry := s.entries[at%len(s.entries)]
+		at++
 		if in, known := s.rotation.Load(entry); known && in == false {
+			time.Sleep(5 * time.Millisecond)
 			continue
 		}
 		a, err = s.send(call{organisation: "Org1", entry: entry}, path, key, body)
