--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
@@ -306,6 +307,24 @@
 	is.Equal(count, map[int]int{0: 1, 1: 3, 2: 2, 3: 3})
 }
 
+// TestMarksReachLateSubscriber guards against a process that had no connection when a mark was made and never learns of
+// it: a request that crashes engines would run on one more.
+func TestMarksReachLateSubscriber(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t)
+	relay := &peer.Relay{}
+	mark := wire.Mark{Fingerprint: 1, Endpoints: []string{"M"}, Remaining: time.Hour}
+	relay.Publish(mark)
+	addr := r.serve(&peer.Server{Name: "S", Config: newConfiguration(1, "one"), Marks: relay})
+	got := make(chan wire.Mark, 1)
+	late := &peer.Relay{OnMark: func(m wire.Mark) { got <- m }}
+	r.subscribe(&peer.Client{Name: "C", Address: addr, Config: newConfiguration(0, ""), Marks: late})
+	m := <-got
+	is.Equal(m.Fingerprint, mark.Fingerprint)
+	is.Equal(m.Endpoints, mark.Endpoints)
+	is.True(m.Remaining <= mark.Remaining)
+}
+
 // recorder is a listener whose connections tell that they were closed.
 type recorder struct {
 	net.Listener
--- a/internal/connection/peer/relay.go
+++ b/internal/connection/peer/relay.go
@@ -26,8 +26,14 @@
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
-	// seen holds the expiry of each mark by its hash.
-	seen map[uint64]time.Time
+	// seen holds the marks that were relayed by their hash.
+	seen map[uint64]relayed
+}
+
+// relayed is a mark with the time at which it ends.
+type relayed struct {
+	mark   wire.Mark
+	expiry time.Time
 }
 
 // Publish sends a mark of this process to all peers, unless it was relayed before.
@@ -48,12 +54,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	if expiry, ok := r.seen[key]; ok && now.Before(expiry) {
+	if known, ok := r.seen[key]; ok && now.Before(known.expiry) {
 		return false
 	}
 	if len(r.seen) >= maxMarks {
-		for k, expiry := range r.seen {
-			if !now.Before(expiry) {
+		for k, known := range r.seen {
+			if !now.Before(known.expiry) {
 				delete(r.seen, k)
 			}
 		}
@@ -63,9 +69,9 @@
 		}
 	}
 	if r.seen == nil {
-		r.seen = map[uint64]time.Time{}
+		r.seen = map[uint64]relayed{}
 	}
-	r.seen[key] = now.Add(min(mark.Remaining, maxMarkTime))
+	r.seen[key] = relayed{mark, now.Add(min(mark.Remaining, maxMarkTime))}
 	for s := range r.sessions {
 		if s != from {
 			s.enqueue(mark)
@@ -91,13 +97,23 @@
 	return h.Sum64()
 }
 
-func (r *Relay) add(s *session) {
+// add returns the marks that were relayed before, for the peer of a new session: it may have missed them while it had no
+// connection.
+func (r *Relay) add(s *session) (marks []wire.Mark) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
+	for _, known := range r.seen {
+		if left := known.expiry.Sub(now); left > 0 {
+			known.mark.Remaining = left
+			marks = append(marks, known.mark)
+		}
+	}
 	if r.sessions == nil {
 		r.sessions = map[*session]struct{}{}
 	}
 	r.sessions[s] = struct{}{}
+	return marks
 }
 
 func (r *Relay) remove(s *session) {
--- a/internal/connection/peer/session.go
+++ b/internal/connection/peer/session.go
@@ -96,8 +96,9 @@
 	defer cancel()
 	s.queue = make(chan wire.Message, queueLength)
 	s.version.Store(s.peer.ConfigVersion)
+	var missed []wire.Mark
 	if s.marks != nil {
-		s.marks.add(s)
+		missed = s.marks.add(s)
 		defer s.marks.remove(s)
 	}
 	// A write that waits for the peer ends soon after ctx.
@@ -105,7 +106,11 @@
 	defer stop()
 	written := make(chan error, 1)
 	go func() {
-		written <- s.write(ctx)
+		err := s.catchUp(ctx, missed)
+		if err == nil {
+			err = s.write(ctx)
+		}
+		written <- err
 		_ = s.conn.Close()
 	}()
 	err = s.read()
@@ -134,6 +139,16 @@
 	}
 }
 
+// catchUp sends the marks that the peer may have missed.
+func (s *session) catchUp(ctx context.Context, missed []wire.Mark) error {
+	for _, mark := range missed {
+		if err := s.send(ctx, mark); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // write sends queued messages, announcements and heartbeats until ctx is done, then says goodbye.
 func (s *session) write(ctx context.Context) error {
 	interval := pingInterval
