--- a/test/scenario/caller_test.go
+++ b/test/scenario/caller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -115,10 +116,17 @@
 	if err != nil {
 		return err
 	}
-	s.print(ts, a.String())
+	s.print(ts, s.describePrompt(c, a))
 	return nil
 }
 
+// describePrompt prints the answer of a prompt and whether the text is the one that an undisturbed engine gives.
+func (s *system) describePrompt(c call, a answer) string {
+	max, _ := strconv.Atoi(c.max) // a word would have been refused as a bad request
+	whole := a.status == http.StatusOK && completionText(a.body) == wholeAnswer(c.rest[0], max)
+	return fmt.Sprintf("whole=%t %s", whole, a)
+}
+
 func completion(prompt, maxTokens string) string {
 	text, _ := json.Marshal(prompt) // a string always encodes
 	return fmt.Sprintf(`{"model":"Notes","prompt":%s,"max_tokens":%s}`, text, maxTokens)
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -39,6 +39,9 @@
 	"count":       wrap(cmdCount),
 	"unchanged":   wrap(cmdUnchanged),
 	"admin":       wrap(cmdAdmin),
+	"foreign":     wrap(cmdForeign),
+	"orders":      wrap(cmdOrders),
+	"twin":        wrap(cmdTwin),
 	"traffic":     wrap(cmdTraffic),
 	"traffic-end": wrap(cmdTrafficEnd),
 }
@@ -97,7 +100,7 @@
 // repeatable holds the commands that retry may repeat.
 var repeatable = map[string]command{
 	"ctl": cmdCtl, "prompt": cmdPrompt, "order": cmdOrder, "runs": cmdRuns, "written": cmdWritten, "faults": cmdFaults, "settled": cmdSettled,
-	"posted": cmdPosted,
+	"posted": cmdPosted, "orders": cmdOrders,
 }
 
 // cmdRetry repeats a command and, behind "--", an expected part of its output, until both hold.
@@ -133,6 +136,14 @@
 	return p.start()
 }
 
+// cmdTwin adds a process under another name with the arguments of an existing one, as when an instance is replaced before
+// it has ended: "twin Model1 Model1b".
+func cmdTwin(s *system, _ *testscript.TestScript, args []string) error {
+	old := s.procs[args[0]]
+	s.addresses[args[1]] = s.addresses[args[0]]
+	return s.add(args[1], filepath.Base(old.path), old.args...).start()
+}
+
 func cmdReady(s *system, _ *testscript.TestScript, args []string) error {
 	defer s.rotation.Store(args[0], true)
 	return s.waitReady(args[0])
--- a/test/scenario/doc.go
+++ b/test/scenario/doc.go
@@ -23,6 +23,9 @@
 //	faults N STAND-IN...           N faults are left; one with a Count ends when it was used
 //	settled MODEL                  the engine has no run under way
 //	count MODEL, unchanged MODEL   the engine got no run in between
+//	foreign N                      runs used N cache blocks of another weight version
+//	orders MODEL KIND N            the engine took N orders of the kind, such as LoadVersion
+//	twin NAME NEW                  starts a second process with the same arguments
 //	retry DURATION COMMAND... [-- TEXT]
 //	                               repeats a command until it succeeds and prints TEXT
 //	sleep DURATION                 lets time pass for faults that need it; never to wait for a result
--- a/test/scenario/faults_test.go
+++ b/test/scenario/faults_test.go
@@ -17,6 +17,8 @@
 
 // background is a request whose answer a script awaits later.
 type background struct {
+	call   call
+	prompt bool
 	answer answer
 	err    error
 	done   chan struct{}
@@ -25,7 +27,7 @@
 // cmdBackground starts "order" or "prompt" with its arguments and does not wait for the answer.
 func cmdBackground(s *system, _ *testscript.TestScript, args []string) error {
 	c := s.parse(args[1:])
-	b := &background{done: make(chan struct{})}
+	b := &background{call: c, prompt: args[0] == "prompt", done: make(chan struct{})}
 	s.waiting = append(s.waiting, b)
 	go func() {
 		defer close(b.done)
@@ -50,6 +52,10 @@
 	if b.err != nil {
 		return b.err
 	}
+	if b.prompt {
+		s.print(ts, s.describePrompt(b.call, b.answer))
+		return nil
+	}
 	s.print(ts, b.answer.String())
 	return nil
 }
--- a/test/scenario/ledger_test.go
+++ b/test/scenario/ledger_test.go
@@ -61,6 +61,54 @@
 	return nil
 }
 
+// cmdForeign compares the number of cache blocks that runs used although another weight version computed them.
+func cmdForeign(s *system, _ *testscript.TestScript, args []string) error {
+	want, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	got := 0
+	for name := range s.addresses {
+		model, ok := strings.CutSuffix(name, ".engine")
+		if !ok {
+			continue
+		}
+		l, err := s.ledger(model)
+		if err != nil {
+			return err
+		}
+		for _, run := range l.Runs {
+			got += run.ForeignBlocks
+		}
+	}
+	if got != want {
+		return fmt.Errorf("runs used %d blocks of another weight version, want %d", got, want)
+	}
+	return nil
+}
+
+// cmdOrders compares the number of orders of a kind that a model's engine took.
+func cmdOrders(s *system, _ *testscript.TestScript, args []string) error {
+	want, err := strconv.Atoi(args[2])
+	if err != nil {
+		return err
+	}
+	l, err := s.ledger(args[0])
+	if err != nil {
+		return err
+	}
+	got := 0
+	for _, o := range l.Orders {
+		if o.Kind == args[1] && !o.Refused {
+			got++
+		}
+	}
+	if got != want {
+		return fmt.Errorf("%s took %d orders %s, want %d", args[0], got, args[1], want)
+	}
+	return nil
+}
+
 // wholeAnswer is what the engines generate for a prompt, whichever of them run it.
 func wholeAnswer(prompt string, tokens int) string {
 	fingerprint := engine.Fingerprint(token.Encode(prompt))
