--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -279,16 +279,16 @@
 		relays[i] = &peer.Relay{OnMark: func(wire.Mark) { got <- i }}
 		addrs[i] = r.serve(&peer.Server{Name: "S", Config: newConfiguration(1, "one"), Marks: relays[i]})
 	}
-	greeted := make(chan struct{}, size)
+	var greeted sync.WaitGroup
 	for i := range size {
+		greeted.Add(1)
+		first := sync.OnceFunc(greeted.Done)
 		r.subscribe(&peer.Client{
 			Name: "C", Address: addrs[(i+1)%size], Config: newConfiguration(0, ""), Marks: relays[i],
-			OnPush: func(wire.ConfigPush) { greeted <- struct{}{} },
+			OnPush: func(wire.ConfigPush) { first() },
 		})
 	}
-	for range size {
-		<-greeted // the first push shows that both sides take part in the relay
-	}
+	greeted.Wait() // the first push of a connection shows that both sides take part in the relay
 	for i := range 3 {
 		mark := wire.Mark{Fingerprint: 1, Endpoints: []string{"M", "N"}[:min(i+1, 2)], Remaining: 1 << 40}
 		relays[0].Publish(mark) // the third is a repetition
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -28,4 +28,6 @@
 	PeerRefused
 	// PeerContentSent tells that a peer was sent the content of a version.
 	PeerContentSent
+	// ConfigPlatformOlder tells that the platform has a lower version than the one in force.
+	ConfigPlatformOlder
 )
--- a/internal/event/id_string.go
+++ b/internal/event/id_string.go
@@ -50,6 +50,7 @@
 	_ = x[PeerClosed-3010]
 	_ = x[PeerRefused-3011]
 	_ = x[PeerContentSent-3012]
+	_ = x[ConfigPlatformOlder-3013]
 	_ = x[EntryStarted-1000]
 	_ = x[EntryStopped-1001]
 	_ = x[AgentUnreachable-1002]
@@ -87,7 +88,7 @@
 	_ID_name_0 = "EntryStartedEntryStoppedAgentUnreachableAgentReachableAgentPushRejectedRequestRoutedRequestRefusedRequestResumedRequestEndedCallRoutedEntryReadyEntryDrainingEntryCutOffEntryConfigApplied"
 	_ID_name_1 = "AgentStartedAgentStoppedAgentAddressTakenEpochRaisedEpochNotRaisedAgentFencedEntryConnectedEntryDisconnectedEntryRejectedEntryTooSlowPromptAcceptedPromptRefusedPromptEndedCallRefusedCallEndedEngineTurnedColdEngineDownEngineServingEngineDiffersEngineOrderedEngineOrderFailedRequestSuspectedQuarantineNotStoredAgentDrainingAgentCutOffConfigRefusedLoadPermitMissingQuarantineStoredAgentPartFailed"
 	_ID_name_2 = "AgentFetchDecidedAgentFetchFailedAgentStoreFailedAgentExportedAgentExportFailed"
-	_ID_name_3 = "ConfigStartedConfigStoppedConfigReadyConfigAcceptedConfigInvalidConfigReadFailedConfigWatchGapConfigDirectReadConfigWatchingPeerConnectedPeerClosedPeerRefusedPeerContentSent"
+	_ID_name_3 = "ConfigStartedConfigStoppedConfigReadyConfigAcceptedConfigInvalidConfigReadFailedConfigWatchGapConfigDirectReadConfigWatchingPeerConnectedPeerClosedPeerRefusedPeerContentSentConfigPlatformOlder"
 	_ID_name_4 = "OrderStartedOrderStoppedOrderShardTakenOrderShardLostOrderTakeoverFailedOrderPlatformFailedOrderOutcomeUnknownOrderResultNotStoredOrderSegmentsExpiredOrderSegmentMalformed"
 	_ID_name_5 = "StandinStartedStandinStopped"
 )
@@ -96,7 +97,7 @@
 	_ID_index_0 = [...]uint8{0, 12, 24, 40, 54, 71, 84, 98, 112, 124, 134, 144, 157, 168, 186}
 	_ID_index_1 = [...]uint16{0, 12, 24, 41, 52, 66, 77, 91, 108, 121, 133, 147, 160, 171, 182, 191, 207, 217, 230, 243, 256, 273, 289, 308, 321, 332, 345, 362, 378, 393}
 	_ID_index_2 = [...]uint8{0, 17, 33, 49, 62, 79}
-	_ID_index_3 = [...]uint8{0, 13, 26, 37, 51, 64, 80, 94, 110, 124, 137, 147, 158, 173}
+	_ID_index_3 = [...]uint8{0, 13, 26, 37, 51, 64, 80, 94, 110, 124, 137, 147, 158, 173, 192}
 	_ID_index_4 = [...]uint8{0, 12, 24, 39, 53, 72, 91, 110, 130, 150, 171}
 	_ID_index_5 = [...]uint8{0, 14, 28}
 )
@@ -112,7 +113,7 @@
 	case 2900 <= i && i <= 2904:
 		i -= 2900
 		return _ID_name_2[_ID_index_2[i]:_ID_index_2[i+1]]
-	case 3000 <= i && i <= 3012:
+	case 3000 <= i && i <= 3013:
 		i -= 3000
 		return _ID_name_3[_ID_index_3[i]:_ID_index_3[i+1]]
 	case 4000 <= i && i <= 4009:
--- a/internal/version/config/follow.go
+++ b/internal/version/config/follow.go
@@ -72,7 +72,7 @@
 func (t *Tracker) read(ctx context.Context) (version uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	asked := time.Now()
+	asked, held := time.Now(), t.holds()
 	obj, err := t.Platform.Get(ctx, Kind, Name)
 	if err != nil {
 		if !errors.Is(err, context.Canceled) {
@@ -80,6 +80,9 @@
 		}
 		return 0, err
 	}
+	if held != nil && obj.Version < held.Version {
+		event.Error(t.Log, nil, event.ConfigPlatformOlder, "version", held.Version, "platformVersion", obj.Version)
+	}
 	if _, err = t.take(obj.Version, obj.Value, "platform"); err != nil {
 		return 0, err
 	}
