--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -73,6 +73,7 @@
 	fenced  chan struct{}
 	epochOK chan struct{} // closed once epoch is set
 	epoch   uint64
+	served  engineStatus // that was logged as serving; only the keeper uses it
 
 	// work counts the requests and calls that were let in.
 	work sync.WaitGroup
@@ -223,6 +224,10 @@
 		Running: len(a.active) + a.calls, Queued: a.queue.Len(), QueuedTokens: int(a.queue.Cost()),
 		Allowance: a.allowance.Limit(), State: wire.StateWarm,
 	}
+	// What the engine computes delays a new prompt as much as what is queued, and the batch hides it from the queue.
+	for _, p := range a.active {
+		load.QueuedTokens += p.prefillTokens
+	}
 	if v != nil {
 		load.ConfigVersion = v.version()
 	}
@@ -234,6 +239,9 @@
 	case v.endpoint == nil || v.leaving:
 		load.State = wire.StateLeaving
 	case a.Kind == settings.ServiceEndpoint:
+		if a.Orders != nil && !a.Orders.Ready() {
+			load.State = wire.StateUnknown
+		}
 	case !a.status.serves(v):
 		load.State = wire.StateDown
 	case a.allowance.Cold():
--- a/internal/process/agent/dispatch.go
+++ b/internal/process/agent/dispatch.go
@@ -129,6 +129,7 @@
 			return nil
 		}
 		p := item.Value
+		p.enginePriority = item.EnginePriority()
 		if p.ctx.Err() != nil {
 			p.decided <- p.ended()
 			continue
@@ -190,7 +191,7 @@
 func (a *Agent) submit(p *prompt) {
 	req := engine.Request{
 		RequestID: p.id, Model: p.Model, Version: p.WeightVersion, Prompt: p.Prompt, Given: p.Given,
-		MaxTokens: p.MaxTokens, Priority: p.Priority, Blocks: make([]string, len(p.ids)),
+		MaxTokens: p.MaxTokens, Priority: p.enginePriority, Blocks: make([]string, len(p.ids)),
 	}
 	for i, id := range p.ids {
 		req.Blocks[i] = id.String()
@@ -207,6 +208,7 @@
 	if a.allowance.Accepted(p.started, run.Accepted.Incarnation) {
 		a.turnedCold(run.Accepted.Incarnation)
 	}
+	p.prefillTokens = max(0, len(p.Prompt)+len(p.Given)-run.Accepted.CachedTokens)
 	a.mu.Unlock()
 	p.decided <- nil
 }
--- a/internal/request/order/commit.go
+++ b/internal/request/order/commit.go
@@ -20,7 +20,13 @@
 // commit writes as many pending records as fit into the last segment with one conditional update, and settles the
 // write if it failed or its reply was lost.
 func (s *shard) commit(work context.Context) {
+	if s.owner.writes.Wait(work) != nil {
+		return
+	}
 	s.mu.Lock()
+	if claim.Stale(time.Now(), s.confirmed, s.owner.Retention) {
+		s.lose("")
+	}
 	s.dropEnded()
 	batch := make([]claim.Record, len(s.pending))
 	for i, p := range s.pending {
@@ -57,7 +63,7 @@
 	ctx, cancel := context.WithTimeout(work, s.owner.PlatformTimeout)
 	defer cancel()
 	return s.owner.Platform.Put(ctx, platform.Object{
-		Kind: claim.ObjectKind, Name: claim.Name(s.number, t.Number), Version: t.Version, Value: value,
+		Kind: claim.ObjectKind, Name: claim.Name(s.service, s.number, t.Number), Version: t.Version, Value: value,
 	})
 }
 
@@ -65,7 +71,7 @@
 func (s *shard) get(work context.Context, number uint64) (t claim.Tail, err error) {
 	ctx, cancel := context.WithTimeout(work, s.owner.PlatformTimeout)
 	defer cancel()
-	obj, err := s.owner.Platform.Get(ctx, claim.ObjectKind, claim.Name(s.number, number))
+	obj, err := s.owner.Platform.Get(ctx, claim.ObjectKind, claim.Name(s.service, s.number, number))
 	if err != nil {
 		return claim.Tail{}, err
 	}
@@ -119,6 +125,7 @@
 		s.sealed = append(s.sealed, claim.Sealed{Number: t.Number, Version: t.Version, Newest: t.Segment.Newest()})
 		s.tail = t.Next()
 	}
+	s.count()
 	s.finishDurable(durable)
 	s.abandonFound()
 }
--- a/internal/request/order/fake_test.go
+++ b/internal/request/order/fake_test.go
@@ -55,6 +55,13 @@
 	p.hold, p.outage = hold, outage
 }
 
+// heldBack returns the number of writes that release may let take effect.
+func (p *latePlatform) heldBack() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.held)
+}
+
 // release lets held write i take effect if its expected version is still there.
 func (p *latePlatform) release(i int) {
 	p.mu.Lock()
@@ -141,7 +148,7 @@
 func (s *site) owner(name string, set ...func(*Owner)) (*Owner, func()) {
 	s.starts++
 	o := &Owner{Platform: &s.platform, Service: &s.service, Name: name, Incarnation: s.starts, Shards: 1,
-		Preferred: func(int) string { s.mu.Lock(); defer s.mu.Unlock(); return s.preferred }}
+		Preferred: func(int, []string) string { s.mu.Lock(); defer s.mu.Unlock(); return s.preferred }}
 	for _, f := range set {
 		f(o)
 	}
