--- a/internal/request/order/owner.go
+++ b/internal/request/order/owner.go
@@ -64,8 +64,9 @@
 	PlatformTimeout time.Duration
 	// DrainTimeout bounds the time after ctx of Run ends in which orders in progress finish. Default 30 s.
 	DrainTimeout time.Duration
-	// CompleteDelay is how long a result waits for a claim of the same shard whose write it can join. If the process dies
-	// meanwhile, later tries get an unknown outcome instead of the response. Default 100 ms.
+	// CompleteDelay is how long a result waits for a claim of the same shard whose write it can join, while more than half
+	// of the burst of writes is used up. If the process dies meanwhile, later tries get an unknown outcome instead of the
+	// response. Default 100 ms.
 	CompleteDelay time.Duration
 	// WritesPerSecond and ReadsPerSecond bound the use of the platform, which bears several hundred writes and 2,000
 	// reads a second from all agents. Commits that wait gather more orders. Defaults 100 and 300.
--- a/internal/request/order/run.go
+++ b/internal/request/order/run.go
@@ -78,7 +78,8 @@
 			return 0
 		}
 	}
-	if len(s.pending) == 0 {
+	// With half of the burst left there are writes to spare, and a result that is recorded at once survives a crash.
+	if len(s.pending) == 0 || 2*s.owner.writes.Tokens() >= float64(s.owner.writes.Burst()) {
 		return 0
 	}
 	return time.Until(s.pending[0].record.At.Add(s.owner.CompleteDelay))
