--- a/pkg/retention/tracker.go
+++ b/pkg/retention/tracker.go
@@ -52,7 +52,11 @@
 func (t *Tracker) Use(id uint64, now time.Time) {
 	if el, ok := t.byID[id]; ok {
 		u := el.Value.(*use)
-		t.gap.add(now.Sub(u.last))
+		if u.count == 1 {
+			// Only first returns count: they are what decides on a block used once. The uses of a shared prefix, seconds
+			// apart, would outnumber them by far.
+			t.gap.add(now.Sub(u.last))
+		}
 		u.count++
 		u.last = now
 		t.order.MoveToFront(el)
@@ -88,7 +92,7 @@
 }
 
 // ShouldExport reports whether block id should be copied to a store: it is remembered, no store has it, and it was used
-// twice or will be evicted before its expected next use.
+// twice or will be evicted before its expected first return.
 func (t *Tracker) ShouldExport(id uint64) bool {
 	el, ok := t.byID[id]
 	if !ok {
