--- a/internal/connection/entry/server_test.go
+++ b/internal/connection/entry/server_test.go
@@ -90,7 +90,8 @@
 	}
 	f.server = &entry.Server{
 		Name: "Endpoint1", Handler: f.handler, MaxStreams: maxStreams, WriteTimeout: time.Minute,
-		Configuration: &configuration{push: wire.ConfigPush{Version: 5, Content: []byte("five")}},
+		GoodbyeTimeout: time.Millisecond,
+		Configuration:  &configuration{push: wire.ConfigPush{Version: 5, Content: []byte("five")}},
 		Log: funcr.New(func(_, args string) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -5,8 +5,11 @@
 	"io"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
@@ -277,16 +280,16 @@
 		relays[i] = &peer.Relay{OnMark: func(wire.Mark) { got <- i }}
 		addrs[i] = r.serve(&peer.Server{Name: "S", Config: newConfiguration(1, "one"), Marks: relays[i]})
 	}
-	greeted := make(chan struct{}, size)
+	var greeted sync.WaitGroup
 	for i := range size {
+		greeted.Add(1)
+		first := sync.OnceFunc(greeted.Done)
 		r.subscribe(&peer.Client{
 			Name: "C", Address: addrs[(i+1)%size], Config: newConfiguration(0, ""), Marks: relays[i],
-			OnPush: func(wire.ConfigPush) { greeted <- struct{}{} },
+			OnPush: func(wire.ConfigPush) { first() },
 		})
 	}
-	for range size {
-		<-greeted // the first push shows that both sides take part in the relay
-	}
+	greeted.Wait() // the first push of a connection shows that both sides take part in the relay
 	for i := range 3 {
 		mark := wire.Mark{Fingerprint: 1, Endpoints: []string{"M", "N"}[:min(i+1, 2)], Remaining: 1 << 40}
 		relays[0].Publish(mark) // the third is a repetition
@@ -303,3 +306,74 @@
 	}
 	is.Equal(count, map[int]int{0: 1, 1: 3, 2: 2, 3: 3})
 }
+
+// TestMarksReachLateSubscriber guards against a process that had no connection when a mark was made and never learns of
+// it: a request that crashes engines would run on one more.
+func TestMarksReachLateSubscriber(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t)
+	relay := &peer.Relay{}
+	mark := wire.Mark{Fingerprint: 1, Endpoints: []string{"M"}, Remaining: time.Hour}
+	relay.Publish(mark)
+	addr := r.serve(&peer.Server{Name: "S", Config: newConfiguration(1, "one"), Marks: relay})
+	got := make(chan wire.Mark, 1)
+	late := &peer.Relay{OnMark: func(m wire.Mark) { got <- m }}
+	r.subscribe(&peer.Client{Name: "C", Address: addr, Config: newConfiguration(0, ""), Marks: late})
+	m := <-got
+	is.Equal(m.Fingerprint, mark.Fingerprint)
+	is.Equal(m.Endpoints, mark.Endpoints)
+	is.True(m.Remaining <= mark.Remaining)
+}
+
+// recorder is a listener whose connections tell that they were closed.
+type recorder struct {
+	net.Listener
+	open atomic.Int32
+}
+
+type recorded struct {
+	net.Conn
+	once sync.Once
+	open *atomic.Int32
+}
+
+func (l *recorder) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.open.Add(1)
+	return &recorded{Conn: c, open: &l.open}, nil
+}
+
+func (c *recorded) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() { c.open.Add(-1) })
+	return err
+}
+
+// TestRunOwnsConnections guards against a server that returns while it still serves connections.
+func TestRunOwnsConnections(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := &recorder{Listener: listener}
+	ctx, cancel := context.WithCancel(r.ctx)
+	s := &peer.Server{Name: "S", Config: newConfiguration(1, "one"), Log: logr.Discard()}
+	done := make(chan error, 1)
+	r.wg.Go(func() { done <- s.Run(ctx, l) })
+	const conns = 50
+	for i := range conns {
+		c := r.dial(listener.Addr().(*net.TCPAddr).AddrPort())
+		if i%2 == 0 {
+			r.greet(c) // the other half hangs in its greeting
+		}
+	}
+	for l.open.Load() < conns {
+		runtime.Gosched()
+	}
+	cancel()
+	is.NoErr(<-done)
+	is.Equal(l.open.Load(), int32(0))
+}
--- a/internal/connection/peer/session.go
+++ b/internal/connection/peer/session.go
@@ -44,6 +44,18 @@
 	Wants(version uint64) bool
 }
 
+// Differ is a Config that can tell versions as differences. Full-size contents are over 100 KB and change 19,000 times
+// a day, which is more than a process may spend on control.
+type Differ interface {
+	Config
+	// PushSince returns Push with the difference from an older version if it is known, and else with the whole content.
+	PushSince(version uint64) wire.ConfigPush
+	// Base returns the version that the content of a version should be asked for from, 0 for the whole content.
+	Base(version uint64) uint64
+	// Heartbeat returns Push without content.
+	Heartbeat() wire.ConfigPush
+}
+
 var (
 	// ErrGoodbye is returned when the peer closed the connection with a reason.
 	ErrGoodbye = errors.New("peer: closed by the peer")
@@ -73,7 +85,10 @@
 }
 
 // sendContent stands in the queue for the push of the version that is in force when it is written.
-type sendContent struct{ wire.Message }
+type sendContent struct {
+	wire.Message
+	since uint64
+}
 
 // run serves the connection until it ends or ctx is done, and closes it.
 func (s *session) run(ctx context.Context) (err error) {
@@ -81,8 +96,9 @@
 	defer cancel()
 	s.queue = make(chan wire.Message, queueLength)
 	s.version.Store(s.peer.ConfigVersion)
+	var missed []wire.Mark
 	if s.marks != nil {
-		s.marks.add(s)
+		missed = s.marks.add(s)
 		defer s.marks.remove(s)
 	}
 	// A write that waits for the peer ends soon after ctx.
@@ -90,7 +106,11 @@
 	defer stop()
 	written := make(chan error, 1)
 	go func() {
-		written <- s.write(ctx)
+		err := s.catchUp(ctx, missed)
+		if err == nil {
+			err = s.write(ctx)
+		}
+		written <- err
 		_ = s.conn.Close()
 	}()
 	err = s.read()
@@ -119,6 +139,16 @@
 	}
 }
 
+// catchUp sends the marks that the peer may have missed.
+func (s *session) catchUp(ctx context.Context, missed []wire.Mark) error {
+	for _, mark := range missed {
+		if err := s.send(ctx, mark); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // write sends queued messages, announcements and heartbeats until ctx is done, then says goodbye.
 func (s *session) write(ctx context.Context) error {
 	interval := pingInterval
@@ -161,13 +191,16 @@
 
 // announcement is the push of the version in force without its content.
 func (s *session) announcement() wire.ConfigPush {
+	if d, ok := s.config.(Differ); ok {
+		return d.Heartbeat()
+	}
 	push := s.config.Push()
 	push.Content = nil
 	return push
 }
 
 func (s *session) send(ctx context.Context, m wire.Message) error {
-	if _, ok := m.(sendContent); ok {
+	if content, ok := m.(sendContent); ok {
 		if s.contents != nil {
 			select {
 			case s.contents <- struct{}{}:
@@ -176,9 +209,10 @@
 				return nil
 			}
 		}
-		push := s.config.Push()
+		push := s.content(content.since)
 		m = push
-		event.Info(s.log.V(1), event.PeerContentSent, "peer", s.peer.Name, "version", push.Version)
+		event.Info(s.log.V(1), event.PeerContentSent, "peer", s.peer.Name, "version", push.Version, "base", push.Base,
+			"bytes", len(push.Content))
 	}
 	s.setWriteDeadline(writeTimeout)
 	if ctx.Err() != nil {
@@ -187,6 +221,21 @@
 	return s.conn.Write(m)
 }
 
+func (s *session) content(since uint64) wire.ConfigPush {
+	if d, ok := s.config.(Differ); ok {
+		return d.PushSince(since)
+	}
+	return s.config.Push()
+}
+
+// base returns the version that the content of a version is asked for from.
+func (s *session) base(version uint64) uint64 {
+	if d, ok := s.config.(Differ); ok {
+		return d.Base(version)
+	}
+	return s.config.Version()
+}
+
 // read handles messages until the connection ends. Its error is never nil.
 func (s *session) read() error {
 	limit := SilenceLimit
@@ -204,7 +253,7 @@
 			s.push(m)
 		case wire.ConfigWant:
 			if s.config.Version() > m.Version {
-				s.enqueue(sendContent{})
+				s.enqueue(sendContent{since: m.Version})
 			}
 		case wire.Ping:
 			s.raise(m.ConfigVersion)
@@ -242,7 +291,7 @@
 		return
 	}
 	if s.config.Wants(push.Version) {
-		s.enqueue(wire.ConfigWant{Version: s.config.Version()})
+		s.enqueue(wire.ConfigWant{Version: s.base(push.Version)})
 	} else if s.config.Version() > push.Version {
 		// The peer is behind although it was told on change; it may have asked elsewhere in vain.
 		s.enqueue(s.announcement())
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -65,6 +65,7 @@
 	wake    chan struct{} // tells the dispatcher; has room for one
 	recheck chan struct{} // tells the keeper; has room for one
 	marks   chan wire.Mark
+	aborts  sync.Once
 	aborted chan struct{}
 	abort   sync.Once
 	cut     chan struct{} // closed when stopping
@@ -72,6 +73,7 @@
 	fenced  chan struct{}
 	epochOK chan struct{} // closed once epoch is set
 	epoch   uint64
+	served  engineStatus // that was logged as serving; only the keeper uses it
 
 	// work counts the requests and calls that were let in.
 	work sync.WaitGroup
@@ -112,7 +114,6 @@
 		a.wake = make(chan struct{}, 1)
 		a.recheck = make(chan struct{}, 1)
 		a.marks = make(chan wire.Mark, markQueueLength)
-		a.aborted = make(chan struct{})
 		a.cut = make(chan struct{})
 		a.fenced = make(chan struct{})
 		a.epochOK = make(chan struct{})
@@ -152,7 +153,7 @@
 	go func() { served <- a.server.Serve(serving, listener) }()
 	select {
 	case <-ctx.Done():
-	case <-a.aborted:
+	case <-a.abortion():
 	case <-a.fenced:
 		err = ErrFenced
 	case err = <-served:
@@ -238,6 +239,9 @@
 	case v.endpoint == nil || v.leaving:
 		load.State = wire.StateLeaving
 	case a.Kind == settings.ServiceEndpoint:
+		if a.Orders != nil && !a.Orders.Ready() {
+			load.State = wire.StateUnknown
+		}
 	case !a.status.serves(v):
 		load.State = wire.StateDown
 	case a.allowance.Cold():
--- a/internal/process/agent/fixture_test.go
+++ b/internal/process/agent/fixture_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"strings"
@@ -79,7 +81,7 @@
 // fixture is an agent beside a stand-in of an engine.
 type fixture struct {
 	*agent.Agent
-	t       *testing.T
+	t       testing.TB
 	engine  *standin.Engine
 	client  *engine.Client
 	config  *configuration
@@ -92,7 +94,7 @@
 }
 
 // setUp starts the engine and prepares the agent.
-func setUp(t *testing.T, s standin.Settings) *fixture {
+func setUp(t testing.TB, s standin.Settings) *fixture {
 	t.Helper()
 	s.Model, s.Version, s.BlockTokens = "M1", "v1", 8
 	if s.BatchLimit == 0 {
@@ -133,9 +135,11 @@
 	return f
 }
 
-func freeAddress(t *testing.T) netip.AddrPort {
+// freeAddress returns an address for a later listener. It is not of 127.0.0.1, whose ports are also given to outgoing
+// connections of other tests.
+func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.N(254), rand.N(256), 1+rand.N(254)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -159,7 +163,7 @@
 	return f
 }
 
-func start(t *testing.T, s standin.Settings) *fixture {
+func start(t testing.TB, s standin.Settings) *fixture {
 	t.Helper()
 	f := setUp(t, s).run()
 	f.await("EngineServing")
@@ -239,6 +243,8 @@
 		}
 		var stream uint64
 		switch m := m.(type) {
+		case wire.Goodbye:
+			_ = p.conn.Write(wire.Goodbye{}) // the agent closes the connection then
 		case wire.Accepted:
 			stream = m.Stream
 		case wire.Refused:
@@ -334,7 +340,7 @@
 	return end
 }
 
-func receive[T wire.Message](t *testing.T, c <-chan wire.Message) T {
+func receive[T wire.Message](t testing.TB, c <-chan wire.Message) T {
 	t.Helper()
 	for {
 		select {
--- /dev/null
+++ b/internal/process/agent/parts_test.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"primrosecourse/internal/version/config"
+	"primrosecourse/pkg/settings"
+)
+
+// fixed is a configuration that does not change.
+type fixed struct {
+	Configuration
+	deployment settings.Deployment
+}
+
+func (s *fixed) Current() *config.Snapshot { return &config.Snapshot{Deployment: &s.deployment} }
+
+// TestPreferred guards against shards of orders that no live endpoint owns, or that go to one that leaves.
+func TestPreferred(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		change      func(d *settings.Deployment)
+		listed      map[string]bool
+		unavailable []string
+		want        string
+	}{
+		{"platform lists none", nil, nil, nil, "S1 S2 S3"},
+		{"one is not listed", nil, map[string]bool{"S1": true, "S3": true}, nil, "S1 S3"},
+		{"one is listed as leaving", nil, map[string]bool{"S1": true, "S2": false, "S3": true}, nil, "S1 S3"},
+		{"entry cannot reach one", nil, map[string]bool{"S1": true, "S2": true}, []string{"S2"}, "S1"},
+		{"entry cannot reach those listed", nil, map[string]bool{"S2": true}, []string{"S2"}, "S1 S3"},
+		{"endpoint leaves", func(d *settings.Deployment) { d.Endpoints[0].State = settings.Leaving }, nil, nil, "S2 S3"},
+		{"domain leaves", func(d *settings.Deployment) { d.FailureDomains[0].State = settings.Leaving }, nil, nil, "S2 S3"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := &fixed{deployment: settings.Deployment{FailureDomains: []settings.FailureDomain{{Name: "D1"}}}}
+			for i := 1; i <= 3; i++ {
+				c.deployment.Endpoints = append(c.deployment.Endpoints, settings.Endpoint{
+					Name: fmt.Sprint("S", i), Kind: settings.ServiceEndpoint, Service: "Orders", FailureDomain: fmt.Sprint("D", i),
+				})
+			}
+			if test.change != nil {
+				test.change(&c.deployment)
+			}
+			o := &OrderOwner{Name: "S1", Configuration: c}
+			o.update(test.listed)
+			owners := map[string]bool{}
+			for shard := range 64 {
+				owners[o.preferred(shard, test.unavailable)] = true
+			}
+			got := ""
+			for _, name := range []string{"S1", "S2", "S3"} {
+				if owners[name] {
+					got += " " + name
+				}
+			}
+			is.New(t).Equal(got, " "+test.want)
+		})
+	}
+}
