--- a/internal/process/agent/daemon.go
+++ b/internal/process/agent/daemon.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
@@ -83,10 +84,10 @@
 	}
 	if d.Metrics.IsValid() {
 		l, err := listenMetrics(d.Metrics)
-		if err != nil {
+		if err != nil && !errors.Is(err, syscall.EADDRINUSE) {
 			return err
 		}
-		parts = append(parts, func(ctx context.Context) error { return serveMetrics(ctx, l, a) })
+		parts = append(parts, func(ctx context.Context) error { return serveMetrics(ctx, l, d.Metrics, a) })
 	}
 	// The parts end after the agent, which needs them for the work that it finishes.
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,12 +14,25 @@
 
 func listenMetrics(addr netip.AddrPort) (net.Listener, error) {
 	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
-	return l, errors.Wrap(err, "agent: metrics")
+	if err != nil {
+		return nil, errors.Wrap(err, "agent: metrics")
+	}
+	return l, nil
 }
 
-// serveMetrics answers on the listener until ctx is done.
-func serveMetrics(ctx context.Context, l net.Listener, a *Agent) (err error) {
+// serveMetrics answers on the listener until ctx is done. Without one it waits until a predecessor, which may be paused or
+// draining, has given the address up.
+func serveMetrics(ctx context.Context, l net.Listener, addr netip.AddrPort, a *Agent) (err error) {
 	defer func() { err = errors.Wrap(err, "agent: metrics") }()
+	for l == nil {
+		pause(ctx, listenRetry)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if l, err = listenMetrics(addr); err != nil && !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+	}
 	server := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
--- a/internal/request/caller/fake_test.go
+++ b/internal/request/caller/fake_test.go
@@ -151,7 +151,7 @@
 
 func newSite(t *testing.T, scripts ...script) *site {
 	s := &site{agents: &agents{scripts: scripts}, is: is.New(t)}
-	s.Handler = &caller.Handler{ReachPatience: -1, SuspectPatience: -1, Name: "Entry1", FailureDomain: "A", Agents: s.agents, Loads: routing.NewLoads(),
+	s.Handler = &caller.Handler{ReachPatience: -1, TurnPatience: -1, Name: "Entry1", FailureDomain: "A", Agents: s.agents, Loads: routing.NewLoads(),
 		Metrics: metrics.NewRegistry(), Budget: &retry.Budget{}, Log: funcr.New(func(_, args string) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -70,9 +70,10 @@
 	// ReachPatience is how long a request waits while no endpoint can be reached. When agents are replaced one after the
 	// other, the entry finds each again by a probe, at the latest after 2 s. Default 2 s; negative for none.
 	ReachPatience time.Duration
-	// SuspectPatience is how long a suspect of a crash waits for its turn, since only one runs on an endpoint at a time.
+	// TurnPatience is how long a suspect of a crash waits for its turn, since only one runs on an endpoint at a time, and
+	// how long a prompt waits for the first endpoint that has loaded a new weight version, which takes about a second.
 	// Default 10 s; negative for none.
-	SuspectPatience time.Duration
+	TurnPatience time.Duration
 
 	once    sync.Once
 	mux     *http.ServeMux
@@ -94,7 +95,7 @@
 		h.Affinity = cmp.Or(h.Affinity, routing.NewAffinity())
 		h.Budget = cmp.Or(h.Budget, &retry.Budget{Burst: retryBurst})
 		h.ReachPatience = cmp.Or(h.ReachPatience, 2*time.Second)
-		h.SuspectPatience = cmp.Or(h.SuspectPatience, 10*time.Second)
+		h.TurnPatience = cmp.Or(h.TurnPatience, 10*time.Second)
 		if h.Metrics == nil {
 			h.Metrics = metrics.NewRegistry()
 		}
--- a/internal/request/caller/pause.go
+++ b/internal/request/caller/pause.go
@@ -15,8 +15,8 @@
 	switch f.reason {
 	case "NoEndpoint", "Draining":
 		patience = h.ReachPatience
-	case "SuspectRunning":
-		patience = h.SuspectPatience
+	case "SuspectRunning", "WrongVersion":
+		patience = h.TurnPatience
 	}
 	if time.Since(begun) >= patience {
 		return false
