--- a/internal/process/agent/mark.go
+++ b/internal/process/agent/mark.go
@@ -111,7 +111,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		pause(ctx, 100*time.Millisecond<<try)
+		// Two agents that the same request crashed write one object within milliseconds. A pause after a conflict would
+		// let an entry that starts meanwhile read the first crash only.
+		if !errors.Is(err, platform.ErrConflict) {
+			pause(ctx, 100*time.Millisecond<<try)
+		}
 	}
 	event.Error(a.Log, err, event.QuarantineNotStored, "Fingerprint", fingerprintName(m.Fingerprint))
 }
