--- a/internal/process/agent/fixture_test.go
+++ b/internal/process/agent/fixture_test.go
@@ -243,6 +243,8 @@
 		}
 		var stream uint64
 		switch m := m.(type) {
+		case wire.Goodbye:
+			_ = p.conn.Write(wire.Goodbye{}) // the agent closes the connection then
 		case wire.Accepted:
 			stream = m.Stream
 		case wire.Refused:
--- a/internal/request/order/owner.go
+++ b/internal/request/order/owner.go
@@ -64,8 +64,9 @@
 	PlatformTimeout time.Duration
 	// DrainTimeout bounds the time after ctx of Run ends in which orders in progress finish. Default 30 s.
 	DrainTimeout time.Duration
-	// CompleteDelay is how long a result waits for a claim of the same shard whose write it can join. If the process dies
-	// meanwhile, later tries get an unknown outcome instead of the response. Default 100 ms.
+	// CompleteDelay is how long a result waits for a claim of the same shard whose write it can join, while more than half
+	// of the burst of writes is used up. If the process dies meanwhile, later tries get an unknown outcome instead of the
+	// response. Default 100 ms.
 	CompleteDelay time.Duration
 	// WritesPerSecond and ReadsPerSecond bound the use of the platform, which bears several hundred writes and 2,000
 	// reads a second from all agents. Commits that wait gather more orders. Defaults 100 and 300.
@@ -163,6 +164,13 @@
 	return o.shards[service]
 }
 
+// Ready reports whether Execute takes orders.
+func (o *Owner) Ready() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.running
+}
+
 // enter counts a piece of work that a drain waits for. It returns false while the owner takes no new work.
 func (o *Owner) enter() bool {
 	o.mu.Lock()
