--- a/internal/process/agent/interfaces.go
+++ b/internal/process/agent/interfaces.go
@@ -41,6 +41,8 @@
 	// Execute runs a call at most once for its organisation and key, and returns wire.Reply or wire.Refused. A call
 	// that was sent is not given up when ctx ends.
 	Execute(ctx context.Context, call wire.Call) wire.Message
+	// Ready reports whether Execute takes orders. Until it does, the agent's state is unknown.
+	Ready() bool
 }
 
 // Service runs the calls that may be repeated.
--- a/internal/request/order/owner.go
+++ b/internal/request/order/owner.go
@@ -164,6 +164,13 @@
 	return o.shards[service]
 }
 
+// Ready reports whether Execute takes orders.
+func (o *Owner) Ready() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.running
+}
+
 // enter counts a piece of work that a drain waits for. It returns false while the owner takes no new work.
 func (o *Owner) enter() bool {
 	o.mu.Lock()
--- a/pkg/routing/cost.go
+++ b/pkg/routing/cost.go
@@ -24,6 +24,10 @@
 	LoadHalfLife time.Duration
 	// ColdTime is the extra time of a first token at a cold endpoint. Default 300 ms.
 	ColdTime time.Duration
+	// CopyWeight is what a second of recomputing costs the other prompts of the fleet, in seconds of their first tokens: the
+	// copy pushes out as many blocks of others, which are then computed again in front of others still. Default 30. With a
+	// failure domain out, 8 missed the latency target of primrose-bench for many copies, and 60 for long waits.
+	CopyWeight float64
 	// EngineHalfLife is the time after which half of the blocks left the memory of an engine. Default 5 min.
 	EngineHalfLife time.Duration
 }
@@ -39,6 +43,9 @@
 const (
 	// ClassReady means that the endpoint should take the request.
 	ClassReady Class = iota
+	// ClassSpare means an endpoint that should take the request, but is neither among the first homePlaces of the ring for
+	// the prompt's key nor known to hold a part of it. A copy of the prompt's blocks there would push out those of others.
+	ClassSpare
 	// ClassFull means a cold endpoint whose allowance is used up; it will most likely refuse.
 	ClassFull
 	// ClassUnavailable means that the endpoint is down, draining or leaving.
@@ -52,6 +59,8 @@
 	Source        Source
 	// Place is the position on the ring for the prompt's key, -1 if it is not among the first.
 	Place int
+	// Spare tells that the prompt has a key and that this is not a place for it.
+	Spare bool
 	// Cached is the expected number of prompt tokens in the memory of the engine.
 	Cached int
 	// Observation is what is known of its load.
@@ -81,6 +90,9 @@
 	w := Weighed{Candidate: candidate}
 	o := &candidate.Observation
 	w.Wait, w.Class = c.wait(now, &candidate)
+	if candidate.Spare && w.Class == ClassReady {
+		w.Class = ClassSpare
+	}
 	if o.Load.State == wire.StateCold {
 		w.Cold = cmp.Or(c.ColdTime, 300*time.Millisecond)
 	}
@@ -95,7 +107,8 @@
 	}
 	w.Prefill = seconds(float64(tokens-cached-fetched) / c.prefillRate())
 	w.Recompute = seconds(float64(max(0, min(held, tokens)-cached-fetched)) / c.prefillRate())
-	w.Cost = weight(c.Policy.FirstTokenWeight)*w.FirstToken().Seconds() +
+	others := cmp.Or(c.CopyWeight, 30) * w.Recompute.Seconds()
+	w.Cost = weight(c.Policy.FirstTokenWeight)*(w.FirstToken().Seconds()+others) +
 		weight(c.Policy.RecomputeWeight)*w.Recompute.Seconds() + weight(c.Policy.LinkWeight)*w.Fetch.Seconds()
 	return w
 }
