--- a/internal/request/order/shard.go
+++ b/internal/request/order/shard.go
@@ -128,9 +128,6 @@
 		return nil, nil, false, wire.Refused{Outcome: wire.NotRun, Reason: wire.ReasonNotOwner, Redirect: preferred,
 			Detail: "another agent owns the shard"}
 	}
-	if s.owned && len(s.pending) == 0 && claim.Stale(now, s.confirmed, s.owner.Retention) {
-		s.lose("")
-	}
 	if !s.owned {
 		if now.Before(s.retryAt) {
 			return nil, nil, false, refuseLater(wire.ReasonPlatformDown, "the claim log cannot be read", s.retryAt.Sub(now))
