--- a/pkg/retention/retention_test.go
+++ b/pkg/retention/retention_test.go
@@ -54,6 +54,22 @@
 	is.True(tr.ShouldExport(2))
 }
 
+// TestSharedPrefixHidesNoLateReturn guards against the many uses of a shared block being taken for the gap after which the
+// blocks of single conversations return.
+func TestSharedPrefixHidesNoLateReturn(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	tr := New()
+	tr.Use(1, now)
+	tr.Use(1, now.Add(time.Hour))
+	tr.Evicted(1, now.Add(time.Hour+time.Minute))
+	for i := range 100 {
+		tr.Use(1, now.Add(time.Hour+time.Duration(i)*time.Second))
+	}
+	tr.Use(2, now.Add(2*time.Hour))
+	is.True(tr.ShouldExport(2))
+}
+
 // TestTrackerIsBounded guards against memory that grows with the number of prompts.
 func TestTrackerIsBounded(t *testing.T) {
 	is := is.New(t)
