--- a/cmd/primrose-bench/main.go
+++ b/cmd/primrose-bench/main.go
@@ -58,7 +58,7 @@
 	seed                             uint64
 	site, scenario, format, examples string
 	choice                           string
-	warmUp, measured                 time.Duration
+	history, warmUp, measured        time.Duration
 }
 
 func main() {
@@ -69,6 +69,7 @@
 	flag.StringVar(&o.choice, "Choice", "", "one way of choosing endpoints; all if empty")
 	flag.StringVar(&o.format, "Format", "table", "table or json")
 	flag.StringVar(&o.examples, "Examples", "examples", "directory of the deployments")
+	flag.DurationVar(&o.history, "History", 72*time.Hour, "time before the run from which conversations return")
 	flag.DurationVar(&o.warmUp, "WarmUp", 4*time.Hour, "virtual time before the measurement")
 	flag.DurationVar(&o.measured, "Measured", 2*time.Hour, "measured virtual time")
 	flag.Parse()
@@ -102,7 +103,7 @@
 		if err := p.load(o.examples); err != nil {
 			return nil, err
 		}
-		p.WarmUp, p.Measured = o.warmUp, o.measured
+		p.History, p.WarmUp, p.Measured = o.history, o.warmUp, o.measured
 		list := workload(&p.deployment, &p, o.seed)
 		type job struct {
 			s      *scenario
--- a/internal/process/agent/prompt_test.go
+++ b/internal/process/agent/prompt_test.go
@@ -49,6 +49,19 @@
 	is.Equal(len(l.Runs), len(streams))
 }
 
+// TestLoadCountsPromptsInTheEngine guards against an engine that computes long prompts and looks idle to the entries.
+func TestLoadCountsPromptsInTheEngine(t *testing.T) {
+	is := is.New(t)
+	f := start(t, standin.Settings{WarmStart: true})
+	f.engine.Pause(true)
+	m := f.prompt("1", "a prompt that is still computed")
+	s := f.dial().submit(m)
+	is.Equal(s.accepted().Load.QueuedTokens, len(m.Prompt))
+	f.engine.Pause(false)
+	_, last := s.finish()
+	is.Equal(last.(wire.End).Load.QueuedTokens, 0)
+}
+
 // TestTurnsColdUnderLoad guards against more than a cold engine bears after it turned cold without warning, and against
 // answers with missing or repeated tokens after a resume.
 func TestTurnsColdUnderLoad(t *testing.T) {
