--- a/cmd/primrose-standin/kind_kvstore.go
+++ b/cmd/primrose-standin/kind_kvstore.go
@@ -4,9 +4,11 @@
 	"context"
 	"net/netip"
 
+	"primrosecourse/internal/standin/fault"
 	"primrosecourse/internal/standin/kvstore"
 )
 
 func serveKVStore(ctx context.Context, addr netip.AddrPort) error {
-	return serveHTTP(ctx, addr, kvstore.New().Handler())
+	var faults fault.Hook
+	return serveHTTP(ctx, addr, faults.Wrap(kvstore.New().Handler(), "/ledger"))
 }
