--- a/test/scenario/caller_test.go
+++ b/test/scenario/caller_test.go
@@ -122,8 +122,8 @@
 
 // describePrompt prints the answer of a prompt and whether the text is the one that an undisturbed engine gives.
 func (s *system) describePrompt(c call, a answer) string {
-	max, _ := strconv.Atoi(c.max) // a word would have been refused as a bad request
-	whole := a.status == http.StatusOK && completionText(a.body) == wholeAnswer(c.rest[0], max)
+	tokens, _ := strconv.Atoi(c.max) // a word would have been refused as a bad request
+	whole := a.status == http.StatusOK && completionText(a.body) == wholeAnswer(c.rest[0], tokens)
 	return fmt.Sprintf("whole=%t %s", whole, a)
 }
 
