--- a/cmd/primrose-bench/engine.go
+++ b/cmd/primrose-bench/engine.go
@@ -17,8 +17,9 @@
 	coldSlowdown = 2
 )
 
-// engine is the fake at the interface of the model engine. It computes one prompt at a time, the one of the highest priority, and decodes one token of
-// every run a step; a step takes longer while a prompt is computed. Between two events all rates are constant.
+// engine is the fake at the interface of the model engine. It computes one prompt at a time, the one of the highest priority,
+// and decodes one token of every run a step; a step takes longer while a prompt is computed. Between two
+// events all rates are constant.
 type engine struct {
 	clock           *clock
 	agent           *agent
@@ -83,7 +84,8 @@
 	}
 }
 
-// submit takes a run into the batch, where prompts are computed in the order of priority and arrival, and returns the leading prompt tokens that need not be computed.
+// submit takes a run into the batch, where prompts are computed in the order of priority and arrival. Its hit is the
+// number of leading prompt tokens that need not be computed.
 func (e *engine) submit(r *request, priority int) *run {
 	e.advance()
 	if e.running() >= e.capacity() {
