--- a/cmd/primrose-agent/main.go
+++ b/cmd/primrose-agent/main.go
@@ -12,7 +12,6 @@
 package main
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -27,6 +26,7 @@
 	"github.com/go-logr/logr"
 
 	"primrosecourse/internal/process/agent"
+	"primrosecourse/internal/process/daemon"
 )
 
 func main() {
@@ -46,21 +46,7 @@
 		return 2
 	}
 	d.Log = logr.FromSlogHandler(slog.NewJSONHandler(out, nil))
-	ctx, drain := context.WithCancel(context.Background())
-	defer drain()
-	ended := make(chan struct{})
-	defer close(ended)
-	go func() {
-		for _, act := range []func(){drain, d.Abort} {
-			select {
-			case <-signals:
-				act()
-			case <-ended:
-				return
-			}
-		}
-	}()
-	if err := d.Run(ctx); err != nil {
+	if err := daemon.Run(d, signals); err != nil {
 		fmt.Fprintln(out, "primrose-agent:", err)
 		return 1
 	}
--- a/cmd/primrose-entry/main.go
+++ b/cmd/primrose-entry/main.go
@@ -12,7 +12,6 @@
 package main
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -27,6 +26,7 @@
 	"github.com/go-logr/logr"
 
 	"primrosecourse/internal/connection/peer"
+	"primrosecourse/internal/process/daemon"
 	"primrosecourse/internal/process/entry"
 	"primrosecourse/internal/process/platform"
 	"primrosecourse/internal/version/config"
@@ -113,22 +113,9 @@
 	e := &entry.Entry{Name: f.name, Address: f.listen, PeerAddress: f.peerListen, FailureDomain: f.failureDomain, Marks: marks,
 		Log: log, Configuration: &config.Tracker{Name: f.name, FailureDomain: f.failureDomain, Platform: client, Peers: f.peers,
 			Address: f.peerListen, IsEntry: true, Marks: marks, Log: log}}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	ended := make(chan error, 1)
-	go func() { ended <- e.Run(ctx) }()
-	for count := 0; ; count++ {
-		select {
-		case <-signals:
-			if stop(); count > 0 {
-				e.Abort()
-			}
-		case err := <-ended:
-			if err != nil {
-				fmt.Fprintln(stderr, "primrose-entry:", err)
-				return 1
-			}
-			return 0
-		}
+	if err := daemon.Run(e, signals); err != nil {
+		fmt.Fprintln(stderr, "primrose-entry:", err)
+		return 1
 	}
+	return 0
 }
--- a/pkg/settings/doc.go
+++ b/pkg/settings/doc.go
@@ -4,7 +4,7 @@
 // and key names are the names of the Go types and fields:
 //
 //	[Site]
-//	Name = Kleinkloof Keepsake Labs
+//	Name = Kleinkloof
 //
 //	[FailureDomain "South"]
 //	Region = Gauteng
--- a/test/scenario/caller_test.go
+++ b/test/scenario/caller_test.go
@@ -132,6 +132,29 @@
 	return fmt.Sprintf(`{"model":"Notes","prompt":%s,"max_tokens":%s}`, text, maxTokens)
 }
 
+// cmdStream sends a completion request, reads the answer as server-sent events and prints whether it was whole.
+func cmdStream(s *system, ts *testscript.TestScript, args []string) error {
+	c := s.parse(args)
+	body := strings.Replace(completion(c.rest[0], c.max), "{", `{"stream":true,`, 1)
+	a, err := s.send(c, "/v1/completions", "", body)
+	if err != nil {
+		return err
+	}
+	text, done := "", false
+	for line := range strings.Lines(a.body) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		switch {
+		case ok && data == "[DONE]":
+			done = true
+		case ok:
+			text += completionText(data)
+		}
+	}
+	tokens, _ := strconv.Atoi(c.max) // a word would have been refused as a bad request
+	s.print(ts, fmt.Sprintf("whole=%t done=%t status=%d", text == wholeAnswer(c.rest[0], tokens), done, a.status))
+	return nil
+}
+
 func cmdOrder(s *system, ts *testscript.TestScript, args []string) error {
 	c := s.parse(args)
 	a, err := s.send(c, "/services/Orders/orders", c.rest[0], c.rest[1])
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -29,6 +29,7 @@
 	"fault":       wrap(cmdFault),
 	"ctl":         wrap(cmdCtl),
 	"prompt":      wrap(cmdPrompt),
+	"stream":      wrap(cmdStream),
 	"order":       wrap(cmdOrder),
 	"runs":        wrap(cmdRuns),
 	"excess":      wrap(cmdExcess),
--- a/test/scenario/doc.go
+++ b/test/scenario/doc.go
@@ -14,6 +14,8 @@
 //	ctl ARGS...                    runs primrosectl
 //	prompt [as=ORG] [via=ENTRY] [max=N] TEXT
 //	                               prints "status=... outcome=... reason=... body=..."
+//	stream [as=ORG] [via=ENTRY] [max=N] TEXT
+//	                               the same with server-sent events; prints "whole=... done=... status=..."
 //	order [as=ORG] [via=ENTRY] KEY BODY
 //	                               prints the same
 //	background prompt|order ARGS   sends without waiting; await prints the answer
