--- a/cmd/primrose-bench/agent.go
+++ b/cmd/primrose-bench/agent.go
@@ -31,6 +31,7 @@
 
 	index    map[prefix.ID]bool
 	sequence uint64
+	doubt    retention.Doubt
 	tracker  *retention.Tracker
 	links    map[string]*retention.LinkRate
 	costs    retention.Costs
@@ -221,6 +222,7 @@
 		return
 	}
 	for _, id := range chain {
+		a.index[id] = true // the run has just used it
 		a.tracker.Use(id.Uint64(), a.world.clock.time())
 		if a.tracker.ShouldExport(id.Uint64()) && len(a.exports) < exportQueueLength {
 			a.exports = append(a.exports, id)
@@ -258,10 +260,11 @@
 	})
 }
 
-// follow reads the engine's cache events. After a hole the index starts empty, as that of the agent's mover does.
+// follow reads the engine's cache events. A hole counts as that of the agent's mover does.
 func (a *agent) follow() {
 	for _, e := range a.engine.cache.events {
-		if e.sequence != a.sequence+1 {
+		a.doubt.Missed(e.sequence - a.sequence - 1)
+		if a.doubt.Exceeds(len(a.index)) {
 			clear(a.index)
 		}
 		a.sequence = e.sequence
--- a/internal/version/kvstore/index.go
+++ b/internal/version/kvstore/index.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 
 	"primrosecourse/internal/process/engine"
+	"primrosecourse/pkg/retention"
 )
 
 // maxIndexBlocks bounds the index against an engine that reports stores without removals.
@@ -15,15 +16,24 @@
 	incarnation uint64
 	next        uint64
 	blocks      map[string]bool
+	doubt       retention.Doubt
 }
 
 func newIndex() *index { return &index{blocks: map[string]bool{}} }
 
 func (x *index) has(id string) bool { return x.blocks[id] }
 
-// apply takes a page of events and returns the blocks that were removed. After a restart of the engine or a hole in the
-// sequence numbers the index starts empty: a removal may be among the lost events, and believing in a block that is gone
-// delays the first token, while forgetting one that is there costs at most a needless fetch.
+// add takes a block that the engine holds.
+func (x *index) add(id string) {
+	if len(x.blocks) >= maxIndexBlocks {
+		clear(x.blocks)
+	}
+	x.blocks[id] = true
+}
+
+// apply takes a page of events and returns the blocks that were removed. After a restart of the engine the index starts
+// empty. A hole in the sequence numbers makes at most as many blocks wrong as events were lost; package retention says
+// when that is too many.
 func (x *index) apply(page engine.CacheEvents) (removed []string) {
 	if page.Incarnation != x.incarnation {
 		asked := x.next
@@ -34,8 +44,11 @@
 		}
 	}
 	for _, e := range page.Events {
-		if x.next != 0 && e.Sequence != x.next+1 {
-			clear(x.blocks)
+		if x.next != 0 && e.Sequence > x.next+1 {
+			x.doubt.Missed(e.Sequence - x.next - 1)
+			if x.doubt.Exceeds(len(x.blocks)) {
+				clear(x.blocks)
+			}
 		}
 		x.next = e.Sequence
 		if e.Removed {
@@ -43,10 +56,7 @@
 			removed = append(removed, e.Block)
 			continue
 		}
-		if len(x.blocks) >= maxIndexBlocks {
-			clear(x.blocks)
-		}
-		x.blocks[e.Block] = true
+		x.add(e.Block)
 	}
 	x.next = max(x.next, page.Next)
 	return removed
--- a/internal/version/kvstore/mover.go
+++ b/internal/version/kvstore/mover.go
@@ -146,6 +146,7 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	for _, id := range ids {
+		m.index.add(id.String()) // the run has just used it, whatever events were lost
 		m.tracker.Use(id.Uint64(), now)
 		if len(m.Stores) == 0 || !m.tracker.ShouldExport(id.Uint64()) {
 			continue
--- a/internal/version/kvstore/mover_test.go
+++ b/internal/version/kvstore/mover_test.go
@@ -232,6 +232,22 @@
 	}
 }
 
+// TestIndexOutlivesSmallHoles guards against an agent that fetches everything again after few lost events, and against an
+// index that is trusted after many.
+func TestIndexOutlivesSmallHoles(t *testing.T) {
+	is := is.New(t)
+	x := newIndex()
+	page := engine.CacheEvents{Incarnation: 1}
+	for i := range uint64(40) {
+		page.Events = append(page.Events, engine.CacheEvent{Sequence: i + 1, Block: string(rune('a' + i))})
+	}
+	x.apply(page)
+	x.apply(engine.CacheEvents{Incarnation: 1, Events: []engine.CacheEvent{{Sequence: 46, Block: "new"}}}) // 5 lost
+	is.Equal(len(x.blocks), 41)
+	x.apply(engine.CacheEvents{Incarnation: 1, Events: []engine.CacheEvent{{Sequence: 53, Block: "newer"}}}) // 11 in all
+	is.Equal(len(x.blocks), 1)
+}
+
 // TestFollowLearnsEvictions guards against an index that keeps blocks which the engine dropped.
 func TestFollowLearnsEvictions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
