--- /dev/null
+++ b/test/capacity/sample_test.go
@@ -0,0 +1,192 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"primrosecourse/internal/standin/platform"
+)
+
+// ticksPerSecond is USER_HZ, which Linux fixes at 100 for programs.
+const ticksPerSecond = 100
+
+// usage is what a process used since its start, or in a window. Resident is the value at the end.
+type usage struct {
+	cpu               float64 // seconds
+	resident          float64 // bytes
+	received, written float64 // bytes
+}
+
+func (u usage) minus(v usage) usage {
+	return usage{u.cpu - v.cpu, u.resident, u.received - v.received, u.written - v.written}
+}
+
+func field(text, key string) float64 {
+	for line := range strings.Lines(text) {
+		if value, ok := strings.CutPrefix(line, key+":"); ok {
+			v, _ := strconv.ParseFloat(strings.Fields(value)[0], 64) // the kernel writes a number
+			return v
+		}
+	}
+	return math.NaN()
+}
+
+func (p *process) usage(b *testing.B) (u usage) {
+	read := func(name string) string {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", p.cmd.Process.Pid, name))
+		if err != nil {
+			b.Fatal(err)
+		}
+		return string(text)
+	}
+	stat := read("stat")
+	// The second field is the program name in parentheses; utime and stime are fields 14 and 15.
+	f := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
+	for _, text := range f[11:13] {
+		v, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			b.Fatal(err)
+		}
+		u.cpu += v / ticksPerSecond
+	}
+	u.resident = 1024 * field(read("status"), "VmRSS")
+	io := read("io")
+	info, err := p.log.Stat()
+	if err != nil {
+		b.Fatal(err)
+	}
+	u.received, u.written = field(io, "rchar"), field(io, "wchar")-float64(info.Size())
+	return u
+}
+
+// window is what each role used between two samples, and the calls that the platform answered.
+type window struct {
+	seconds float64
+	// watchers and others are the entries, models and services the agents. The two entries that read most are the
+	// watchers of the only failure domain.
+	watchers, others, models, services usage
+	calls                              map[string]int
+}
+
+// measure runs work and returns what the processes used meanwhile, as a mean over the processes of a role.
+func (s *system) measure(b *testing.B, work func()) (w window) {
+	before := map[*process]usage{}
+	for _, p := range s.roles() {
+		before[p] = p.usage(b)
+	}
+	last := s.sequence(b)
+	start := time.Now()
+	work()
+	w.seconds = time.Since(start).Seconds()
+	used := func(ps []*process) (us []usage) {
+		for _, p := range ps {
+			us = append(us, p.usage(b).minus(before[p]))
+		}
+		return us
+	}
+	entries := used(s.entries)
+	slices.SortFunc(entries, func(u, v usage) int { return int(v.received - u.received) })
+	w.watchers, w.others = mean(entries[:2]), mean(entries[2:])
+	w.models, w.services = mean(used(s.models)), mean(used(s.services))
+	w.calls = map[string]int{}
+	for _, c := range s.ledger(b) {
+		if c.Sequence > last {
+			w.calls[c.Operation+" "+c.Kind]++
+		}
+	}
+	return w
+}
+
+func mean(us []usage) (m usage) {
+	n := float64(len(us))
+	for _, u := range us {
+		m.cpu += u.cpu / n
+		m.resident += u.resident / n
+		m.received += u.received / n
+		m.written += u.written / n
+	}
+	return m
+}
+
+func (s *system) ledger(b *testing.B) (calls []platform.Call) {
+	resp, err := http.Get("http://" + s.platform + "/ledger")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&calls); err != nil {
+		b.Fatal(err)
+	}
+	return calls
+}
+
+func (s *system) sequence(b *testing.B) uint64 {
+	if calls := s.ledger(b); len(calls) > 0 {
+		return calls[len(calls)-1].Sequence
+	}
+	return 0
+}
+
+// print writes the figures of a window, each divided by n: seconds for a rate, changes for a cost.
+func (w window) print(title string, n float64) {
+	fmt.Printf("%s\n", title)
+	for _, r := range []struct {
+		name string
+		u    usage
+	}{{"watcher entry", w.watchers}, {"other entry", w.others}, {"model agent", w.models}, {"service agent", w.services}} {
+		fmt.Printf("  %-14s cpu %8.3f ms  rss %6.1f MB  read %9.0f B  written %9.0f B\n", r.name, 1000*r.u.cpu/n,
+			r.u.resident/1e6, r.u.received/n, r.u.written/n)
+	}
+	var names []string
+	for name := range w.calls {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var out bytes.Buffer
+	for _, name := range names {
+		fmt.Fprintf(&out, " %s %.3f;", name, float64(w.calls[name])/n)
+	}
+	fmt.Printf("  platform:%s\n", out.String())
+}
+
+// fit prints the least-squares line through the points.
+func fit(what string, x, y []float64) {
+	n := float64(len(x))
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx, sy, sxx, sxy = sx+x[i], sy+y[i], sxx+x[i]*x[i], sxy+x[i]*y[i]
+	}
+	slope := (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	intercept := (sy - slope*sx) / n
+	residual := 0.0
+	for i := range x {
+		residual = max(residual, math.Abs(y[i]-slope*x[i]-intercept))
+	}
+	fmt.Printf("  fit %-52s slope %.6g intercept %.6g residual %.3g\n", what, slope, intercept, residual)
+}
+
+// fitUsage fits each figure of a role.
+func fitUsage(what string, x []float64, us []usage) {
+	var cpu, resident, received, written []float64
+	for _, u := range us {
+		cpu, resident = append(cpu, 1000*u.cpu), append(resident, u.resident/1e6)
+		received, written = append(received, u.received), append(written, u.written)
+	}
+	fit(what+": cpu ms", x, cpu)
+	fit(what+": rss MB", x, resident)
+	fit(what+": read B", x, received)
+	fit(what+": written B", x, written)
+}
+
+func (u usage) per(n float64) usage {
+	return usage{u.cpu / n, u.resident, u.received / n, u.written / n}
+}
