--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -36,7 +36,8 @@
 
 // BenchmarkSize measures idle processes and the cost of a change over the number of processes.
 func BenchmarkSize(b *testing.B) {
-	var subscribers []float64
+	var subscribers [2][]float64
+	var processes []float64
 	var idles, costs [4][]usage
 	for _, sz := range []size{{entries: 3, models: 6, services: 2}, {entries: 4, models: 28, services: 4},
 		{entries: 8, models: 88, services: 8}} {
@@ -46,8 +47,11 @@
 			quiet := s.measure(b, idle)
 			quiet.print("\nidle, for each second", quiet.seconds)
 			w := s.changed(b, quiet)
-			// Every agent subscribes to two entries, and every entry but the first to the one or two before it.
-			subscribers = append(subscribers, float64(2*(sz.models+sz.services)+2*sz.entries-3)/float64(sz.entries))
+			// Every agent subscribes to two entries, spread over all; every other entry to both watchers.
+			agents := 2 * float64(sz.models+sz.services) / float64(sz.entries)
+			subscribers[0] = append(subscribers[0], agents+float64(sz.entries-2))
+			subscribers[1] = append(subscribers[1], agents)
+			processes = append(processes, float64(sz.entries+sz.models+sz.services))
 			for i, u := range []usage{quiet.watchers, quiet.others, quiet.models, quiet.services} {
 				idles[i] = append(idles[i], u.per(quiet.seconds))
 			}
@@ -56,9 +60,13 @@
 			}
 		})
 	}
-	for i, role := range []string{"watcher entry", "other entry", "model agent", "service agent"} {
-		fitUsage("idle "+role+" by subscribers", subscribers, idles[i])
-		fitUsage("change "+role+" by subscribers", subscribers, costs[i])
+	for i, role := range []string{"watcher entry", "other entry"} {
+		fitUsage("idle "+role+" by subscribers", subscribers[i], idles[i])
+		fitUsage("change "+role+" by subscribers", subscribers[i], costs[i])
+	}
+	for i, role := range []string{"model agent", "service agent"} {
+		fitUsage("idle "+role+" by processes", processes, idles[2+i])
+		fitUsage("change "+role+" by processes", processes, costs[2+i])
 	}
 }
 
@@ -84,6 +92,7 @@
 	for _, n := range []int{100, 1000, 10000} {
 		b.Run(fmt.Sprintf("listed=%d", n), func(b *testing.B) {
 			s := startSystem(b, size{entries: 4, models: 4, services: 2, listed: n})
+			s.started(b).print("\nfrom the start until ready (watchers are those that read most), in all", 1)
 			time.Sleep(settle)
 			quiet := s.measure(b, idle)
 			quiet.print("\nidle, for each second", quiet.seconds)
--- a/test/capacity/sample_test.go
+++ b/test/capacity/sample_test.go
@@ -106,6 +106,21 @@
 	return w
 }
 
+// started returns what the processes used since their start.
+func (s *system) started(b *testing.B) (w window) {
+	used := func(ps []*process) (us []usage) {
+		for _, p := range ps {
+			us = append(us, p.usage(b))
+		}
+		slices.SortFunc(us, func(u, v usage) int { return int(v.received - u.received) })
+		return us
+	}
+	entries := used(s.entries)
+	w.watchers, w.others = mean(entries[:2]), mean(entries[2:])
+	w.models, w.services = mean(used(s.models)), mean(used(s.services))
+	return w
+}
+
 func mean(us []usage) (m usage) {
 	n := float64(len(us))
 	for _, u := range us {
