--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -14,6 +14,9 @@
 const (
 	// settle lets connections and buffers of the start end before a window.
 	settle = 5 * time.Second
+	// spread is the time after which every process has moved from the peers of its start to those that the
+	// configuration gives it, which it prefers again after 30 s.
+	spread = 36 * time.Second
 	// span is the length of a window; it holds two waits of a watch.
 	span = 10 * time.Second
 	// changes is the number of configuration changes in a window, at one a second.
@@ -43,7 +46,7 @@
 		{entries: 8, models: 88, services: 8}} {
 		b.Run(fmt.Sprintf("entries=%d/agents=%d", sz.entries, sz.models+sz.services), func(b *testing.B) {
 			s := startSystem(b, sz)
-			time.Sleep(settle)
+			time.Sleep(spread)
 			quiet := s.measure(b, idle)
 			quiet.print("\nidle, for each second", quiet.seconds)
 			w := s.changed(b, quiet)
