--- a/test/capacity/sample_test.go
+++ b/test/capacity/sample_test.go
@@ -173,8 +173,11 @@
 	fmt.Printf("  platform:%s\n", out.String())
 }
 
-// fit prints the least-squares line through the points.
+// fit prints the least-squares line through the points. Fewer than three, as from a part of the sizes, give none.
 func fit(what string, x, y []float64) {
+	if len(x) < 3 {
+		return
+	}
 	n := float64(len(x))
 	var sx, sy, sxx, sxy float64
 	for i := range x {
