--- a/test/scenario/doc.go
+++ b/test/scenario/doc.go
@@ -14,6 +14,8 @@
 //	ctl ARGS...                    runs primrosectl
 //	prompt [as=ORG] [via=ENTRY] [max=N] TEXT
 //	                               prints "status=... outcome=... reason=... body=..."
+//	stream [as=ORG] [via=ENTRY] [max=N] TEXT
+//	                               the same with server-sent events; prints "whole=... done=... status=..."
 //	order [as=ORG] [via=ENTRY] KEY BODY
 //	                               prints the same
 //	background prompt|order ARGS   sends without waiting; await prints the answer
@@ -23,6 +25,9 @@
 //	faults N STAND-IN...           N faults are left; one with a Count ends when it was used
 //	settled MODEL                  the engine has no run under way
 //	count MODEL, unchanged MODEL   the engine got no run in between
+//	foreign N                      runs used N cache blocks of another weight version
+//	orders MODEL KIND N            the engine took N orders of the kind, such as LoadVersion
+//	twin NAME NEW                  starts a second process with the same arguments
 //	retry DURATION COMMAND... [-- TEXT]
 //	                               repeats a command until it succeeds and prints TEXT
 //	sleep DURATION                 lets time pass for faults that need it; never to wait for a result
