--- a/test/scenario/traffic_test.go
+++ b/test/scenario/traffic_test.go
@@ -42,13 +42,21 @@
 	t.failures = append(t.failures, fmt.Sprintf(format, args...))
 }
 
-// cmdTraffic starts the traffic; "traffic prompts" sends no orders.
+// cmdTraffic starts the traffic; "traffic prompts" sends no orders, "traffic prompts N" has N callers an entry.
 func cmdTraffic(s *system, _ *testscript.TestScript, args []string) error {
 	t := &traffic{stop: make(chan struct{})}
 	s.traffic = t
+	callers := 2
+	if len(args) > 1 {
+		n, err := strconv.Atoi(args[1])
+		if err != nil {
+			return err
+		}
+		callers = n
+	}
 	for i, entry := range s.entries {
-		for j := range 2 {
-			t.workers.Go(func() { t.prompts(s, entry, uint64(10*i+j)) })
+		for j := range callers {
+			t.workers.Go(func() { t.prompts(s, entry, uint64(100*i+j)) })
 		}
 		if len(args) == 0 {
 			t.workers.Go(func() { t.orders(s, entry) })
