--- a/internal/process/agent/orders.go
+++ b/internal/process/agent/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -41,8 +42,9 @@
 	live   []string // those of them that the platform lists
 }
 
-// instancesInterval is the time between two reads of the platform's list, which lags by more than that.
-const instancesInterval = 2 * time.Second
+// instancesInterval is the mean time between two reads of the platform's list. Entries tell sooner which endpoints they cannot
+// reach; at 2 s, 2,000 agents beside plain services would use half of the reads that the platform bears.
+const instancesInterval = 10 * time.Second
 
 // Run serves orders until ctx is done and finishes those under way.
 func (o *OrderOwner) Run(ctx context.Context) (err error) {
@@ -92,16 +94,20 @@
 // list follows the platform's list of instances and the configuration. During an outage the last list stays.
 func (o *OrderOwner) list(ctx context.Context) {
 	var listed map[string]bool
+	var next time.Time
 	for ctx.Err() == nil {
 		changed := o.Configuration.Changed()
-		if instances, err := o.Platform.Instances(ctx); err == nil {
-			listed = make(map[string]bool, len(instances))
-			for _, i := range instances {
-				listed[i.Name] = !i.Leaving
+		if !time.Now().Before(next) {
+			if instances, err := o.Platform.Instances(ctx); err == nil {
+				listed = make(map[string]bool, len(instances))
+				for _, i := range instances {
+					listed[i.Name] = !i.Leaving
+				}
 			}
+			next = time.Now().Add(instancesInterval*3/4 + rand.N(instancesInterval/2))
 		}
 		o.update(listed)
-		timer := time.NewTimer(instancesInterval)
+		timer := time.NewTimer(time.Until(next))
 		select {
 		case <-changed:
 		case <-timer.C:
