--- a/internal/process/operator/accept.go
+++ b/internal/process/operator/accept.go
@@ -34,7 +34,7 @@
 			return r, err
 		}
 		r.Version, r.Operator, r.At = current.Version, current.Accepted.Operator, current.Accepted.At
-		r.NotPushed = o.push(ctx, current, entries(old.Accepted.Deployment, next))
+		r.NotPushed = o.spread(ctx, current, entries(old.Accepted.Deployment, next))
 	}
 	if options.Wait {
 		r.NotInForce, err = o.wait(ctx, current)
--- a/internal/process/operator/session.go
+++ b/internal/process/operator/session.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"primrosecourse/internal/version/config"
 	"primrosecourse/pkg/settings"
 	"primrosecourse/pkg/wire"
 )
@@ -169,6 +170,35 @@
 	return p.load()
 }
 
+// spreadTime is the time in which the watchers pass a version on to the other entries as a difference.
+const spreadTime = 500 * time.Millisecond
+
+// spread pushes the accepted version to the watchers of each failure domain, and after spreadTime to those other entries
+// that do not have it yet. Whole contents pushed to every entry would exceed the bytes that control may cost them.
+func (o *Operator) spread(ctx context.Context, current Current, targets []target) (failed []Part) {
+	watches := map[netip.AddrPort]bool{}
+	for _, e := range config.Watchers(&current.Accepted.Deployment) {
+		watches[e.Address] = true
+	}
+	var first, rest []target
+	for _, t := range targets {
+		if watches[t.address] {
+			first = append(first, t)
+		} else {
+			rest = append(rest, t)
+		}
+	}
+	failed = o.push(ctx, current, first)
+	if len(rest) == 0 {
+		return failed
+	}
+	select {
+	case <-time.After(spreadTime):
+	case <-ctx.Done():
+	}
+	return append(failed, o.push(ctx, current, rest)...)
+}
+
 // push sends the accepted version to the targets and returns those that it did not reach. A target that has the
 // version by then, from the platform or from a peer, needs no push.
 func (o *Operator) push(ctx context.Context, current Current, targets []target) (failed []Part) {
--- a/internal/version/config/rank.go
+++ b/internal/version/config/rank.go
@@ -48,6 +48,15 @@
 	return ranked[:min(n, len(ranked))]
 }
 
+// Watchers returns the entries that watch the platform, of all failure domains.
+func Watchers(d *settings.Deployment) (entries []settings.Entry) {
+	ranked, domains := byDomain(d)
+	for _, domain := range domains {
+		entries = append(entries, watchers(d, ranked[domain])...)
+	}
+	return entries
+}
+
 // watches tells whether the entry is one of those that watch the platform for their failure domain.
 func watches(d *settings.Deployment, name, domain string) bool {
 	ranked, _ := byDomain(d)
