--- a/internal/process/operator/spread_test.go
+++ b/internal/process/operator/spread_test.go
@@ -53,14 +53,18 @@
 		}
 		trackers := map[string]*config.Tracker{}
 		d := deployment()
+		// Trackers dial each other, so every listener stands before the first one runs.
+		for _, e := range d.Entries {
+			listeners[e.Address.String()] = &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+		}
 		for _, e := range d.Entries {
 			tracker := &config.Tracker{Name: e.Name, FailureDomain: e.FailureDomain, Platform: r.fake, Log: logr.Discard(),
 				IsEntry: true, Address: e.Address, Dial: func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
 					return r.Dial(ctx, a.String())
 				}}
-			listener := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+			listener := listeners[e.Address.String()]
 			server := &peer.Server{Name: e.Name, FailureDomain: e.FailureDomain, Config: tracker, Log: logr.Discard()}
-			listeners[e.Address.String()], trackers[e.Name] = listener, tracker
+			trackers[e.Name] = tracker
 			wg.Go(func() { _ = tracker.Run(ctx) })
 			wg.Go(func() { _ = server.Run(ctx, listener) })
 		}
