--- a/internal/process/agent/prompt.go
+++ b/internal/process/agent/prompt.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/engine"
 	"primrosecourse/pkg/fairqueue"
