--- a/pkg/settings/deployment.go
+++ b/pkg/settings/deployment.go
@@ -38,7 +38,8 @@
 	MaxBodyBytes int64
 	// MaxTokens bounds the answer of one request. Default 4096.
 	MaxTokens int
-	// HeaderTimeout and BodyTimeout bound the time in which a caller must send them. Defaults 5 s and 30 s.
+	// HeaderTimeout and BodyTimeout bound the time in which a caller must send them. Defaults 5 s and 30 s. Entries do not
+	// apply HeaderTimeout yet, since net/http takes it only at the start; they allow 5 s.
 	HeaderTimeout time.Duration
 	BodyTimeout   time.Duration
 	// RequestTimeout is the deadline of a request that names none, and the longest that a caller may ask. Default 2 min.
