--- a/cmd/primrose-standin/kind_engine.go
+++ b/cmd/primrose-standin/kind_engine.go
@@ -25,6 +25,10 @@
 	flag.IntVar(&s.BlockTokens, "EngineBlockTokens", 0, "engine: tokens of a cache block (0: 1024)")
 	flag.DurationVar(&s.LoadTime, "EngineLoadTime", 0, "engine: time to load weights")
 	flag.BoolVar(&s.ChecksFencing, "EngineChecksFencing", false, "engine: refuses orders with an old epoch")
+	flag.Func("EngineWeights", "engine: address of the weight store to load from", func(value string) (err error) {
+		s.Weights, err = netip.ParseAddrPort(value)
+		return err
+	})
 	kinds["engine"] = serveEngine
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -277,10 +277,8 @@
 		return engine.ErrOldEpoch
 	}
 	if o.Kind == "LoadVersion" {
-		select {
-		case <-time.After(e.settings.LoadTime):
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := e.loadWeights(ctx, o); err != nil {
+			return err
 		}
 		e.Set(o.Model, o.Version, "")
 	}
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Settings describe an engine. The defaults are fast, so that tests take milliseconds.
 type Settings struct {
@@ -32,8 +35,10 @@
 	EventHole  int
 	// LoadLag is the age of load reports.
 	LoadLag time.Duration
-	// LoadTime is how long an order to load weights takes.
+	// LoadTime is how long an order to load weights takes, without Weights.
 	LoadTime time.Duration
+	// Weights is the address of the weight store that an order to load weights reads from; unset for none.
+	Weights netip.AddrPort
 	// RestartTime is how long a crashed engine answers 503.
 	RestartTime time.Duration
 	// ChecksFencing makes the engine refuse an order with an older epoch than one seen before.
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -102,6 +102,7 @@
 var repeatable = map[string]command{
 	"ctl": cmdCtl, "prompt": cmdPrompt, "order": cmdOrder, "runs": cmdRuns, "written": cmdWritten, "faults": cmdFaults, "settled": cmdSettled,
 	"posted": cmdPosted, "orders": cmdOrders,
+	"loads": cmdLoads,
 }
 
 // cmdRetry repeats a command and, behind "--", an expected part of its output, until both hold.
--- a/test/scenario/doc.go
+++ b/test/scenario/doc.go
@@ -27,6 +27,7 @@
 //	count MODEL, unchanged MODEL   the engine got no run in between
 //	foreign N                      runs used N cache blocks of another weight version
 //	orders MODEL KIND N            the engine took N orders of the kind, such as LoadVersion
+//	loads N M                      the weight store served N loads, at most M at a time
 //	twin NAME NEW                  starts a second process with the same arguments
 //	retry DURATION COMMAND... [-- TEXT]
 //	                               repeats a command until it succeeds and prints TEXT
--- a/test/scenario/ledger_test.go
+++ b/test/scenario/ledger_test.go
@@ -8,6 +8,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"primrosecourse/internal/standin/engine"
+	"primrosecourse/internal/standin/weights"
 	"primrosecourse/pkg/token"
 )
 
@@ -109,6 +110,21 @@
 	return nil
 }
 
+// cmdLoads succeeds once the weight store served N loads, and fails if more than M ran at a time.
+func cmdLoads(s *system, _ *testscript.TestScript, args []string) error {
+	var l weights.Ledger
+	if err := s.getJSON("weights", "/ledger", &l); err != nil {
+		return err
+	}
+	if got := strconv.Itoa(l.Loads - l.Running); got != args[0] {
+		return fmt.Errorf("weight store served %s loads, want %s", got, args[0])
+	}
+	if limit, err := strconv.Atoi(args[1]); err != nil || l.MostAtOnce > limit {
+		return fmt.Errorf("%d loads ran at a time, allowed are %s", l.MostAtOnce, args[1])
+	}
+	return nil
+}
+
 // wholeAnswer is what the engines generate for a prompt, whichever of them run it.
 func wholeAnswer(prompt string, tokens int) string {
 	fingerprint := engine.Fingerprint(token.Encode(prompt))
--- a/test/scenario/system_test.go
+++ b/test/scenario/system_test.go
@@ -215,6 +215,7 @@
 	domain := s.place(name, i)
 	s.agents = append(s.agents, name)
 	s.standin(name+".engine", "engine", "-EngineModel", "Notes", "-EngineVersion", "V1", "-EngineBlockTokens", "64",
+		"-EngineWeights", s.addresses["weights"].String(),
 		fmt.Sprintf("-EngineChecksFencing=%t", s.fencing))
 	fmt.Fprintf(ini, "[Endpoint %q]\nAddress = %s\nFailureDomain = %s\nModel = Notes\nChecksFencing = %t\n", name,
 		s.peers[name], domain, s.fencing)
