--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -36,6 +36,7 @@
 	"posted":      wrap(cmdPosted),
 	"background":  wrap(cmdBackground),
 	"await":       wrap(cmdAwait),
+	"list":        wrap(cmdList),
 	"sleep":       wrap(cmdSleep),
 	"count":       wrap(cmdCount),
 	"unchanged":   wrap(cmdUnchanged),
--- a/test/scenario/doc.go
+++ b/test/scenario/doc.go
@@ -11,6 +11,7 @@
 //	ready NAME                     waits until the process is ready
 //	fault NAME JSON                sets a fault at a stand-in; "fault NAME clear" ends all
 //	admin MODEL ROUTE              posts to an admin route of the endpoint's engine, such as cold
+//	list NAME...                   the platform lists these instances as live, until it is told otherwise
 //	ctl ARGS...                    runs primrosectl
 //	prompt [as=ORG] [via=ENTRY] [max=N] TEXT
 //	                               prints "status=... outcome=... reason=... body=..."
--- a/test/scenario/faults_test.go
+++ b/test/scenario/faults_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	clientplatform "primrosecourse/internal/process/platform"
 	"primrosecourse/internal/standin/engine"
 	"primrosecourse/internal/standin/fault"
 	"primrosecourse/internal/standin/platform"
@@ -66,6 +68,31 @@
 	return err
 }
 
+// cmdList sets the platform's list of live instances, which the harness otherwise leaves empty.
+func cmdList(s *system, _ *testscript.TestScript, args []string) error {
+	var list []clientplatform.Instance
+	for _, name := range args {
+		list = append(list, clientplatform.Instance{Name: name, Address: s.peers[name], FailureDomain: s.domains[name]})
+	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+s.addresses["platform"].String()+"/instances", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := s.http.Do(req)
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("list: %s", resp.Status)
+	}
+	return nil
+}
+
 // cmdWritten succeeds once the platform has taken N writes of a kind.
 func cmdWritten(s *system, _ *testscript.TestScript, args []string) error {
 	want, err := strconv.Atoi(args[1])
