--- a/test/site/site.go
+++ b/test/site/site.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -21,17 +22,41 @@
 // ReadyTimeout bounds each wait for a process; it only matters when the process is broken.
 const ReadyTimeout = 30 * time.Second
 
-// firstPort keeps the fixed addresses below the range from which the kernel draws ports of outgoing connections.
-const firstPort = 20000
+const (
+	// firstPort keeps the fixed addresses below the range from which the kernel draws ports of outgoing connections.
+	firstPort = 20000
+	// blockPorts is the number of ports of a block, blocks that of the blocks up to port 32,000.
+	blockPorts = 1500
+	blocks     = 8
+)
+
+var (
+	nextPort    atomic.Uint32
+	reservation net.Listener
+)
+
+// block reserves a block of ports for this process by listening on its first one, since two test runs at a time could
+// otherwise take the same port between choosing and using it. The listener stays open until the process ends.
+var block = sync.OnceValue(func() (first uint32) {
+	for b := range uint32(blocks) {
+		first = firstPort + b*blockPorts
+		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(loopback(first)))
+		if err == nil {
+			reservation = l // an unreferenced listener would be closed by the garbage collector
+			return first
+		}
+	}
+	return first
+})
 
-var nextPort atomic.Uint32
+func loopback(port uint32) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+}
 
 // FreeAddress returns a loopback address that nothing listens on.
 func FreeAddress() netip.AddrPort {
-	offset := uint32(os.Getpid()) * 37 % 9000
 	for {
-		port := firstPort + (offset+nextPort.Add(1))%12000
-		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+		addr := loopback(block() + 1 + nextPort.Add(1)%(blockPorts-1))
 		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
 		if err == nil {
 			l.Close()
