--- a/test/site/site.go
+++ b/test/site/site.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -55,6 +56,7 @@
 
 // FreeAddress returns a loopback address that nothing listens on.
 func FreeAddress() netip.AddrPort {
+	defer runtime.KeepAlive(reservation)
 	for {
 		addr := loopback(block() + 1 + nextPort.Add(1)%(blockPorts-1))
 		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
