--- /dev/null
+++ b/cmd/primrose-gateway/main.go
@@ -0,0 +1,118 @@
+// Command primrose-gateway takes the requests of callers to the endpoints of a site on the users' platform. It is told its
+// addresses by a settings file in INI, whose path is the first argument or stands in the platform's environment variable. It
+// writes JSON lines to standard output.
+//
+// SIGTERM and SIGINT end it gracefully; a second signal ends it at once. SIGHUP makes it check the settings file and log what
+// it found; new addresses need a restart. It exits with 2 for wrong flags or settings and with 1 for other errors.
+//
+// # Usage
+//
+//	primrose-gateway /etc/primrosecourse/settings
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/daemon"
+	"primrosecourse/internal/process/gateway"
+	"primrosecourse/internal/process/logsink"
+	"primrosecourse/internal/version/registry"
+	"primrosecourse/platform"
+)
+
+func main() {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr, signals, reloads))
+}
+
+// memoryShare is the part of the allowed memory from which the collector works harder, the rest being for stacks and for
+// bytes in the kernel.
+const memoryShare = 0.6
+
+// run runs the process until a signal and returns its exit code.
+func run(args []string, stdout, stderr io.Writer, signals, reloads <-chan os.Signal) int {
+	set := flag.NewFlagSet("primrose-gateway", flag.ContinueOnError)
+	set.SetOutput(stderr)
+	err := set.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	if err != nil || set.NArg() > 1 {
+		fmt.Fprintln(stderr, "usage: primrose-gateway [SETTINGS]")
+		return 2
+	}
+	path := set.Arg(0)
+	if path == "" {
+		path = platform.SettingsPath()
+	}
+	settings, err := gateway.ReadSettings(path)
+	if err != nil {
+		fmt.Fprintln(stderr, "primrose-gateway:", err)
+		return 2
+	}
+	debug.SetMemoryLimit(int64(float64(settings.MemoryMegabytes) * memoryShare * (1 << 20)))
+	ctx, stop := context.WithCancel(context.Background())
+	sink := logsink.New(stdout)
+	sink.Dropped = func(lines int) string {
+		return fmt.Sprintf(`{"level":"WARN","msg":%q,"Event":%d,"lines":%d}`, event.LogDropped, int(event.LogDropped), lines)
+	}
+	sinkEnded := make(chan error, 1)
+	go func() { sinkEnded <- sink.Run(ctx) }()
+	defer func() {
+		stop()
+		<-sinkEnded
+	}()
+	log := logr.FromSlogHandler(slog.NewJSONHandler(sink, nil)).WithName(settings.Name)
+	store := platform.New(settings.Store)
+	defer store.Close()
+	r := &registry.Registry{Name: settings.Name, Configurations: platform.Configurations(store), Endpoints: platform.Endpoints(store),
+		Evacuations: platform.Evacuations(store), Versions: platform.Versions(store), Shared: platform.Shared(store), Log: log}
+	g := &gateway.Gateway{Settings: settings, Registry: r, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Log: log,
+		Metrics: metrics.NewRegistry()}
+	reloadEnded := make(chan struct{})
+	go func() {
+		defer close(reloadEnded)
+		reload(ctx, path, log, reloads)
+	}()
+	err = daemon.Run(g, signals)
+	stop()
+	<-reloadEnded
+	if err != nil {
+		fmt.Fprintln(stderr, "primrose-gateway:", err)
+		return 1
+	}
+	return 0
+}
+
+// reload checks the settings file on each signal.
+func reload(ctx context.Context, path string, log logr.Logger, reloads <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reloads:
+			_, err := gateway.ReadSettings(path)
+			if err != nil {
+				event.Error(log, err, event.GatewayReloaded, "outcome", "settings stay as they were")
+				continue
+			}
+			event.Info(log, event.GatewayReloaded, "outcome", "settings are valid")
+		}
+	}
+}
--- a/internal/event/id_string.go
+++ b/internal/event/id_string.go
@@ -65,6 +65,36 @@
 	_ = x[EntryDraining-1011]
 	_ = x[EntryCutOff-1012]
 	_ = x[EntryConfigApplied-1013]
+	_ = x[GatewayStarted-1100]
+	_ = x[GatewayStopped-1101]
+	_ = x[GatewayReady-1102]
+	_ = x[GatewayDraining-1103]
+	_ = x[GatewayReloaded-1104]
+	_ = x[StoreLost-1105]
+	_ = x[StoreRegained-1106]
+	_ = x[StoreHistoryLost-1107]
+	_ = x[StoreWriteFailed-1108]
+	_ = x[ObjectUnreadable-1109]
+	_ = x[ConfigurationApplied-1110]
+	_ = x[ConfigurationIgnored-1111]
+	_ = x[EndpointListed-1112]
+	_ = x[EndpointMissing-1113]
+	_ = x[EndpointRemoved-1114]
+	_ = x[DomainEvacuated-1115]
+	_ = x[WeightVersionNamed-1116]
+	_ = x[GatewaysCounted-1117]
+	_ = x[EndpointSuspect-1118]
+	_ = x[EndpointTrusted-1119]
+	_ = x[RequestSent-1120]
+	_ = x[RequestFailedAttempt-1121]
+	_ = x[RequestDenied-1122]
+	_ = x[RequestAnswered-1123]
+	_ = x[RequestAbandoned-1124]
+	_ = x[LeaseGained-1125]
+	_ = x[LeaseLost-1126]
+	_ = x[OrderSent-1127]
+	_ = x[RequestMarked-1128]
+	_ = x[LogDropped-1129]
 	_ = x[OrderStarted-4000]
 	_ = x[OrderStopped-4001]
 	_ = x[OrderShardTaken-4002]
@@ -86,20 +116,22 @@
 
 const (
 	_ID_name_0 = "EntryStartedEntryStoppedAgentUnreachableAgentReachableAgentPushRejectedRequestRoutedRequestRefusedRequestResumedRequestEndedCallRoutedEntryReadyEntryDrainingEntryCutOffEntryConfigApplied"
-	_ID_name_1 = "AgentStartedAgentStoppedAgentAddressTakenEpochRaisedEpochNotRaisedAgentFencedEntryConnectedEntryDisconnectedEntryRejectedEntryTooSlowPromptAcceptedPromptRefusedPromptEndedCallRefusedCallEndedEngineTurnedColdEngineDownEngineServingEngineDiffersEngineOrderedEngineOrderFailedRequestSuspectedQuarantineNotStoredAgentDrainingAgentCutOffConfigRefusedLoadPermitMissingQuarantineStoredAgentPartFailed"
-	_ID_name_2 = "AgentFetchDecidedAgentFetchFailedAgentStoreFailedAgentExportedAgentExportFailed"
-	_ID_name_3 = "ConfigStartedConfigStoppedConfigReadyConfigAcceptedConfigInvalidConfigReadFailedConfigWatchGapConfigDirectReadConfigWatchingPeerConnectedPeerClosedPeerRefusedPeerContentSentConfigPlatformOlder"
-	_ID_name_4 = "OrderStartedOrderStoppedOrderShardTakenOrderShardLostOrderTakeoverFailedOrderPlatformFailedOrderOutcomeUnknownOrderResultNotStoredOrderSegmentsExpiredOrderSegmentMalformed"
-	_ID_name_5 = "StandinStartedStandinStopped"
+	_ID_name_1 = "GatewayStartedGatewayStoppedGatewayReadyGatewayDrainingGatewayReloadedStoreLostStoreRegainedStoreHistoryLostStoreWriteFailedObjectUnreadableConfigurationAppliedConfigurationIgnoredEndpointListedEndpointMissingEndpointRemovedDomainEvacuatedWeightVersionNamedGatewaysCountedEndpointSuspectEndpointTrustedRequestSentRequestFailedAttemptRequestDeniedRequestAnsweredRequestAbandonedLeaseGainedLeaseLostOrderSentRequestMarkedLogDropped"
+	_ID_name_2 = "AgentStartedAgentStoppedAgentAddressTakenEpochRaisedEpochNotRaisedAgentFencedEntryConnectedEntryDisconnectedEntryRejectedEntryTooSlowPromptAcceptedPromptRefusedPromptEndedCallRefusedCallEndedEngineTurnedColdEngineDownEngineServingEngineDiffersEngineOrderedEngineOrderFailedRequestSuspectedQuarantineNotStoredAgentDrainingAgentCutOffConfigRefusedLoadPermitMissingQuarantineStoredAgentPartFailed"
+	_ID_name_3 = "AgentFetchDecidedAgentFetchFailedAgentStoreFailedAgentExportedAgentExportFailed"
+	_ID_name_4 = "ConfigStartedConfigStoppedConfigReadyConfigAcceptedConfigInvalidConfigReadFailedConfigWatchGapConfigDirectReadConfigWatchingPeerConnectedPeerClosedPeerRefusedPeerContentSentConfigPlatformOlder"
+	_ID_name_5 = "OrderStartedOrderStoppedOrderShardTakenOrderShardLostOrderTakeoverFailedOrderPlatformFailedOrderOutcomeUnknownOrderResultNotStoredOrderSegmentsExpiredOrderSegmentMalformed"
+	_ID_name_6 = "StandinStartedStandinStopped"
 )
 
 var (
 	_ID_index_0 = [...]uint8{0, 12, 24, 40, 54, 71, 84, 98, 112, 124, 134, 144, 157, 168, 186}
-	_ID_index_1 = [...]uint16{0, 12, 24, 41, 52, 66, 77, 91, 108, 121, 133, 147, 160, 171, 182, 191, 207, 217, 230, 243, 256, 273, 289, 308, 321, 332, 345, 362, 378, 393}
-	_ID_index_2 = [...]uint8{0, 17, 33, 49, 62, 79}
-	_ID_index_3 = [...]uint8{0, 13, 26, 37, 51, 64, 80, 94, 110, 124, 137, 147, 158, 173, 192}
-	_ID_index_4 = [...]uint8{0, 12, 24, 39, 53, 72, 91, 110, 130, 150, 171}
-	_ID_index_5 = [...]uint8{0, 14, 28}
+	_ID_index_1 = [...]uint16{0, 14, 28, 40, 55, 70, 79, 92, 108, 124, 140, 160, 180, 194, 209, 224, 239, 257, 272, 287, 302, 313, 333, 346, 361, 377, 388, 397, 406, 419, 429}
+	_ID_index_2 = [...]uint16{0, 12, 24, 41, 52, 66, 77, 91, 108, 121, 133, 147, 160, 171, 182, 191, 207, 217, 230, 243, 256, 273, 289, 308, 321, 332, 345, 362, 378, 393}
+	_ID_index_3 = [...]uint8{0, 17, 33, 49, 62, 79}
+	_ID_index_4 = [...]uint8{0, 13, 26, 37, 51, 64, 80, 94, 110, 124, 137, 147, 158, 173, 192}
+	_ID_index_5 = [...]uint8{0, 12, 24, 39, 53, 72, 91, 110, 130, 150, 171}
+	_ID_index_6 = [...]uint8{0, 14, 28}
 )
 
 func (i ID) String() string {
@@ -107,21 +139,24 @@
 	case 1000 <= i && i <= 1013:
 		i -= 1000
 		return _ID_name_0[_ID_index_0[i]:_ID_index_0[i+1]]
+	case 1100 <= i && i <= 1129:
+		i -= 1100
+		return _ID_name_1[_ID_index_1[i]:_ID_index_1[i+1]]
 	case 2000 <= i && i <= 2028:
 		i -= 2000
-		return _ID_name_1[_ID_index_1[i]:_ID_index_1[i+1]]
+		return _ID_name_2[_ID_index_2[i]:_ID_index_2[i+1]]
 	case 2900 <= i && i <= 2904:
 		i -= 2900
-		return _ID_name_2[_ID_index_2[i]:_ID_index_2[i+1]]
+		return _ID_name_3[_ID_index_3[i]:_ID_index_3[i+1]]
 	case 3000 <= i && i <= 3013:
 		i -= 3000
-		return _ID_name_3[_ID_index_3[i]:_ID_index_3[i+1]]
+		return _ID_name_4[_ID_index_4[i]:_ID_index_4[i+1]]
 	case 4000 <= i && i <= 4009:
 		i -= 4000
-		return _ID_name_4[_ID_index_4[i]:_ID_index_4[i+1]]
+		return _ID_name_5[_ID_index_5[i]:_ID_index_5[i+1]]
 	case 5000 <= i && i <= 5001:
 		i -= 5000
-		return _ID_name_5[_ID_index_5[i]:_ID_index_5[i+1]]
+		return _ID_name_6[_ID_index_6[i]:_ID_index_6[i+1]]
 	default:
 		return "ID(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- /dev/null
+++ b/internal/process/gateway/gateway.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"primrosecourse/internal/connection/endpoint"
+	"primrosecourse/internal/connection/front"
+	"primrosecourse/internal/event"
+	"primrosecourse/internal/request/forward"
+	"primrosecourse/internal/version/registry"
+	"primrosecourse/pkg/placement"
+	"primrosecourse/pkg/site"
+)
+
+// Part is a part of the process that runs beside the requests.
+type Part interface {
+	// Run runs the part until ctx is done and returns once its goroutines ended.
+	Run(ctx context.Context) error
+}
+
+// Gateway is the process. Its exported fields are set before Run.
+type Gateway struct {
+	Settings Settings
+	Registry *registry.Registry
+	Codec    forward.Codec
+	// ReadyPath is the path at which the balancer asks for readiness.
+	ReadyPath string
+	// Parts are run beside the gateway's own parts until requests have been finished.
+	Parts   []Part
+	Log     logr.Logger
+	Metrics metrics.Registry
+
+	draining atomic.Bool
+	abort    chan struct{}
+	aborted  sync.Once
+	once     sync.Once
+	table    *placement.Table
+	pool     *endpoint.Pool
+	front    *front.Server
+}
+
+const (
+	// noticeTime is how long new connections are taken after readiness went off: the balancer asks once a second and takes a
+	// process out after two misses.
+	noticeTime = 2700 * time.Millisecond
+	// stopReserve is what is left of the stop time when the last requests are cut off.
+	stopReserve = 500 * time.Millisecond
+)
+
+func (g *Gateway) init() {
+	g.once.Do(func() {
+		g.abort = make(chan struct{})
+		g.table = placement.New()
+		g.pool = endpoint.New()
+		if g.Metrics == nil {
+			g.Metrics = metrics.NewRegistry()
+		}
+		dialed := metrics.GetOrRegisterCounter("Endpoint.Connections", g.Metrics)
+		g.pool.Dialed = func(string) { dialed.Inc(1) }
+		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table,
+			Endpoints: g.pool, Crashes: g.Registry, Log: g.Log, Metrics: g.Metrics,
+			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
+				RepeatSpan: g.Settings.RepeatSpan}}
+		g.front = front.New(handler)
+		g.front.Limits = g.limits
+		g.Registry.Changed = g.learn
+	})
+}
+
+func (g *Gateway) limits() site.Limits {
+	if c := g.Registry.Current().Configuration; c != nil {
+		return c.Limits
+	}
+	return site.Limits{}
+}
+
+// learn gives the table what the registry learned.
+func (g *Gateway) learn(s *site.Snapshot) {
+	now := time.Now()
+	known := map[string]bool{}
+	for name, endpoints := range s.Endpoints {
+		var service *site.Service
+		if s.Configuration != nil {
+			service = s.Configuration.Services[name]
+		}
+		g.table.Learn(now, service, endpoints)
+		for _, e := range endpoints {
+			known[e.ID] = true
+		}
+	}
+	g.table.Keep(func(id string) bool { return known[id] })
+}
+
+// Abort ends Run without waiting for what is under way. It may be called more than once.
+func (g *Gateway) Abort() {
+	g.init()
+	g.aborted.Do(func() { close(g.abort) })
+}
+
+// Run serves until ctx is done and stops gracefully. It returns once all its goroutines ended.
+func (g *Gateway) Run(ctx context.Context) (err error) {
+	g.init()
+	defer func() { err = errors.Wrapf(err, "gateway %s", g.Settings.Name) }()
+	callers, err := listen(ctx, g.Settings.Callers)
+	if err != nil {
+		return err
+	}
+	readiness, err := listen(ctx, g.Settings.Readiness)
+	if err != nil {
+		_ = callers.Close()
+		return err
+	}
+	event.Info(g.Log, event.GatewayStarted, "name", g.Settings.Name, "callers", g.Settings.Callers.String(),
+		"failureDomain", g.Settings.FailureDomain, "store", g.Settings.Store.String())
+	// The parts outlive ctx, since requests under way need them until they are finished.
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	ready := &http.Server{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 30 * time.Second}
+	var parts sync.WaitGroup
+	run := func(part func(context.Context) error) {
+		parts.Go(func() {
+			if err := part(work); err != nil {
+				event.Error(g.Log, err, event.GatewayStopped, "reason", "part ended")
+			}
+		})
+	}
+	run(g.Registry.Run)
+	run(g.pool.Run)
+	for _, p := range g.Parts {
+		run(p.Run)
+	}
+	serving := make(chan error, 2)
+	go func() { serving <- g.front.Run(work, callers) }()
+	go func() { serving <- ready.Serve(readiness) }()
+	<-ctx.Done()
+	g.drain(callers)
+	_ = ready.Close()
+	stop()
+	<-serving
+	<-serving
+	parts.Wait()
+	event.Info(g.Log, event.GatewayStopped, "name", g.Settings.Name)
+	return nil
+}
+
+func listen(ctx context.Context, addr netip.AddrPort) (net.Listener, error) {
+	return (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", addr.String())
+}
+
+// drain finishes what is under way.
+func (g *Gateway) drain(callers net.Listener) {
+	begun := time.Now()
+	g.draining.Store(true)
+	g.front.Drain()
+	event.Info(g.Log, event.GatewayDraining, "active", g.front.Active())
+	g.pause(noticeTime)
+	_ = callers.Close()
+	g.front.CloseIdle()
+	last := begun.Add(g.Settings.StopTime - stopReserve)
+	for g.front.Active() > 0 && time.Now().Before(last) && g.pause(20*time.Millisecond) {
+		g.front.CloseIdle()
+	}
+	event.Info(g.Log, event.GatewayDraining, "active", g.front.Active(), "cutOff", true)
+	g.front.CloseAll()
+}
+
+// pause waits for d and reports false if the process is to end at once.
+func (g *Gateway) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-g.abort:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// ready answers the balancer.
+func (g *Gateway) ready(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != g.ReadyPath:
+		w.WriteHeader(http.StatusNotFound)
+	case g.draining.Load() || !g.Registry.Complete():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
--- /dev/null
+++ b/internal/version/registry/follower.go
@@ -0,0 +1,170 @@
+package registry
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"primrosecourse/internal/event"
+)
+
+const (
+	// firstRetry and lastRetry bound the time between two calls of a store that fails. The last one lies well below the
+	// time within which a configuration must be in force, so that the end of an outage is seen in time.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 800 * time.Millisecond
+)
+
+// follower keeps the objects of one kind current.
+type follower[T any] struct {
+	kind   string
+	source Source[T]
+	// wait is how long a watch waits for a change.
+	wait time.Duration
+	log  logr.Logger
+	// apply takes changed objects; removed ones have Removed set.
+	apply func(changes []Change[T])
+
+	revision uint64
+	known    map[string]uint64
+
+	mu      sync.Mutex
+	contact time.Time
+	trouble time.Time
+}
+
+// lastContact returns when the store last answered, zero if never.
+func (f *follower[T]) lastContact() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contact
+}
+
+// lastTrouble returns when a call last failed, zero if never.
+func (f *follower[T]) lastTrouble() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.trouble
+}
+
+// run follows the kind until ctx is done.
+func (f *follower[T]) run(ctx context.Context) {
+	f.known = map[string]uint64{}
+	listed, down := false, false
+	pause := firstRetry
+	for ctx.Err() == nil {
+		err := f.step(ctx, listed)
+		switch {
+		case err == nil:
+			f.answered()
+			listed, pause = true, firstRetry
+			if down {
+				down = false
+				event.Info(f.log, event.StoreRegained, "kind", f.kind, "revision", f.revision)
+			}
+			continue
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, ErrGap):
+			event.Info(f.log, event.StoreHistoryLost, "kind", f.kind, "revision", f.revision)
+			listed = false
+			continue
+		}
+		f.failed()
+		if !down {
+			down = true
+			event.Info(f.log, event.StoreLost, "kind", f.kind, "revision", f.revision, "reason", err.Error())
+		}
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, lastRetry)
+	}
+}
+
+// step makes one call and applies what it returned.
+func (f *follower[T]) step(ctx context.Context, listed bool) error {
+	if !listed {
+		changes, revision, err := f.source.List(ctx)
+		if err != nil {
+			return err
+		}
+		if revision < f.revision {
+			return errors.Newf("list went back from revision %d to %d", f.revision, revision)
+		}
+		f.replace(changes, revision)
+		return nil
+	}
+	changes, revision, err := f.source.Watch(ctx, f.revision, cmp.Or(f.wait, 2500*time.Millisecond))
+	if err != nil {
+		return err
+	}
+	if revision < f.revision {
+		return errors.Wrapf(ErrGap, "watch went back from revision %d to %d", f.revision, revision)
+	}
+	f.revision = revision
+	f.update(changes)
+	return nil
+}
+
+// replace takes a whole list: objects that it lacks are gone.
+func (f *follower[T]) replace(changes []Change[T], revision uint64) {
+	listed := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		listed[c.Name] = true
+	}
+	for name, at := range f.known {
+		if !listed[name] && at <= revision {
+			changes = append(changes, Change[T]{Name: name, Revision: at, Removed: true})
+		}
+	}
+	f.revision = revision
+	f.update(changes)
+}
+
+func (f *follower[T]) update(changes []Change[T]) {
+	fresh := changes[:0]
+	for _, c := range changes {
+		at, ok := f.known[c.Name]
+		switch {
+		case c.Removed && (!ok || c.Revision < at):
+			continue
+		case c.Removed:
+			delete(f.known, c.Name)
+		case ok && c.Revision <= at:
+			continue
+		default:
+			f.known[c.Name] = c.Revision
+		}
+		if c.Err != nil {
+			event.Info(f.log, event.ObjectUnreadable, "kind", f.kind, "name", c.Name, "revision", c.Revision,
+				"reason", c.Err.Error())
+		}
+		fresh = append(fresh, c)
+	}
+	f.apply(fresh)
+}
+
+func (f *follower[T]) answered() {
+	f.mu.Lock()
+	f.contact = time.Now()
+	f.mu.Unlock()
+}
+
+func (f *follower[T]) failed() {
+	f.mu.Lock()
+	f.trouble = time.Now()
+	f.mu.Unlock()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/version/registry/shared.go
@@ -0,0 +1,203 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"primrosecourse/internal/event"
+)
+
+// The names of shared objects begin with what they are.
+const (
+	memberPrefix = "Gateway."
+	markPrefix   = "Mark."
+	leaseName    = "Lease.Orders"
+)
+
+const (
+	// beatTime is the time between two signs of a gateway, memberTime how long it counts after the last one.
+	beatTime   = 6 * time.Second
+	memberTime = 20 * time.Second
+)
+
+// Member is the object by which a gateway shows that it shares the limits of endpoints.
+type Member struct {
+	Name string
+	Beat uint64
+}
+
+// Mark is the object of a request that crashed endpoints.
+type Mark struct {
+	// Endpoints lists the endpoints that crashed while it ran there.
+	Endpoints []string
+}
+
+// Lease is the object that says which gateway gives orders to endpoints.
+type Lease struct {
+	Holder string
+	// Token rises with each change of holder.
+	Token uint64
+	// Renewal changes with each renewal.
+	Renewal uint64
+	// Updating are the endpoints that are about to change their weights.
+	Updating []string
+}
+
+// CurrentLease returns the lease as last seen, and when it last changed.
+func (r *Registry) CurrentLease() (lease Lease, changed time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease, r.leaseAt
+}
+
+// LeaseName is the name of the lease object.
+func LeaseName() string { return leaseName }
+
+func (r *Registry) applyShared(changes []Change[json.RawMessage]) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for _, c := range changes {
+		var err error
+		switch {
+		case strings.HasPrefix(c.Name, memberPrefix):
+			r.applyMember(strings.TrimPrefix(c.Name, memberPrefix), c.Removed, now)
+		case strings.HasPrefix(c.Name, markPrefix):
+			err = r.applyMark(c)
+		case c.Name == leaseName:
+			err = r.applyLease(c, now)
+		}
+		if err != nil {
+			event.Info(r.Log, event.ObjectUnreadable, "kind", "Shared", "name", c.Name, "reason", err.Error())
+		}
+	}
+	if len(changes) > 0 {
+		r.publish()
+	}
+}
+
+func (r *Registry) applyMember(name string, removed bool, now time.Time) {
+	delete(r.members, name)
+	if !removed {
+		r.members[name] = now
+	}
+	r.countMembers()
+}
+
+func (r *Registry) countMembers() {
+	n := len(r.members)
+	if _, listed := r.members[r.Name]; !listed {
+		n++
+	}
+	if n != r.next.Gateways {
+		event.Info(r.Log, event.GatewaysCounted, "gateways", n, "before", r.next.Gateways)
+		r.next.Gateways = n
+	}
+}
+
+// expireMembers drops gateways that fell silent while the store could tell of them.
+func (r *Registry) expireMembers(now time.Time) {
+	if now.Sub(r.shared.lastTrouble()) < memberTime {
+		return
+	}
+	before := r.next.Gateways
+	for name, seen := range r.members {
+		if name != r.Name && now.Sub(seen) > memberTime {
+			delete(r.members, name)
+		}
+	}
+	r.countMembers()
+	if r.next.Gateways != before {
+		r.publish()
+	}
+}
+
+func (r *Registry) applyMark(c Change[json.RawMessage]) error {
+	fingerprint, err := strconv.ParseUint(strings.TrimPrefix(c.Name, markPrefix), 16, 64)
+	if err != nil {
+		return err
+	}
+	marks := maps.Clone(r.next.Marks)
+	delete(marks, fingerprint)
+	if !c.Removed {
+		var m Mark
+		if err := json.Unmarshal(c.Value, &m); err != nil {
+			return err
+		}
+		marks[fingerprint] = m.Endpoints
+	}
+	r.next.Marks = marks
+	return nil
+}
+
+func (r *Registry) applyLease(c Change[json.RawMessage], now time.Time) error {
+	var lease Lease
+	if !c.Removed {
+		if err := json.Unmarshal(c.Value, &lease); err != nil {
+			return err
+		}
+	}
+	r.lease, r.leaseAt = lease, now
+	updating := make(map[string]bool, len(lease.Updating))
+	for _, id := range lease.Updating {
+		updating[id] = true
+	}
+	r.next.Updating = updating
+	return nil
+}
+
+// beat shows the other gateways that this one shares the limits of endpoints.
+func (r *Registry) beat(ctx context.Context) {
+	name := memberPrefix + r.Name
+	var revision uint64
+	for n := uint64(1); ctx.Err() == nil; n++ {
+		next, err := r.write(ctx, name, revision, Member{Name: r.Name, Beat: n})
+		if err == nil {
+			revision = next
+		}
+		pause := beatTime*3/4 + rand.N(beatTime/2)
+		if err != nil {
+			revision = 0
+			pause /= 3
+		}
+		sleep(ctx, pause)
+	}
+	// A planned stop gives the share of this gateway back; the bound keeps an outage of the store from holding it up.
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := r.Shared.Delete(ctx, name, revision); err != nil {
+		event.Info(r.Log, event.StoreWriteFailed, "name", name, "reason", err.Error())
+	}
+}
+
+// write puts an object that only this gateway writes. After a conflict it takes the revision that the store has.
+func (r *Registry) write(ctx context.Context, name string, revision uint64, value any) (next uint64, err error) {
+	next, err = r.Shared.Put(ctx, name, revision, value)
+	if errors.Is(err, ErrConflict) {
+		if _, revision, err = r.Shared.Get(ctx, name); err == nil {
+			next, err = r.Shared.Put(ctx, name, revision, value)
+		}
+	}
+	if errors.Is(err, ErrNotFound) {
+		next, err = r.Shared.Put(ctx, name, 0, value)
+	}
+	if err != nil && ctx.Err() == nil {
+		event.Info(r.Log, event.StoreWriteFailed, "name", name, "reason", err.Error())
+	}
+	return next, err
+}
+
+// Crashed records that a request crashed an endpoint, for all gateways.
+func (r *Registry) Crashed(ctx context.Context, fingerprint uint64, endpoint string) error {
+	endpoints := append(append([]string(nil), r.Current().Marks[fingerprint]...), endpoint)
+	_, err := r.write(ctx, fmt.Sprintf("%s%016x", markPrefix, fingerprint), 0, Mark{Endpoints: endpoints})
+	return err
+}
