Bring endpoints to named weight versions under a lease

Ruled out: an order to all endpoints at once (a load takes longer while more than two run, and no endpoint would be left to serve); orders from every gateway (holders that take turns).

Change: one gateway holds a lease in the store, with a token that rises with each holder. It publishes the endpoints that are about to change, so that the others leave them out, orders a fifth at a time once their runs have finished, and reads back what they have.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -28,8 +28,10 @@
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/daemon"
 	"primrosecourse/internal/process/gateway"
+	"primrosecourse/internal/process/lease"
 	"primrosecourse/internal/process/logsink"
 	"primrosecourse/internal/version/registry"
+	"primrosecourse/internal/version/weights"
 	"primrosecourse/platform"
 )
 
@@ -81,10 +83,14 @@
 	log := logr.FromSlogHandler(slog.NewJSONHandler(sink, nil)).WithName(settings.Name)
 	store := platform.New(settings.Store)
 	defer store.Close()
+	shared := platform.Shared(store)
 	r := &registry.Registry{Name: settings.Name, Configurations: platform.Configurations(store), Endpoints: platform.Endpoints(store),
-		Evacuations: platform.Evacuations(store), Versions: platform.Versions(store), Shared: platform.Shared(store), Log: log}
+		Evacuations: platform.Evacuations(store), Versions: platform.Versions(store), Shared: shared, Log: log}
+	orders := lease.New(settings.Name, shared, registry.LeaseName())
+	orders.Time, orders.ThawTime, orders.Log = settings.LeaseTime, settings.ThawTime, log
+	rollout := &weights.Rollout{Name: settings.Name, View: r, Lease: orders, Engines: platform.NewServers(), Log: log}
 	g := &gateway.Gateway{Settings: settings, Registry: r, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Log: log,
-		Metrics: metrics.NewRegistry()}
+		Metrics: metrics.NewRegistry(), Parts: []gateway.Part{rollout}}
 	reloadEnded := make(chan struct{})
 	go func() {
 		defer close(reloadEnded)
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -42,7 +42,9 @@
 
 // Lease is the object that says which gateway gives orders to endpoints.
 type Lease struct {
+	// Holder is empty while nobody needs the lease; Last is who held it last.
 	Holder string
+	Last   string
 	// Token rises with each change of holder.
 	Token uint64
 	// Renewal changes with each renewal.
--- /dev/null
+++ b/internal/version/weights/rollout.go
@@ -0,0 +1,339 @@
+package weights
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"primrosecourse/internal/event"
+	"primrosecourse/pkg/site"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Result -output=result_string.go
+
+// Result is an endpoint's answer to an order.
+type Result uint8
+
+// The answers to an order.
+const (
+	// Accepted means that the order is being carried out.
+	Accepted Result = iota
+	// Holds means that there is nothing to do.
+	Holds
+	// Busy means that another order is in progress, or that the number of orders differs.
+	Busy
+	// Fenced means that the endpoint knows a higher token.
+	Fenced
+	// Refused means that the endpoint does not take the order.
+	Refused
+	// Moved means that another endpoint has the address.
+	Moved
+)
+
+// Report is what an endpoint says of itself.
+type Report struct {
+	// Orders is the number of orders that it has accepted, Busy whether one is in progress.
+	Orders   uint64
+	Busy     bool
+	Versions map[string]uint64
+}
+
+// Order asks an endpoint to load a weight version once its runs have finished.
+type Order struct {
+	Model   string
+	Version uint64
+	Holder  string
+	Token   uint64
+	// Expected is the number of orders that the endpoint must have accepted before.
+	Expected uint64
+}
+
+// Engines calls endpoints.
+type Engines interface {
+	// Report asks an endpoint what it has.
+	Report(ctx context.Context, e *site.Endpoint) (Report, error)
+	// Order gives an order. An error means that the order may have been accepted, or may be carried out later.
+	Order(ctx context.Context, e *site.Endpoint, o Order) (Result, error)
+}
+
+// View is what is known of the site.
+type View interface {
+	Current() *site.Snapshot
+}
+
+// Lease says whether this gateway gives the orders; lease.Lease is one.
+type Lease interface {
+	Acquire(ctx context.Context) (held bool, err error)
+	Held() bool
+	Valid() bool
+	Token() uint64
+	Renew(ctx context.Context, updating []string) bool
+	Lost(reason string)
+	Release(ctx context.Context)
+	Wanted()
+	Unwanted()
+}
+
+// Rollout orders weight versions. Its exported fields are set before Run.
+type Rollout struct {
+	// Name is the holder's name in orders.
+	Name    string
+	View    View
+	Lease   Lease
+	Engines Engines
+	Log     logr.Logger
+
+	// updating holds the endpoints in work, by name.
+	updating map[string]*update
+	// confirmed holds endpoints that reported a version before the list shows it.
+	confirmed map[string]uint64
+}
+
+const (
+	// idlePeriod is the time between two looks at what is to be done, workPeriod the same while orders are given.
+	idlePeriod = 200 * time.Millisecond
+	workPeriod = 100 * time.Millisecond
+	// renewPeriod is the time between two renewals, well within the validity of a lease.
+	renewPeriod = 400 * time.Millisecond
+	// noticeTime is how long other gateways have to read which endpoints are about to change.
+	noticeTime = 30 * time.Millisecond
+	// pollPeriod is the time between two questions to an endpoint that carries out an order.
+	pollPeriod = 250 * time.Millisecond
+	// loadTime is the time after which an endpoint that does not reach the version is tried again later.
+	loadTime = 8 * time.Second
+	// callTime bounds one call to an endpoint.
+	callTime = 800 * time.Millisecond
+	// atOnceShare is the part of a service's endpoints that change at once: few enough for the others to carry the load, and
+	// enough for all to be done in time.
+	atOnceShare = 5
+)
+
+// update is an endpoint on its way to a version.
+type update struct {
+	endpoint *site.Endpoint
+	model    string
+	version  uint64
+	begun    time.Time
+	ended    chan bool
+}
+
+// need is an endpoint that lacks a version.
+type need struct {
+	endpoint *site.Endpoint
+	model    string
+	version  uint64
+	atOnce   int
+}
+
+// Run gives orders until ctx is done.
+func (r *Rollout) Run(ctx context.Context) error {
+	r.updating, r.confirmed = map[string]*update{}, map[string]uint64{}
+	var work sync.WaitGroup
+	defer work.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var renewed time.Time
+	for {
+		needs := r.needs()
+		period := idlePeriod
+		switch {
+		case len(needs) == 0 && len(r.updating) == 0:
+			r.Lease.Unwanted()
+			r.Lease.Release(ctx)
+		case !r.Lease.Held():
+			r.Lease.Wanted()
+			if held, err := r.Lease.Acquire(ctx); err != nil {
+				event.Info(r.Log, event.StoreWriteFailed, "name", "Lease", "reason", err.Error())
+			} else if held {
+				renewed = time.Now()
+				continue
+			}
+		default:
+			period = workPeriod
+			r.collect()
+			began := r.begin(needs)
+			if len(began) > 0 || time.Since(renewed) > renewPeriod {
+				renewed = time.Now()
+				if !r.Lease.Renew(ctx, r.names()) {
+					r.forget(began)
+					break
+				}
+			}
+			for _, u := range began {
+				work.Go(func() { u.ended <- r.update(ctx, u) })
+			}
+		}
+		select {
+		case <-ctx.Done():
+			if r.Lease.Held() {
+				last, stop := context.WithTimeout(context.Background(), callTime)
+				defer stop()
+				r.Lease.Release(last)
+			}
+			return nil
+		case <-time.After(period):
+		}
+	}
+}
+
+// needs lists the endpoints that lack a named version, cold and loaded ones alike, in a fixed order.
+func (r *Rollout) needs() (list []need) {
+	view := r.View.Current()
+	if view.Configuration == nil {
+		return nil
+	}
+	for _, service := range view.Configuration.Services {
+		if service.Engine == nil {
+			continue
+		}
+		endpoints := view.Endpoints[service.Name]
+		for _, e := range endpoints {
+			if e.State != site.Ready {
+				continue
+			}
+			for _, m := range e.Models {
+				named := view.Versions[m.Model]
+				if named <= m.Version || r.confirmed[confirmation(e, m.Model)] >= named {
+					continue
+				}
+				list = append(list, need{endpoint: e, model: m.Model, version: named,
+					atOnce: max(2, (len(endpoints)+atOnceShare-1)/atOnceShare)})
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b need) int { return cmp.Compare(a.endpoint.ID, b.endpoint.ID) })
+	return list
+}
+
+func confirmation(e *site.Endpoint, model string) string {
+	return e.ID + "/" + e.Born.String() + "/" + model
+}
+
+// collect takes the results of updates that ended.
+func (r *Rollout) collect() {
+	for id, u := range r.updating {
+		select {
+		case done := <-u.ended:
+			delete(r.updating, id)
+			if done {
+				r.confirmed[confirmation(u.endpoint, u.model)] = u.version
+			}
+		default:
+		}
+	}
+}
+
+// begin adds endpoints to those in work, as many as may change at once.
+func (r *Rollout) begin(needs []need) (began []*update) {
+	if !r.Lease.Valid() {
+		return nil
+	}
+	for _, n := range needs {
+		if len(r.updating) >= n.atOnce {
+			break
+		}
+		if r.updating[n.endpoint.ID] != nil {
+			continue
+		}
+		u := &update{endpoint: n.endpoint, model: n.model, version: n.version, begun: time.Now(), ended: make(chan bool, 1)}
+		r.updating[n.endpoint.ID] = u
+		began = append(began, u)
+	}
+	return began
+}
+
+func (r *Rollout) forget(began []*update) {
+	for _, u := range began {
+		delete(r.updating, u.endpoint.ID)
+	}
+}
+
+func (r *Rollout) names() (list []string) {
+	for id := range r.updating {
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// update brings one endpoint to a version and reports whether it has it.
+func (r *Rollout) update(ctx context.Context, u *update) bool {
+	if !pause(ctx, noticeTime) {
+		return false
+	}
+	ordered := false
+	for time.Since(u.begun) < loadTime {
+		report, err := r.report(ctx, u.endpoint)
+		switch {
+		case err != nil:
+			if !pause(ctx, pollPeriod) {
+				return false
+			}
+			continue
+		case report.Versions[u.model] >= u.version && !report.Busy:
+			return true
+		case !report.Busy:
+			result, ok := r.order(ctx, u, report.Orders)
+			if !ok {
+				return false
+			}
+			if result == Holds {
+				return true
+			}
+			ordered = ordered || result == Accepted
+		}
+		if !pause(ctx, pollPeriod) {
+			return false
+		}
+	}
+	event.Info(r.Log, event.OrderSent, "endpoint", u.endpoint.ID, "version", u.version, "outcome", "not reached in time",
+		"ordered", ordered)
+	return false
+}
+
+// order gives one order. It reports false if this gateway must not or need not go on with the endpoint.
+func (r *Rollout) order(ctx context.Context, u *update, expected uint64) (result Result, ok bool) {
+	if !r.Lease.Valid() {
+		return Refused, false
+	}
+	token := r.Lease.Token()
+	call, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	result, err := r.Engines.Order(call, u.endpoint, Order{Model: u.model, Version: u.version, Holder: r.Name, Token: token,
+		Expected: expected})
+	outcome := result.String()
+	if err != nil {
+		outcome = "no answer: " + err.Error()
+	}
+	event.Info(r.Log, event.OrderSent, "endpoint", u.endpoint.ID, "model", u.model, "version", u.version, "token", token,
+		"expected", expected, "outcome", outcome)
+	switch {
+	case err != nil:
+		return Busy, true
+	case result == Fenced:
+		r.Lease.Lost("an endpoint knows a higher token")
+		return result, false
+	case result == Moved || result == Refused:
+		return result, false
+	}
+	return result, true
+}
+
+func (r *Rollout) report(ctx context.Context, e *site.Endpoint) (Report, error) {
+	call, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return r.Engines.Report(call, e)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
