Order endpoints at once that the holder before left alone

Ruled out: shorter lease times (orders of two holders to one endpoint within lease_ms break ONE), more endpoints at once only.

Change: the lease names the endpoints that got an order within the lease time. A new holder leaves only those alone, and takes the lease after 1.6 s without a change, longer than a renewal lasts. Endpoints get orders only after the store confirmed that they are published. A quarter of the endpoints change at once.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -88,7 +88,8 @@
 		Evacuations: platform.Evacuations(store), Versions: platform.Versions(store), Shared: shared, Log: log}
 	orders := lease.New(settings.Name, shared, registry.LeaseName())
 	orders.Time, orders.ThawTime, orders.Log = settings.LeaseTime, settings.ThawTime, log
-	rollout := &weights.Rollout{Name: settings.Name, View: r, Lease: orders, Engines: platform.NewServers(), Log: log}
+	rollout := &weights.Rollout{Name: settings.Name, View: r, Lease: orders, Engines: platform.NewServers(), Log: log,
+		LeaseTime: settings.LeaseTime}
 	g := &gateway.Gateway{Settings: settings, Registry: r, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Log: log,
 		Metrics: metrics.NewRegistry(), Parts: []gateway.Part{rollout}}
 	reloadEnded := make(chan struct{})
--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -2,19 +2,24 @@
 // changed only under the condition of its revision; each change of holder raises its token, which endpoints check.
 //
 // A holder acts only within Validity of the moment at which it began its last successful renewal, measured by the clock that
-// goes on while the machine is suspended. Another gateway takes the lease when it has not changed for a whole lease time, and
-// acts only when the orders of the holder before lie a lease time back. Nobody renews a lease that is not needed: its holder
-// gives it up and is the first to take it again, so that holders change seldom.
+// goes on while the machine is suspended. Another gateway takes the lease when it has not changed for Silence. It may give
+// orders at once to endpoints that the holder before did not publish as ordered; to the others only when those orders lie a
+// lease time back. Nobody renews a lease that is not needed: its holder gives it up and is the first to take it again, so
+// that holders change seldom.
 //
 // # Usage
 //
 //	l := lease.New("Gateway1", objects, "Lease.Orders")
-//	if l.Acquire(ctx) { ... l.Renew(ctx, updating) ... if l.Valid() { order } ... l.Release(ctx) }
+//	held, err := l.Acquire(ctx)
+//	if l.Renew(ctx, updating, ordered) && l.MayOrder(endpoint) { order }
+//	l.Release(ctx)
 package lease
 
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,7 +40,10 @@
 const (
 	// DefaultValidity is how long a renewal lasts.
 	DefaultValidity = time.Second
-	// DefaultTime is how long a lease must be silent before another gateway takes it.
+	// DefaultSilence is how long a lease must not have changed before another gateway takes it. It is longer than a renewal
+	// lasts, so that the holder has stopped by then.
+	DefaultSilence = 1600 * time.Millisecond
+	// DefaultTime is how long an endpoint must not get orders from two holders.
 	DefaultTime = 3 * time.Second
 )
 
@@ -44,6 +52,7 @@
 	// Time is the lease time, ThawTime what is added for a holder that stood still.
 	Time     time.Duration
 	ThawTime time.Duration
+	Silence  time.Duration
 	Validity time.Duration
 	Log      logr.Logger
 	// Clock returns the time since the start of the machine. Default bootclock.Now.
@@ -55,9 +64,11 @@
 	held     bool
 	value    registry.Lease
 	revision uint64
-	// renewed is when the last successful renewal began, quietFrom when orders may begin.
-	renewed   time.Duration
-	quietFrom time.Duration
+	// renewed is when the last successful renewal began.
+	renewed time.Duration
+	// foreign are the endpoints that the holder before may have given orders to, foreignUntil how long they are left alone.
+	foreign      map[string]bool
+	foreignUntil time.Duration
 	// seen is the lease as last read, seenAt when it first looked so.
 	seen     registry.Lease
 	seenAt   time.Duration
@@ -67,7 +78,7 @@
 
 // New returns the view of the gateway with the given name.
 func New(name string, objects Objects, object string) *Lease {
-	return &Lease{Time: DefaultTime, Validity: DefaultValidity, Clock: bootclock.Now, name: name, objects: objects, object: object}
+	return &Lease{Time: DefaultTime, Silence: DefaultSilence, Validity: DefaultValidity, Clock: bootclock.Now, name: name, objects: objects, object: object}
 }
 
 // firstTime is how long gateways other than the last holder leave a free lease to it.
@@ -79,10 +90,12 @@
 // Token returns the fencing token of the holder.
 func (l *Lease) Token() uint64 { return l.value.Token }
 
-// Valid reports whether the holder may give orders now.
-func (l *Lease) Valid() bool {
-	now := l.Clock()
-	return l.held && now-l.renewed < l.Validity && now >= l.quietFrom
+// Valid reports whether the lease is held and has not lapsed.
+func (l *Lease) Valid() bool { return l.held && l.Clock()-l.renewed < l.Validity }
+
+// MayOrder reports whether an endpoint may get an order now.
+func (l *Lease) MayOrder(endpoint string) bool {
+	return l.Valid() && (!l.foreign[endpoint] || l.Clock() >= l.foreignUntil)
 }
 
 // Wanted tells that there are orders to give; Unwanted that there are none.
@@ -118,7 +131,8 @@
 	if !l.mayTake(now, current) {
 		return false, nil
 	}
-	next := registry.Lease{Holder: l.name, Token: current.Token + 1, Renewal: current.Renewal + 1, Last: l.name}
+	next := registry.Lease{Holder: l.name, Token: current.Token + 1, Renewal: current.Renewal + 1, Last: l.name,
+		Ordered: current.Ordered}
 	revision, err = l.objects.Put(ctx, l.object, revision, next)
 	if errors.Is(err, registry.ErrConflict) {
 		return false, nil
@@ -127,11 +141,14 @@
 		return false, err
 	}
 	l.held, l.value, l.revision, l.renewed = true, next, revision, now
-	l.quietFrom = now
 	if current.Last != "" && current.Last != l.name {
-		l.quietFrom = max(now, l.seenAt+l.Time+l.Validity+l.ThawTime)
+		l.foreign = make(map[string]bool, len(current.Ordered))
+		for _, id := range current.Ordered {
+			l.foreign[id] = true
+		}
+		l.foreignUntil = l.seenAt + l.Time + l.Validity + l.ThawTime
 	}
-	event.Info(l.Log, event.LeaseGained, "token", next.Token, "before", current.Last, "quietMs", (l.quietFrom - now).Milliseconds())
+	event.Info(l.Log, event.LeaseGained, "token", next.Token, "before", current.Last, "ordered", current.Ordered)
 	return true, nil
 }
 
@@ -145,47 +162,49 @@
 	case current.Holder == l.name:
 		return true // An earlier incarnation of this gateway.
 	}
-	return now-l.seenAt >= l.Time
+	return now-l.seenAt >= l.Silence
 }
 
-// Renew prolongs the lease and publishes the endpoints that are about to change. It reports false if the lease is lost.
-func (l *Lease) Renew(ctx context.Context, updating []string) bool {
+// Renew prolongs the lease and publishes the endpoints that are about to change, and those that got an order of late. It
+// reports whether the store has confirmed it; only then may the endpoints get orders.
+func (l *Lease) Renew(ctx context.Context, updating, ordered []string) (confirmed bool) {
 	begun := l.Clock()
 	next := l.value
 	next.Renewal++
-	next.Updating = updating
+	next.Updating, next.Ordered = updating, ordered
+	if begun < l.foreignUntil {
+		next.Ordered = append(slices.Clone(ordered), slices.Sorted(maps.Keys(l.foreign))...)
+	}
 	revision, err := l.objects.Put(ctx, l.object, l.revision, next)
 	if err != nil {
-		if !l.reread(ctx, err, next, begun) {
-			return false
-		}
-		return true
+		return l.reread(ctx, err, next, begun)
 	}
 	l.value, l.revision, l.renewed = next, revision, begun
 	return true
 }
 
-// reread finds out what became of a renewal that failed.
-func (l *Lease) reread(ctx context.Context, cause error, next registry.Lease, begun time.Duration) bool {
+// reread finds out what became of a renewal that failed. What cannot be found out ends with the last renewal.
+func (l *Lease) reread(ctx context.Context, cause error, next registry.Lease, begun time.Duration) (confirmed bool) {
 	raw, revision, err := l.objects.Get(ctx, l.object)
 	var current registry.Lease
 	if err == nil {
 		err = json.Unmarshal(raw, &current)
 	}
 	switch {
-	case err != nil && l.Clock()-l.renewed < l.Validity:
-		return true // Not known yet; Valid ends when the last renewal lapses.
-	case err != nil:
+	case err != nil && l.Clock()-l.renewed >= l.Silence:
 		l.lost(errors.CombineErrors(cause, err).Error())
 		return false
+	case err != nil:
+		return false
 	case current.Holder != l.name || current.Token != l.value.Token:
 		l.lost("taken by " + current.Holder)
 		return false
 	}
 	l.revision = revision
-	if current.Renewal == next.Renewal {
-		l.value, l.renewed = next, begun
+	if current.Renewal != next.Renewal {
+		return false
 	}
+	l.value, l.renewed = next, begun
 	return true
 }
 
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -49,8 +49,10 @@
 	Token uint64
 	// Renewal changes with each renewal.
 	Renewal uint64
-	// Updating are the endpoints that are about to change their weights.
+	// Updating are the endpoints that are about to change their weights, Ordered those that got an order within the lease
+	// time, or may get one.
 	Updating []string
+	Ordered  []string
 }
 
 // CurrentLease returns the lease as last seen, and when it last changed.
--- a/internal/version/weights/rollout.go
+++ b/internal/version/weights/rollout.go
@@ -70,8 +70,9 @@
 	Acquire(ctx context.Context) (held bool, err error)
 	Held() bool
 	Valid() bool
+	MayOrder(endpoint string) bool
 	Token() uint64
-	Renew(ctx context.Context, updating []string) bool
+	Renew(ctx context.Context, updating, ordered []string) (confirmed bool)
 	Lost(reason string)
 	Release(ctx context.Context)
 	Wanted()
@@ -91,6 +92,10 @@
 	updating map[string]*update
 	// confirmed holds endpoints that reported a version before the list shows it.
 	confirmed map[string]uint64
+	// ordered holds when an endpoint last got an order, or was published as about to get one.
+	ordered map[string]time.Time
+	// LeaseTime is how long an endpoint must not get orders from two holders. Default 3 s. Set before Run.
+	LeaseTime time.Duration
 }
 
 const (
@@ -109,7 +114,7 @@
 	callTime = 800 * time.Millisecond
 	// atOnceShare is the part of a service's endpoints that change at once: few enough for the others to carry the load, and
 	// enough for all to be done in time.
-	atOnceShare = 5
+	atOnceShare = 4
 )
 
 // update is an endpoint on its way to a version.
@@ -131,7 +136,7 @@
 
 // Run gives orders until ctx is done.
 func (r *Rollout) Run(ctx context.Context) error {
-	r.updating, r.confirmed = map[string]*update{}, map[string]uint64{}
+	r.updating, r.confirmed, r.ordered = map[string]*update{}, map[string]uint64{}, map[string]time.Time{}
 	var work sync.WaitGroup
 	defer work.Wait()
 	ctx, cancel := context.WithCancel(ctx)
@@ -158,7 +163,7 @@
 			began := r.begin(needs)
 			if len(began) > 0 || time.Since(renewed) > renewPeriod {
 				renewed = time.Now()
-				if !r.Lease.Renew(ctx, r.names()) {
+				if !r.Lease.Renew(ctx, r.names(), r.recent()) {
 					r.forget(began)
 					break
 				}
@@ -236,7 +241,7 @@
 		if len(r.updating) >= n.atOnce {
 			break
 		}
-		if r.updating[n.endpoint.ID] != nil {
+		if r.updating[n.endpoint.ID] != nil || !r.Lease.MayOrder(n.endpoint.ID) {
 			continue
 		}
 		u := &update{endpoint: n.endpoint, model: n.model, version: n.version, begun: time.Now(), ended: make(chan bool, 1)}
@@ -252,6 +257,23 @@
 	}
 }
 
+// recent lists the endpoints that got an order within the lease time, or are about to.
+func (r *Rollout) recent() (list []string) {
+	now := time.Now()
+	for id := range r.updating {
+		r.ordered[id] = now
+	}
+	for id, at := range r.ordered {
+		if now.Sub(at) > cmp.Or(r.LeaseTime, 3*time.Second) {
+			delete(r.ordered, id)
+			continue
+		}
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
+}
+
 func (r *Rollout) names() (list []string) {
 	for id := range r.updating {
 		list = append(list, id)
@@ -297,7 +319,7 @@
 
 // order gives one order. It reports false if this gateway must not or need not go on with the endpoint.
 func (r *Rollout) order(ctx context.Context, u *update, expected uint64) (result Result, ok bool) {
-	if !r.Lease.Valid() {
+	if !r.Lease.MayOrder(u.endpoint.ID) {
 		return Refused, false
 	}
 	token := r.Lease.Token()
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -11,8 +11,10 @@
 // Window bounds the repeats to one service within a sliding time, where several processes share the bound. Each process
 // may use Ratio of its own requests, which needs no agreement, and its part of Extra.
 //
-// Both are counted over the span and one slot more, so that no span of that length holds more repeats than the bound. It is
-// safe for concurrent use. Times are taken from the monotonic clock, so that a step of the time of day changes nothing.
+// Repeats count for the span and a slot more, requests for half of it: the requests before a repeat then all lie in the span
+// that begins with the first of the repeats that it is counted with, or in the one half a span earlier, whichever a
+// supervisor compares them with. It is safe for concurrent use. Times are taken from the monotonic clock, so that a step of
+// the time of day changes nothing.
 type Window struct {
 	// Ratio is the number of repeats for each request, Extra the number in addition for all Sharers together.
 	Ratio float64
@@ -41,9 +43,12 @@
 	defer w.mu.Unlock()
 	w.advance(now)
 	requests, repeats := 0, 0
-	for i := range w.requests {
-		requests += w.requests[i]
-		repeats += w.repeats[i]
+	for i := range int64(windowSlots + 1) {
+		at := (w.slot + windowSlots + 1 - i) % (windowSlots + 1)
+		repeats += w.repeats[at]
+		if i < windowSlots/2 {
+			requests += w.requests[at]
+		}
 	}
 	if float64(repeats+1) > w.Ratio*float64(requests)+w.Extra/float64(max(1, sharers)) {
 		return false
