Save shared parts to KV stores and fetch them from there

Ruled out: keeping each prompt at its home alone (a home's memory turns over in 3.5 s, prompts come back after 8 s).

Change: the gateways follow the events of the KV stores. A part is fetched from a store that is known to hold it whole, else saved to one with room; scopes separate dedicated organisations, models and weight versions. The first gateway in a store's order frees parts of versions that no gateway may use any more, and saves that broke off.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -25,6 +25,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"primrosecourse/internal/connection/kvstore"
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/daemon"
 	"primrosecourse/internal/process/gateway"
@@ -91,6 +92,7 @@
 	rollout := &weights.Rollout{Name: settings.Name, View: r, Lease: orders, Engines: platform.NewServers(), Log: log,
 		LeaseTime: settings.LeaseTime}
 	g := &gateway.Gateway{Settings: settings, Registry: r, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Log: log,
+		Tiers:   &kvstore.Catalog{View: r, Stores: platform.NewCacheStores(), Log: log},
 		Metrics: metrics.NewRegistry(), Parts: []gateway.Part{rollout}}
 	reloadEnded := make(chan struct{})
 	go func() {
--- a/internal/connection/endpoint/pool_test.go
+++ b/internal/connection/endpoint/pool_test.go
@@ -236,7 +236,7 @@
 // TestConnectionLimit guards against opening more connections than the endpoint accepts.
 func TestConnectionLimit(t *testing.T) {
 	is := is.New(t)
-	s := serve(t, func(s *server, _ int, c net.Conn, br *bufio.Reader) {
+	s := serve(t, func(s *server, _ int, _ net.Conn, br *bufio.Reader) {
 		_, _ = s.next(br)
 		_, _ = s.next(br)
 	})
--- a/internal/connection/front/server.go
+++ b/internal/connection/front/server.go
@@ -68,6 +68,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.idle {
+		// A connection that is no longer in the set is not read from: a request that is arriving would be passed on, and its
+		// answer could not be sent.
+		delete(s.idle, c)
 		_ = c.Close()
 	}
 }
@@ -119,6 +122,15 @@
 	}
 }
 
+// takeIdle takes a connection out of the idle ones and reports whether it was not closed meanwhile.
+func (s *Server) takeIdle(c net.Conn) (kept bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, kept = s.idle[c]
+	delete(s.idle, c)
+	return kept
+}
+
 func (s *Server) limits() (l site.Limits) {
 	if s.Limits != nil {
 		l = s.Limits()
@@ -136,8 +148,7 @@
 	s.mark(s.idle, c, true)
 	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 	_, err := br.Peek(1)
-	s.mark(s.idle, c, false)
-	if err != nil {
+	if kept := s.takeIdle(c); err != nil || !kept {
 		return false
 	}
 	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
--- a/internal/connection/front/server_test.go
+++ b/internal/connection/front/server_test.go
@@ -222,3 +222,54 @@
 		})
 	}
 }
+
+// arriving is a connection on which a request arrives just as it is closed: its first read returns the request after close
+// has been called.
+type arriving struct {
+	net.Conn
+	request []byte
+	reading chan struct{}
+	closed  chan struct{}
+}
+
+func (c *arriving) Read(p []byte) (int, error) {
+	if c.request == nil {
+		return 0, io.EOF
+	}
+	close(c.reading)
+	<-c.closed
+	n := copy(p, c.request)
+	c.request = nil
+	return n, nil
+}
+
+func (c *arriving) Close() error {
+	select {
+	case <-c.closed:
+	default:
+		close(c.closed)
+	}
+	return nil
+}
+
+func (c *arriving) SetReadDeadline(time.Time) error  { return nil }
+func (c *arriving) SetWriteDeadline(time.Time) error { return nil }
+func (c *arriving) Write([]byte) (int, error)        { return 0, net.ErrClosed }
+
+// TestRequestCrossesClose guards against passing on a request that arrives as its idle connection is closed at a planned
+// stop: it would run, and nobody would get its answer.
+func TestRequestCrossesClose(t *testing.T) {
+	is := is.New(t)
+	e := &echo{handled: make(chan *Request, 1)}
+	s := New(e)
+	c := &arriving{request: []byte("GET /a HTTP/1.1\r\nHost: h\r\n\r\n"), reading: make(chan struct{}), closed: make(chan struct{})}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.serve(context.Background(), c)
+	}()
+	<-c.reading
+	s.CloseIdle()
+	<-ended
+	is.Equal(len(e.handled), 0)
+}
--- /dev/null
+++ b/internal/connection/kvstore/catalog.go
@@ -0,0 +1,373 @@
+package kvstore
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/bootclock"
+	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/tiering"
+)
+
+// Key names a part in a store.
+type Key struct {
+	Scope string
+	ID    string
+}
+
+// Held is a whole part in a store.
+type Held struct {
+	Key
+	Tokens int
+}
+
+// Unfinished is a part that is being written, or whose save broke off.
+type Unfinished struct {
+	Key
+	// Done is the number of tokens that have arrived, Reserved what the part takes up.
+	Done, Reserved int
+}
+
+// Listing is all that a store holds.
+type Listing struct {
+	// Epoch differs after each restart, Next is where events go on.
+	Epoch      uint64
+	Next       uint64
+	Held       []Held
+	Unfinished []Unfinished
+	// Clock is the time of the servers, 0 if it was not stated.
+	Clock time.Duration
+}
+
+// Change is a part that appeared or disappeared.
+type Change struct {
+	Held
+	Gone bool
+}
+
+// Changes is what changed at a store.
+type Changes struct {
+	Epoch uint64
+	Next  uint64
+	// Lost tells that some events were not kept.
+	Lost    bool
+	Changes []Change
+	Clock   time.Duration
+}
+
+// Stores calls KV stores.
+type Stores interface {
+	// List returns all that a store holds. It stalls the store.
+	List(ctx context.Context, address string) (Listing, error)
+	// Watch returns what changed after an event, waiting for some.
+	Watch(ctx context.Context, address string, since uint64, wait time.Duration) (Changes, error)
+	// Free drops parts at once, if the epoch is still the same and the servers' clock has not passed until.
+	Free(ctx context.Context, address string, parts []Key, epoch uint64, until time.Duration) error
+}
+
+// View is what is known of the site.
+type View interface {
+	Current() *site.Snapshot
+	// First reports whether this gateway comes first of all in the order of a name.
+	First(name string) bool
+}
+
+// Catalog follows the KV stores of a site. Its exported fields are set before Run.
+type Catalog struct {
+	View   View
+	Stores Stores
+	Log    logr.Logger
+
+	mu     sync.Mutex
+	stores map[string]*contents
+	list   []tiering.Store
+	of     *site.Configuration
+	// clockOffset is the servers' clock less this machine's time since its start.
+	clockOffset time.Duration
+	hasClock    bool
+}
+
+// contents is what is known of one store.
+type contents struct {
+	store  tiering.Store
+	stop   context.CancelFunc
+	known  bool
+	epoch  uint64
+	held   map[Key]int
+	used   int
+	saving map[Key]save
+	// missing counts saves that did not appear since the last listing at listedAt.
+	missing  int
+	listedAt time.Time
+	// stuck are the unfinished saves of the last listing; confirmed tells that nothing was freed since.
+	stuck     map[Key]progress
+	confirmed bool
+}
+
+// save is a part that an engine was told to save.
+type save struct {
+	tokens int
+	at     time.Time
+}
+
+const (
+	// watchWait is how long a store holds a question for events.
+	watchWait = time.Second
+	// callTime bounds a call beyond its wait.
+	callTime = 800 * time.Millisecond
+	// retryTime is the pause after a call that failed.
+	retryTime = 400 * time.Millisecond
+	// saveTime is how long a save may take before its part counts as not there.
+	saveTime = 4 * time.Second
+	// missingLimit is the number of saves that did not appear after which a store is listed again: each may be a lost event.
+	missingLimit = 12
+	// upkeepPeriod is the time between two looks at what may be freed.
+	upkeepPeriod = 500 * time.Millisecond
+)
+
+// Run follows the stores of the configuration in force until ctx is done.
+func (c *Catalog) Run(ctx context.Context) error {
+	var followers sync.WaitGroup
+	defer followers.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ticker := time.NewTicker(upkeepPeriod)
+	defer ticker.Stop()
+	for {
+		c.configure(ctx, &followers)
+		c.upkeep(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// configure starts and stops followers after a change of the configuration.
+func (c *Catalog) configure(ctx context.Context, followers *sync.WaitGroup) {
+	configuration := c.View.Current().Configuration
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if configuration == c.of {
+		return
+	}
+	c.of = configuration
+	wanted := map[string]bool{}
+	c.list = nil
+	if c.stores == nil {
+		c.stores = map[string]*contents{}
+	}
+	for _, s := range configuration.Services {
+		if s.Store == nil {
+			continue
+		}
+		wanted[s.Name] = true
+		store := tiering.Store{Name: s.Name, Address: s.Store.Address, Tokens: s.Store.Tokens,
+			BitsPerSecond: s.Store.LinkBitsPerSecond, FirstByte: s.Store.FirstByte}
+		c.list = append(c.list, store)
+		if known := c.stores[s.Name]; known != nil && known.store.Address == store.Address {
+			known.store = store
+			continue
+		} else if known != nil {
+			known.stop()
+		}
+		follow, stop := context.WithCancel(ctx)
+		n := &contents{store: store, stop: stop, held: map[Key]int{}, saving: map[Key]save{}}
+		c.stores[s.Name] = n
+		followers.Go(func() { c.follow(follow, n) })
+	}
+	for name, n := range c.stores {
+		if !wanted[name] {
+			n.stop()
+			delete(c.stores, name)
+		}
+	}
+	slices.SortFunc(c.list, func(a, b tiering.Store) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// follow keeps what is known of one store current.
+func (c *Catalog) follow(ctx context.Context, n *contents) {
+	listed, next := false, uint64(0)
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			if next, err = c.listStore(ctx, n); err == nil {
+				listed = true
+				continue
+			}
+		} else {
+			next, listed, err = c.watchStore(ctx, n, next)
+		}
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		c.lose(n, err)
+		listed = false
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryTime):
+		}
+	}
+}
+
+func (c *Catalog) listStore(ctx context.Context, n *contents) (next uint64, err error) {
+	call, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	l, err := c.Stores.List(call, n.store.Address)
+	if err != nil {
+		return 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setClock(l.Clock)
+	now := time.Now()
+	if l.Epoch != n.epoch {
+		n.stuck = nil
+	}
+	n.epoch, n.known, n.held, n.used = l.Epoch, true, make(map[Key]int, len(l.Held)), 0
+	n.missing, n.listedAt = 0, now
+	n.observeUnfinished(l.Unfinished, now)
+	for _, h := range l.Held {
+		n.held[h.Key] = h.Tokens
+		n.used += h.Tokens
+		delete(n.saving, h.Key)
+	}
+	for _, u := range l.Unfinished {
+		n.used += u.Reserved
+	}
+	event.Info(c.Log, event.CacheStoreListed, "store", n.store.Name, "epoch", l.Epoch, "parts", len(l.Held),
+		"unfinished", len(l.Unfinished), "tokens", n.used)
+	return l.Next, nil
+}
+
+func (c *Catalog) watchStore(ctx context.Context, n *contents, since uint64) (next uint64, listed bool, err error) {
+	call, cancel := context.WithTimeout(ctx, watchWait+callTime)
+	defer cancel()
+	changes, err := c.Stores.Watch(call, n.store.Address, since, watchWait)
+	if err != nil {
+		return since, false, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setClock(changes.Clock)
+	if changes.Lost || changes.Epoch != n.epoch {
+		n.known = false
+		event.Info(c.Log, event.CacheStoreLost, "store", n.store.Name, "epoch", changes.Epoch, "before", n.epoch,
+			"eventsLost", changes.Lost)
+		return since, false, nil
+	}
+	for _, change := range changes.Changes {
+		n.used -= n.held[change.Key]
+		delete(n.held, change.Key)
+		if !change.Gone {
+			n.held[change.Key] = change.Tokens
+			n.used += change.Tokens
+			delete(n.saving, change.Key)
+		}
+	}
+	now := time.Now()
+	n.expireSaves(now)
+	return changes.Next, !n.wantsListing(now), nil
+}
+
+// expireSaves gives up saves that did not appear.
+func (n *contents) expireSaves(now time.Time) {
+	for key, s := range n.saving {
+		if now.Sub(s.at) > saveTime {
+			delete(n.saving, key)
+			n.missing++
+		}
+	}
+}
+
+// lose forgets what a store holds that does not answer.
+func (c *Catalog) lose(n *contents, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n.known {
+		event.Info(c.Log, event.CacheStoreLost, "store", n.store.Name, "epoch", n.epoch, "reason", err.Error())
+	}
+	n.known = false
+}
+
+func (c *Catalog) setClock(clock time.Duration) {
+	if clock > 0 {
+		c.clockOffset, c.hasClock = clock-bootclock.Now(), true
+	}
+}
+
+// Clock returns the servers' clock, false if it is not known.
+func (c *Catalog) Clock() (clock time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return bootclock.Now() + c.clockOffset, c.hasClock
+}
+
+// List returns the stores of the configuration in force. The result must not be changed.
+func (c *Catalog) List() []tiering.Store {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.list
+}
+
+// Scope returns the catalog of one scope.
+func (c *Catalog) Scope(scope string) *Scoped { return &Scoped{catalog: c, scope: scope} }
+
+// Scoped is the catalog of the parts of one scope. It implements tiering.Catalog.
+type Scoped struct {
+	catalog *Catalog
+	scope   string
+}
+
+func (s *Scoped) key(p tiering.Part) Key { return Key{Scope: s.scope, ID: p.ID} }
+
+// Holds implements tiering.Catalog.
+func (s *Scoped) Holds(store string, p tiering.Part) bool {
+	s.catalog.mu.Lock()
+	defer s.catalog.mu.Unlock()
+	n := s.catalog.stores[store]
+	return n != nil && n.known && n.held[s.key(p)] >= p.Tokens && p.Tokens > 0
+}
+
+// Saving implements tiering.Catalog.
+func (s *Scoped) Saving(store string, p tiering.Part) bool {
+	s.catalog.mu.Lock()
+	defer s.catalog.mu.Unlock()
+	n := s.catalog.stores[store]
+	if n == nil {
+		return false
+	}
+	_, saving := n.saving[s.key(p)]
+	return saving
+}
+
+// Room implements tiering.Catalog. A store that does not answer has none.
+func (s *Scoped) Room(store string) int {
+	s.catalog.mu.Lock()
+	defer s.catalog.mu.Unlock()
+	n := s.catalog.stores[store]
+	if n == nil || !n.known {
+		return 0
+	}
+	room := n.store.Tokens - n.used
+	for _, save := range n.saving {
+		room -= save.tokens
+	}
+	return room
+}
+
+// Saved records that an engine was told to save a part.
+func (s *Scoped) Saved(store string, p tiering.Part, now time.Time) {
+	s.catalog.mu.Lock()
+	defer s.catalog.mu.Unlock()
+	if n := s.catalog.stores[store]; n != nil {
+		n.saving[s.key(p)] = save{tokens: p.Tokens, at: now}
+	}
+}
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -60,6 +60,12 @@
 	OrderSent
 	// RequestMarked tells that a request crashed an endpoint.
 	RequestMarked
+	// CacheStoreListed tells what a KV store holds.
+	CacheStoreListed
+	// CacheStoreLost tells that it is not known what a KV store holds.
+	CacheStoreLost
+	// CacheFreed tells that parts in a KV store were freed.
+	CacheFreed
 	// LogDropped tells how many lines were left out.
 	LogDropped
 )
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"primrosecourse/internal/connection/endpoint"
 	"primrosecourse/internal/connection/front"
+	"primrosecourse/internal/connection/kvstore"
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/request/forward"
 	"primrosecourse/internal/version/registry"
@@ -33,6 +34,8 @@
 	Settings Settings
 	Registry *registry.Registry
 	Codec    forward.Codec
+	// Tiers are the KV stores. They are run with the other parts.
+	Tiers *kvstore.Catalog
 	// ReadyPath is the path at which the balancer asks for readiness.
 	ReadyPath string
 	// Parts are run beside the gateway's own parts until requests have been finished.
@@ -68,7 +71,7 @@
 		dialed := metrics.GetOrRegisterCounter("Endpoint.Connections", g.Metrics)
 		g.pool.Dialed = func(string) { dialed.Inc(1) }
 		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table,
-			Endpoints: g.pool, Crashes: g.Registry, Log: g.Log, Metrics: g.Metrics,
+			Endpoints: g.pool, Crashes: g.Registry, Tiers: g.Tiers, Log: g.Log, Metrics: g.Metrics,
 			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
 				RepeatSpan: g.Settings.RepeatSpan}}
 		g.front = front.New(handler)
@@ -136,6 +139,7 @@
 	}
 	run(g.Registry.Run)
 	run(g.pool.Run)
+	run(g.Tiers.Run)
 	for _, p := range g.Parts {
 		run(p.Run)
 	}
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -23,9 +23,16 @@
 	began  time.Time
 }
 
-// wholeAnswer is the length up to which an answer is read before its first byte is passed on, so that one that is cut can
+// wholeAnswer is an answer that has been read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// wholeLimit is the length up to which an answer is read before its first byte is passed on, so that one that is cut can
 // still be replaced.
-const wholeAnswer = 256 << 10
+const wholeLimit = 256 << 10
 
 // crashProbe is the pause before an endpoint that broke a connection is asked whether it is still there.
 const crashProbe = 30 * time.Millisecond
@@ -151,7 +158,7 @@
 func (a *attempt) refused(answer *endpoint.Answer, sign Sign) verdict {
 	q := a.q
 	// The body is read so that the connection can be used again.
-	_, _ = io.CopyN(io.Discard, answer.Body, wholeAnswer)
+	_, _ = io.CopyN(io.Discard, answer.Body, wholeLimit)
 	o := placement.Full
 	if sign.Misdirected {
 		o = placement.Misdirected
@@ -170,31 +177,44 @@
 // passWhole passes an answer on after it has been read, if it is short.
 func (a *attempt) passWhole(answer *endpoint.Answer) verdict {
 	q := a.q
-	if answer.Length > wholeAnswer {
+	if answer.Length > wholeLimit {
 		return a.passLong(answer)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeAnswer+1))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeLimit+1))
 	if err != nil {
 		a.broke()
 		a.logFailed(err.Error(), answer.Status)
 		return unknown
 	}
-	if len(body) > wholeAnswer {
+	if len(body) > wholeLimit {
 		answer.Body = io.MultiReader(bytes.NewReader(body), answer.Body)
 		return a.passLong(answer)
 	}
-	if answer.Status >= 500 {
-		a.ended(placement.Erred)
-	} else {
+	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
+	if answer.Status < 500 {
 		a.ended(placement.Answered)
+		q.deliver(whole)
+		return done
 	}
-	q.status, q.firstPiece = answer.Status, time.Now()
-	if err := q.w.Answer(answer.Status, answer.Header, body); err != nil {
-		q.reason = "CallerLeft"
+	a.ended(placement.Erred)
+	if q.route.Repeat == site.Always && q.ran < q.route.Attempts {
+		// Another endpoint may do better. If it does not, this answer stands.
+		q.spare = whole
+		a.logFailed("endpoint failed", answer.Status)
+		return unknown
 	}
+	q.deliver(whole)
 	return done
 }
 
+// deliver passes a whole answer on.
+func (q *request) deliver(a *wholeAnswer) {
+	q.status, q.firstPiece = a.status, time.Now()
+	if err := q.w.Answer(a.status, a.header, a.body); err != nil {
+		q.reason = "CallerLeft"
+	}
+}
+
 // passLong passes an answer on as it arrives. One that is cut ends with a closed connection.
 func (a *attempt) passLong(answer *endpoint.Answer) verdict {
 	q := a.q
--- a/internal/request/forward/codec.go
+++ b/internal/request/forward/codec.go
@@ -4,15 +4,9 @@
 	"net/http"
 	"time"
 
-	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/tiering"
 )
 
-// Part is a part of a prompt that other prompts may begin with too.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // Meta is what the header of a request says.
 type Meta struct {
 	ID string
@@ -24,7 +18,7 @@
 	PromptTokens int
 	MaxTokens    int
 	// Parts lists the prompt in order. The last part belongs to the request itself or to its session.
-	Parts []Part
+	Parts []tiering.Part
 	// LastEvent is the event after which a stream is to go on.
 	LastEvent string
 }
@@ -41,6 +35,10 @@
 	// Version is the weight version that the endpoint must have; 0 for any.
 	Version   uint64
 	LastEvent string
+	// Tiers says for each part of the prompt from which KV store the endpoint fetches it, or to which it saves it; empty for
+	// none. A fetch that has not ended when the servers' clock shows Until is discarded.
+	Tiers []tiering.Action
+	Until time.Duration
 }
 
 // Sign is what the header of an answer says.
@@ -76,11 +74,11 @@
 	Refusal(id string, retryAfter time.Duration) http.Header
 }
 
-// scope returns the text that separates the cached parts of an organisation and of a weight version from others.
-func scope(o *site.Organisation, version uint64) string {
-	name := "Shared"
-	if o != nil && o.Dedicated {
-		name = "Own." + o.Name
+// scope separates the cached parts of the request from those that it must not use.
+func (q *request) scope(version uint64) tiering.Scope {
+	s := tiering.Scope{Model: q.meta.Model, Version: version}
+	if q.organisation != nil && q.organisation.Dedicated {
+		s.Organisation = q.organisation.Name
 	}
-	return name + "." + uintText(version)
+	return s
 }
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -18,11 +18,13 @@
 
 	"primrosecourse/internal/connection/endpoint"
 	"primrosecourse/internal/connection/front"
+	"primrosecourse/internal/connection/kvstore"
 	"primrosecourse/internal/event"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/retry"
 	"primrosecourse/pkg/ring"
 	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/tiering"
 )
 
 // View is what is known of the site; registry.Registry is one.
@@ -30,7 +32,17 @@
 	// Current returns the snapshot in force. It is not changed.
 	Current() *site.Snapshot
 	// ConfigurationAge returns how long ago the store confirmed the configuration.
-	ConfigurationAge(now time.Time) time.Duration
+	ConfigurationAge() time.Duration
+	// VersionsAge returns how long ago the store confirmed the named weight versions.
+	VersionsAge() time.Duration
+}
+
+// Tiers are the KV stores of the site; kvstore.Catalog is one.
+type Tiers interface {
+	List() []tiering.Store
+	Scope(scope string) *kvstore.Scoped
+	// Clock returns the clock of the servers, false if it is not known.
+	Clock() (clock time.Duration, ok bool)
 }
 
 // Sender exchanges requests with endpoints; endpoint.Pool is one.
@@ -62,6 +74,7 @@
 	Table     *placement.Table
 	Endpoints Sender
 	Crashes   Crashes
+	Tiers     Tiers
 	Limits    Limits
 	Log       logr.Logger
 	Metrics   metrics.Registry
@@ -113,7 +126,7 @@
 		q.refuse(http.StatusServiceUnavailable, "NoConfiguration", "no configuration yet", time.Second)
 		return false
 	}
-	stale := q.h.View.ConfigurationAge(time.Now()) > staleTime
+	stale := q.h.View.ConfigurationAge() > staleTime
 	route, ok := c.Match(q.in.Host, q.in.Path)
 	if !ok {
 		q.unknown(stale, http.StatusNotFound, "NoRoute")
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -14,8 +14,10 @@
 	"primrosecourse/internal/connection/endpoint"
 	"primrosecourse/internal/connection/front"
 	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/tiering"
 )
 
 // request is one request on its way.
@@ -39,6 +41,8 @@
 	tried []string
 	sent  int
 	ran   int
+	// spare is an endpoint's failure, which is passed on if no other endpoint does better.
+	spare *wholeAnswer
 	// firstPiece is when the first byte of the answer's body reached the caller's connection.
 	firstPiece time.Time
 	status     int
@@ -104,10 +108,17 @@
 	service := q.view.Configuration.Services[q.service]
 	ask := &placement.Ask{Service: q.service, Left: time.Until(q.deadline), Gateways: q.view.Gateways, Tried: q.tried,
 		Domain: q.h.Domain, Tokens: q.meta.PromptTokens}
-	if service != nil && service.Engine != nil && len(q.meta.Parts) > 1 {
-		for _, p := range q.meta.Parts[:len(q.meta.Parts)-1] {
+	if shared := q.shared(); service != nil && service.Engine != nil && len(shared) > 0 {
+		for _, p := range shared {
 			ask.Shared += p.Tokens
 		}
+		actions := q.tiers(service, q.view.Versions[q.meta.Model])
+		for i, a := range actions {
+			if a.Fetch != nil {
+				ask.Stored += shared[i].Tokens
+			}
+		}
+		ask.FetchTime = tiering.FetchTime(shared, actions, service.Engine.TokenBytes)
 		for _, i := range r.ring.Append(nil, q.key(), now, 2) {
 			ask.Homes = append(ask.Homes, r.ring.Endpoint(i).Name)
 		}
@@ -132,13 +143,52 @@
 	return kept
 }
 
+// shared returns the parts of the prompt that other prompts may begin with too.
+func (q *request) shared() []tiering.Part {
+	if len(q.meta.Parts) < 2 {
+		return nil
+	}
+	return q.meta.Parts[:len(q.meta.Parts)-1]
+}
+
+// tiers returns what an engine with a weight version does with each shared part of the prompt, nil for nothing.
+func (q *request) tiers(service *site.Service, version uint64) []tiering.Action {
+	if q.h.Tiers == nil || service.Engine == nil || version == 0 || len(q.shared()) == 0 {
+		return nil
+	}
+	namedFor := bootclock.Now() - q.view.NamedAt[q.meta.Model]
+	if !tiering.MayUse(version, q.view.Versions[q.meta.Model], q.h.View.VersionsAge(), namedFor) {
+		return nil
+	}
+	return tiering.Plan(q.h.Tiers.List(), q.shared(), q.h.Tiers.Scope(q.scope(version).String()))
+}
+
+// addTiers adds the KV stores to a request for an endpoint with a weight version.
+func (q *request) addTiers(o *Outgoing, service *site.Service, version uint64) {
+	clock, ok := time.Duration(0), false
+	if q.h.Tiers != nil {
+		clock, ok = q.h.Tiers.Clock()
+	}
+	if !ok {
+		return
+	}
+	o.Tiers = q.tiers(service, version)
+	o.Until = clock + tiering.TransferTime
+	now := time.Now()
+	for i, a := range o.Tiers {
+		if a.Save != nil {
+			q.h.Tiers.Scope(o.Scope).Saved(a.Save.Name, q.meta.Parts[i], now)
+		}
+	}
+}
+
 // key places the parts of the prompt that others share on the ring.
 func (q *request) key() uint64 {
 	var b strings.Builder
 	if q.organisation != nil && q.organisation.Dedicated {
 		b.WriteString(q.organisation.Name)
 	}
-	for _, p := range q.meta.Parts[:len(q.meta.Parts)-1] {
+	for _, p := range q.shared() {
 		b.WriteString("/" + p.ID)
 	}
 	return xxhash.Sum64String(b.String())
@@ -184,7 +234,8 @@
 	if service != nil && service.Engine != nil {
 		o.Priority = q.rank()
 		o.Version, _ = e.Version(q.meta.Model)
-		o.Scope = scope(q.organisation, o.Version)
+		o.Scope = q.scope(o.Version).String()
+		q.addTiers(o, service, o.Version)
 	}
 	if q.stream != nil && q.stream.last != "" {
 		o.LastEvent = q.stream.last
@@ -223,6 +274,9 @@
 	case q.w.Started():
 		q.reason = reason
 		q.w.Abort()
+	case q.spare != nil:
+		q.reason = reason
+		q.deliver(q.spare)
 	case q.ran == 0:
 		q.refuse(http.StatusServiceUnavailable, reason, "", retryAfter)
 	case q.ctx.Err() != nil:
--- a/internal/version/registry/follower.go
+++ b/internal/version/registry/follower.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/bootclock"
 )
 
 const (
@@ -33,13 +34,14 @@
 	revision uint64
 	known    map[string]uint64
 
-	mu      sync.Mutex
-	contact time.Time
+	mu sync.Mutex
+	// contact is measured by the clock that goes on while the machine is suspended.
+	contact time.Duration
 	trouble time.Time
 }
 
-// lastContact returns when the store last answered, zero if never.
-func (f *follower[T]) lastContact() time.Time {
+// lastContact returns when the store last answered, as time since the start of the machine; zero if never.
+func (f *follower[T]) lastContact() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.contact
@@ -150,7 +152,7 @@
 
 func (f *follower[T]) answered() {
 	f.mu.Lock()
-	f.contact = time.Now()
+	f.contact = bootclock.Now()
 	f.mu.Unlock()
 }
 
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/pkg/site"
 )
 
@@ -58,6 +59,7 @@
 	configurations *follower[*site.Configuration]
 	servers        *follower[*site.Endpoint]
 	shared         *follower[json.RawMessage]
+	versions       *follower[site.ModelVersion]
 }
 
 func (r *Registry) init() {
@@ -65,13 +67,15 @@
 		r.done = make(chan struct{})
 		r.endpoints, r.missing, r.members = map[string]*site.Endpoint{}, map[string]time.Time{}, map[string]time.Time{}
 		r.next = site.Snapshot{Endpoints: map[string][]*site.Endpoint{}, Evacuated: map[string]bool{},
-			Versions: map[string]uint64{}, Updating: map[string]bool{}, Marks: map[uint64][]string{}, Gateways: 1}
+			Versions: map[string]uint64{}, NamedAt: map[string]time.Duration{}, Updating: map[string]bool{}, Marks: map[uint64][]string{}, Gateways: 1}
 		first := r.next
 		r.current.Store(&first)
 		r.configurations = &follower[*site.Configuration]{kind: "Configuration", source: r.Configurations, wait: watchWait,
 			log: r.Log, apply: r.applyConfigurations}
 		r.servers = &follower[*site.Endpoint]{kind: "Endpoint", source: r.Endpoints, wait: watchWait, log: r.Log,
 			apply: r.applyEndpoints}
+		r.versions = &follower[site.ModelVersion]{kind: "Version", source: r.Versions, wait: watchWait, log: r.Log,
+			apply: r.applyVersions}
 		r.shared = &follower[json.RawMessage]{kind: "Shared", source: r.Shared, wait: slowWatchWait, log: r.Log,
 			apply: r.applyShared}
 	})
@@ -85,13 +89,19 @@
 
 // Complete reports whether a configuration and the endpoints have been read.
 func (r *Registry) Complete() bool {
-	return r.Current().Configuration != nil && !r.servers.lastContact().IsZero()
+	return r.Current().Configuration != nil && r.servers.lastContact() > 0
 }
 
 // ConfigurationAge returns how long ago the store last confirmed the configuration.
-func (r *Registry) ConfigurationAge(now time.Time) time.Duration {
+func (r *Registry) ConfigurationAge() time.Duration {
 	r.init()
-	return now.Sub(r.configurations.lastContact())
+	return bootclock.Now() - r.configurations.lastContact()
+}
+
+// VersionsAge returns how long ago the store last confirmed the named weight versions.
+func (r *Registry) VersionsAge() time.Duration {
+	r.init()
+	return bootclock.Now() - r.versions.lastContact()
 }
 
 // Done is closed when Run has ended.
@@ -106,10 +116,8 @@
 	defer close(r.done)
 	evacuations := &follower[struct{}]{kind: "Evacuation", source: r.Evacuations, wait: slowWatchWait, log: r.Log,
 		apply: r.applyEvacuations}
-	versions := &follower[site.ModelVersion]{kind: "Version", source: r.Versions, wait: slowWatchWait, log: r.Log,
-		apply: r.applyVersions}
 	var parts sync.WaitGroup
-	for _, run := range []func(context.Context){r.configurations.run, r.servers.run, r.shared.run, evacuations.run, versions.run,
+	for _, run := range []func(context.Context){r.configurations.run, r.servers.run, r.shared.run, evacuations.run, r.versions.run,
 		r.beat, r.sweep} {
 		parts.Go(func() { run(ctx) })
 	}
@@ -243,9 +251,9 @@
 		if c.Removed || c.Err != nil || c.Value.Version <= r.next.Versions[c.Value.Model] {
 			continue
 		}
-		versions := maps.Clone(r.next.Versions)
-		versions[c.Value.Model] = c.Value.Version
-		r.next.Versions = versions
+		versions, named := maps.Clone(r.next.Versions), maps.Clone(r.next.NamedAt)
+		versions[c.Value.Model], named[c.Value.Model] = c.Value.Version, bootclock.Now()
+		r.next.Versions, r.next.NamedAt = versions, named
 		event.Info(r.Log, event.WeightVersionNamed, "model", c.Value.Model, "version", c.Value.Version, "revision", c.Revision)
 		r.publish()
 	}
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"primrosecourse/internal/event"
@@ -96,6 +97,19 @@
 	r.countMembers()
 }
 
+// First reports whether this gateway comes first of all in the order of a name, which differs from name to name.
+func (r *Registry) First(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	own := xxhash.Sum64String(r.Name + "\n" + name)
+	for member := range r.members {
+		if h := xxhash.Sum64String(member + "\n" + name); member != r.Name && h > own {
+			return false
+		}
+	}
+	return true
+}
+
 func (r *Registry) countMembers() {
 	n := len(r.members)
 	if _, listed := r.members[r.Name]; !listed {
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -35,6 +35,9 @@
 	// Tokens is the length of the prompt, Shared what of it may be cached.
 	Tokens int
 	Shared int
+	// Stored is how many of the shared tokens any endpoint can fetch, FetchTime how long that takes over idle links.
+	Stored    int
+	FetchTime time.Duration
 	// Left is the time in which an answer is of use.
 	Left time.Duration
 	// Gateways is the number of processes that share the limits of endpoints.
@@ -76,10 +79,11 @@
 	suspectCost = 10 * time.Second
 	// probeShare is the part of requests that may try a suspect endpoint.
 	probeShare = 0.1
-	// secondHomeShare is the part of the shared tokens that the second home is expected to hold.
-	secondHomeShare = 0.5
 )
 
+// homeShares are the parts of the shared tokens that the homes are expected to hold, by their place.
+var homeShares = [...]float64{0.9, 0.4}
+
 // Choose returns the endpoint for a request among candidates, which may get work, or why there is none.
 func (t *Table) Choose(now time.Time, a *Ask, candidates []*site.Endpoint) (Choice, *Refusal) {
 	t.mu.Lock()
@@ -142,24 +146,21 @@
 // cost returns the expected time to the first piece at an endpoint, with penalties.
 func (t *Table) cost(now time.Time, a *Ask, e *site.Endpoint, s *state, meanErrors float64) (time.Duration, Choice) {
 	perSecond := t.rate(a.Service).perSecond
-	unread := a.Tokens
 	reason := LeastLoad
 	if len(a.Homes) > 0 {
 		reason = Spill
 	}
+	here := 0.0 // the part of the shared tokens that is expected in the endpoint's memory
 	for i, home := range a.Homes {
-		if home != e.ID {
-			continue
-		}
-		reason = Home
-		if i == 0 {
-			unread -= a.Shared
-		} else {
-			unread -= int(secondHomeShare * float64(a.Shared))
+		if home == e.ID {
+			reason = Home
+			here = homeShares[min(i, len(homeShares)-1)]
 		}
 	}
+	missing := (1 - here) * float64(a.Shared-a.Stored)
+	unread := a.Tokens - a.Shared + int(missing)
 	wait := time.Duration(s.pending / perSecond * float64(time.Second))
-	cost := wait + time.Duration(float64(unread)/perSecond*float64(time.Second))
+	cost := wait + time.Duration(float64(unread)/perSecond*float64(time.Second)) + time.Duration((1-here)*float64(a.FetchTime))
 	perRun := plainRunCost
 	if a.Tokens > 0 {
 		perRun = runCost
