Free broken saves only after two listings

One listing had shown it unfinished; six seconds later it was freed without another look, and the event that it was whole had come in between.

Ruled out: the freeing of old weight versions (first at 32.9 s).

Change: a save counts as broken off when a second listing, six seconds after the first, shows it where it was. It is freed right after that listing, with a bound shorter than the time until an event is told. Tests of the catalog play this, restarts, lost events and the time at which versions retire.

--- a/internal/connection/kvstore/catalog.go
+++ b/internal/connection/kvstore/catalog.go
@@ -105,9 +105,8 @@
 	// missing counts saves that did not appear since the last listing at listedAt.
 	missing  int
 	listedAt time.Time
-	// stuck are the unfinished saves of the last listing; confirmed tells that nothing was freed since.
-	stuck     map[Key]progress
-	confirmed bool
+	// stuck are the unfinished saves of the last listing.
+	stuck map[Key]progress
 }
 
 // save is a part that an engine was told to save.
@@ -200,6 +199,7 @@
 		if !listed {
 			if next, err = c.listStore(ctx, n); err == nil {
 				listed = true
+				c.freeStuck(ctx, n)
 				continue
 			}
 		} else {
--- /dev/null
+++ b/internal/connection/kvstore/catalog_test.go
@@ -0,0 +1,226 @@
+package kvstore_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"primrosecourse/internal/connection/kvstore"
+	"primrosecourse/internal/process/bootclock"
+	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/tiering"
+)
+
+var shared = tiering.Scope{Model: "M", Version: 1}.String()
+
+// store plays one KV store.
+type store struct {
+	mu         sync.Mutex
+	epoch      uint64
+	next       uint64
+	held       []kvstore.Held
+	unfinished []kvstore.Unfinished
+	changes    []kvstore.Change
+	lost, down bool
+	lists      int
+	freed      []kvstore.Key
+}
+
+func (s *store) List(context.Context, string) (kvstore.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	if s.down {
+		return kvstore.Listing{}, errors.New("down")
+	}
+	s.changes, s.lost = nil, false
+	return kvstore.Listing{Epoch: s.epoch, Next: s.next, Held: s.held, Unfinished: s.unfinished, Clock: time.Hour}, nil
+}
+
+func (s *store) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) (kvstore.Changes, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait / 10):
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return kvstore.Changes{}, errors.New("down")
+	}
+	c := kvstore.Changes{Epoch: s.epoch, Next: s.next, Lost: s.lost, Changes: s.changes, Clock: time.Hour}
+	s.changes = nil
+	return c, nil
+}
+
+func (s *store) Free(_ context.Context, _ string, parts []kvstore.Key, epoch uint64, _ time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if epoch != s.epoch {
+		return errors.New("status 409")
+	}
+	s.freed = append(s.freed, parts...)
+	return nil
+}
+
+func (s *store) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+type view struct {
+	snapshot *site.Snapshot
+	first    bool
+}
+
+func (v *view) Current() *site.Snapshot { return v.snapshot }
+func (v *view) First(string) bool       { return v.first }
+
+// run plays a catalog of one store on a virtual clock.
+func run(t *testing.T, s *store, v *view, play func(c *kvstore.Catalog)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		service := site.Service{Name: "K", Store: &site.CacheStore{Address: "a", Tokens: 1000}}
+		if v.snapshot == nil {
+			v.snapshot = &site.Snapshot{}
+		}
+		v.snapshot.Configuration = site.NewConfiguration(1, nil, []site.Service{service}, nil, site.Limits{})
+		c := &kvstore.Catalog{View: v, Stores: s, Log: logr.Discard()}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		time.Sleep(700 * time.Millisecond)
+		play(c)
+		cancel()
+		<-ended
+	})
+}
+
+func part(id string, tokens int) tiering.Part { return tiering.Part{ID: id, Tokens: tokens} }
+
+func held(id string, tokens int) kvstore.Held {
+	return kvstore.Held{Key: kvstore.Key{Scope: shared, ID: id}, Tokens: tokens}
+}
+
+// TestOnlyWholeParts guards against a fetch of a part that is being written, or of less than the prompt needs.
+func TestOnlyWholeParts(t *testing.T) {
+	s := &store{epoch: 1, held: []kvstore.Held{held("whole", 100), held("short", 50)},
+		unfinished: []kvstore.Unfinished{{Key: held("half", 0).Key, Done: 40, Reserved: 100}}}
+	run(t, s, &view{}, func(c *kvstore.Catalog) {
+		is := is.New(t)
+		scope := c.Scope(shared)
+		is.True(scope.Holds("K", part("whole", 100)))
+		is.True(!scope.Holds("K", part("short", 100)))
+		is.True(!scope.Holds("K", part("half", 100)))
+		is.True(!c.Scope("Shared/M/2").Holds("K", part("whole", 100))) // another weight version
+		is.Equal(scope.Room("K"), 1000-100-50-100)
+		scope.Saved("K", part("new", 200), time.Now())
+		is.True(scope.Saving("K", part("new", 200)))
+		is.True(!scope.Holds("K", part("new", 200))) // until the store says so
+		is.Equal(scope.Room("K"), 550)
+		s.set(func() { s.changes = append(s.changes, kvstore.Change{Held: held("new", 200)}) })
+		time.Sleep(2 * time.Second)
+		is.True(scope.Holds("K", part("new", 200)))
+		is.Equal(scope.Room("K"), 550)
+	})
+}
+
+// TestRestartedStore guards against fetching what a store held before it restarted, and events of another epoch.
+func TestRestartedStore(t *testing.T) {
+	s := &store{epoch: 1, held: []kvstore.Held{held("a", 100)}}
+	run(t, s, &view{}, func(c *kvstore.Catalog) {
+		is := is.New(t)
+		scope := c.Scope(shared)
+		is.True(scope.Holds("K", part("a", 100)))
+		s.set(func() { s.epoch, s.held = 2, nil })
+		time.Sleep(2 * time.Second)
+		is.True(!scope.Holds("K", part("a", 100)))
+		is.Equal(scope.Room("K"), 1000)
+	})
+}
+
+// TestSilentStore guards against relying on a store that does not answer.
+func TestSilentStore(t *testing.T) {
+	s := &store{epoch: 1, held: []kvstore.Held{held("a", 100)}}
+	run(t, s, &view{}, func(c *kvstore.Catalog) {
+		is := is.New(t)
+		scope := c.Scope(shared)
+		s.set(func() { s.down = true })
+		time.Sleep(2 * time.Second)
+		is.True(!scope.Holds("K", part("a", 100)))
+		is.Equal(scope.Room("K"), 0)
+		s.set(func() { s.down = false })
+		time.Sleep(2 * time.Second)
+		is.True(scope.Holds("K", part("a", 100)))
+	})
+}
+
+// TestLostEvents guards against going on from events of which some are missing.
+func TestLostEvents(t *testing.T) {
+	s := &store{epoch: 1}
+	run(t, s, &view{}, func(c *kvstore.Catalog) {
+		is := is.New(t)
+		s.set(func() { s.lost, s.held = true, []kvstore.Held{held("a", 100)} })
+		time.Sleep(2 * time.Second)
+		is.True(c.Scope(shared).Holds("K", part("a", 100)))
+		is.Equal(s.lists, 2)
+	})
+}
+
+// TestRetiredVersions guards against freeing parts that a gateway with an old view may still let an engine fetch, and
+// against keeping them for ever.
+func TestRetiredVersions(t *testing.T) {
+	old, current := shared, tiering.Scope{Model: "M", Version: 2}.String()
+	for name, c := range map[string]struct {
+		first    bool
+		namedFor time.Duration
+		freed    int
+	}{
+		"not yet":        {true, 5 * time.Second, 0},
+		"long ago":       {true, time.Minute, 1},
+		"another's task": {false, time.Minute, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &store{epoch: 1, held: []kvstore.Held{{Key: kvstore.Key{Scope: old, ID: "a"}, Tokens: 10},
+				{Key: kvstore.Key{Scope: current, ID: "b"}, Tokens: 10}, {Key: kvstore.Key{Scope: "foreign", ID: "c"}, Tokens: 10}}}
+			v := &view{first: c.first, snapshot: &site.Snapshot{Versions: map[string]uint64{"M": 2},
+				NamedAt: map[string]time.Duration{"M": bootclock.Now() - c.namedFor}}}
+			run(t, s, v, func(*kvstore.Catalog) {
+				is := is.New(t)
+				time.Sleep(2 * time.Second)
+				is.Equal(len(s.freed), c.freed)
+				for _, key := range s.freed {
+					is.Equal(key.Scope, old)
+				}
+			})
+		})
+	}
+}
+
+// TestBrokenSave guards against a save that broke off and takes room for ever, and against freeing one that goes on: its
+// part may be whole, and be fetched, by the time it is freed.
+func TestBrokenSave(t *testing.T) {
+	s := &store{epoch: 1, unfinished: []kvstore.Unfinished{{Key: held("stuck", 0).Key, Done: 10, Reserved: 100},
+		{Key: held("slow", 0).Key, Done: 10, Reserved: 100}}}
+	run(t, s, &view{first: true}, func(*kvstore.Catalog) {
+		is := is.New(t)
+		time.Sleep(5 * time.Second)
+		is.Equal(len(s.freed), 0)
+		s.set(func() { s.unfinished[1].Done = 60 })
+		time.Sleep(6 * time.Second)
+		is.Equal(len(s.freed), 1)
+		is.Equal(s.freed[0].ID, "stuck")
+		s.set(func() {
+			s.unfinished = nil
+			s.held = []kvstore.Held{held("slow", 100)}
+		})
+		time.Sleep(20 * time.Second)
+		is.Equal(len(s.freed), 1)
+	})
+}
--- a/internal/connection/kvstore/upkeep.go
+++ b/internal/connection/kvstore/upkeep.go
@@ -15,14 +15,19 @@
 	maxFreed = 500
 	// freeTime is how long a call to free may be on its way.
 	freeTime = time.Second
+	// stuckFreeTime is the same for a save that broke off. It is shorter than the time until an event is told, so that nobody
+	// knows of a part that was saved again meanwhile.
+	stuckFreeTime = 50 * time.Millisecond
 	// stuckTime is how long a save must have made no progress to count as broken off.
 	stuckTime = 6 * time.Second
 )
 
-// progress is how far a save had come when it was last seen to move.
+// progress is how far a save had come when it was last seen to move. It broke off if a later listing, after stuckTime, shows
+// it where it was.
 type progress struct {
-	done  int
-	since time.Time
+	done   int
+	since  time.Time
+	broken bool
 }
 
 // freeing is a call to free parts of one store.
@@ -31,28 +36,52 @@
 	epoch    uint64
 	parts    []Key
 	reason   string
+	within   time.Duration
 }
 
 // upkeep frees what is of no use in the stores for which this gateway is the first.
 func (c *Catalog) upkeep(ctx context.Context) {
-	for _, f := range c.toFree(c.View.Current(), time.Now()) {
-		clock, ok := c.Clock()
-		if !ok {
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, callTime)
-		err := c.Stores.Free(call, f.contents.store.Address, f.parts, f.epoch, clock+freeTime)
-		cancel()
-		outcome := "freed"
-		if err != nil {
-			outcome = err.Error()
-		}
-		event.Info(c.Log, event.CacheFreed, "store", f.contents.store.Name, "epoch", f.epoch, "parts", len(f.parts),
-			"reason", f.reason, "outcome", outcome)
-		if err == nil {
-			c.freed(f)
+	for _, f := range c.retiredParts(c.View.Current()) {
+		c.free(ctx, f)
+	}
+}
+
+// freeStuck frees the saves that the listing just read shows to have broken off.
+func (c *Catalog) freeStuck(ctx context.Context, n *contents) {
+	if !c.View.First(n.store.Name) {
+		return
+	}
+	f := freeing{contents: n, reason: "save broke off", within: stuckFreeTime}
+	c.mu.Lock()
+	f.epoch = n.epoch
+	for key, p := range n.stuck {
+		if p.broken && len(f.parts) < maxFreed {
+			f.parts = append(f.parts, key)
 		}
 	}
+	c.mu.Unlock()
+	if len(f.parts) > 0 {
+		c.free(ctx, f)
+	}
+}
+
+func (c *Catalog) free(ctx context.Context, f freeing) {
+	clock, ok := c.Clock()
+	if !ok {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	err := c.Stores.Free(call, f.contents.store.Address, f.parts, f.epoch, clock+f.within)
+	outcome := "freed"
+	if err != nil {
+		outcome = err.Error()
+	}
+	event.Info(c.Log, event.CacheFreed, "store", f.contents.store.Name, "epoch", f.epoch, "parts", len(f.parts),
+		"reason", f.reason, "outcome", outcome)
+	if err == nil {
+		c.freed(f)
+	}
 }
 
 func (c *Catalog) freed(f freeing) {
@@ -65,15 +94,15 @@
 	}
 }
 
-// toFree lists what is to be freed.
-func (c *Catalog) toFree(view *site.Snapshot, now time.Time) (list []freeing) {
+// retiredParts lists the parts of weight versions that no gateway may use any more.
+func (c *Catalog) retiredParts(view *site.Snapshot) (list []freeing) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, n := range c.stores {
 		if !n.known || !c.View.First(name) {
 			continue
 		}
-		f := freeing{contents: n, epoch: n.epoch, reason: "weight version is not served"}
+		f := freeing{contents: n, epoch: n.epoch, reason: "weight version is not served", within: freeTime}
 		for key := range n.held {
 			if len(f.parts) < maxFreed && retired(view, key) {
 				f.parts = append(f.parts, key)
@@ -81,16 +110,6 @@
 		}
 		if len(f.parts) > 0 {
 			list = append(list, f)
-			continue
-		}
-		stuck := freeing{contents: n, epoch: n.epoch, reason: "save broke off"}
-		for key, p := range n.stuck {
-			if now.Sub(p.since) > stuckTime && n.confirmed {
-				stuck.parts = append(stuck.parts, key)
-			}
-		}
-		if len(stuck.parts) > 0 {
-			list = append(list, stuck)
 		}
 	}
 	return list
@@ -109,12 +128,13 @@
 // observeUnfinished records how far unfinished saves have come. The caller holds mu.
 func (n *contents) observeUnfinished(list []Unfinished, now time.Time) {
 	before := n.stuck
-	n.stuck, n.confirmed = map[Key]progress{}, true
+	n.stuck = map[Key]progress{}
 	for _, u := range list {
 		p, ok := before[u.Key]
 		if !ok || p.done != u.Done {
 			p = progress{done: u.Done, since: now}
 		}
+		p.broken = now.Sub(p.since) > stuckTime
 		n.stuck[u.Key] = p
 	}
 }
