Count the use of old weight versions from the last time they were not replaced

A gateway that was cut off learned of a named version late and then used parts of the old one for 6 s more, while the gateway that frees them counted its 9 s from the naming.

Ruled out: longer times before freeing (no time is long enough for a gateway that learns late).

Change: the registry keeps the last moment at which the version was not named yet; the use of old parts is counted from there. Marks of crashing requests are merged when two gateways write one, and marks and silent gateways' objects are deleted after a while, since the store keeps everything.

The test of the times fails with the earlier rule (contact 0 s, learned 1.5 s: a fetch that began at 7 s may read what is freed).

--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -145,7 +145,7 @@
 	}
 	q.allowed = min(cmp.Or(q.meta.Deadline, defaultTimeout), cmp.Or(route.Timeout, defaultTimeout))
 	q.service = pick(route.Shares)
-	q.fingerprint = fingerprint(q.in, q.organisation)
+	q.fingerprint = Fingerprint(q.in, q.organisation)
 	if q.h.quarantined(q.view, q.fingerprint) {
 		q.refuse(http.StatusServiceUnavailable, "Quarantined", "the request crashed endpoints", 30*time.Second)
 		return false
@@ -178,8 +178,8 @@
 	return shares[0].Service
 }
 
-// fingerprint identifies a request that comes again, whatever its identity.
-func fingerprint(r *front.Request, o *site.Organisation) uint64 {
+// Fingerprint identifies a request of an organisation, which may be nil, that comes again under another identity.
+func Fingerprint(r *front.Request, o *site.Organisation) uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(r.Method + "\n" + r.Target + "\n")
 	if o != nil {
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -156,7 +156,7 @@
 	if q.h.Tiers == nil || service.Engine == nil || version == 0 || len(q.shared()) == 0 {
 		return nil
 	}
-	namedFor := bootclock.Now() - q.view.NamedAt[q.meta.Model]
+	namedFor := bootclock.Now() - q.view.UnnamedAt[q.meta.Model]
 	if !tiering.MayUse(version, q.view.Versions[q.meta.Model], q.h.View.VersionsAge(), namedFor) {
 		return nil
 	}
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -53,6 +53,7 @@
 	// missing holds when an endpoint that disappeared after an outage is dropped.
 	missing map[string]time.Time
 	members map[string]time.Time
+	touched map[string]touch
 	lease   Lease
 	leaseAt time.Time
 
@@ -65,9 +66,11 @@
 func (r *Registry) init() {
 	r.once.Do(func() {
 		r.done = make(chan struct{})
-		r.endpoints, r.missing, r.members = map[string]*site.Endpoint{}, map[string]time.Time{}, map[string]time.Time{}
+		r.endpoints, r.missing = map[string]*site.Endpoint{}, map[string]time.Time{}
+		r.members, r.touched = map[string]time.Time{}, map[string]touch{}
 		r.next = site.Snapshot{Endpoints: map[string][]*site.Endpoint{}, Evacuated: map[string]bool{},
-			Versions: map[string]uint64{}, NamedAt: map[string]time.Duration{}, Updating: map[string]bool{}, Marks: map[uint64][]string{}, Gateways: 1}
+			Versions: map[string]uint64{}, NamedAt: map[string]time.Duration{},
+			UnnamedAt: map[string]time.Duration{}, Updating: map[string]bool{}, Marks: map[uint64][]string{}, Gateways: 1}
 		first := r.next
 		r.current.Store(&first)
 		r.configurations = &follower[*site.Configuration]{kind: "Configuration", source: r.Configurations, wait: watchWait,
@@ -251,9 +254,11 @@
 		if c.Removed || c.Err != nil || c.Value.Version <= r.next.Versions[c.Value.Model] {
 			continue
 		}
-		versions, named := maps.Clone(r.next.Versions), maps.Clone(r.next.NamedAt)
+		versions, named, unnamed := maps.Clone(r.next.Versions), maps.Clone(r.next.NamedAt), maps.Clone(r.next.UnnamedAt)
+		// The call that brought the version is not counted as contact yet.
 		versions[c.Value.Model], named[c.Value.Model] = c.Value.Version, bootclock.Now()
-		r.next.Versions, r.next.NamedAt = versions, named
+		unnamed[c.Value.Model] = r.versions.lastContact()
+		r.next.Versions, r.next.NamedAt, r.next.UnnamedAt = versions, named, unnamed
 		event.Info(r.Log, event.WeightVersionNamed, "model", c.Value.Model, "version", c.Value.Version, "revision", c.Revision)
 		r.publish()
 	}
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -27,6 +28,9 @@
 	// beatTime is the time between two signs of a gateway, memberTime how long it counts after the last one.
 	beatTime   = 6 * time.Second
 	memberTime = 20 * time.Second
+	// forgetTime is how long the object of a silent gateway is kept, markTime how long a mark is.
+	forgetTime = time.Minute
+	markTime   = 15 * time.Minute
 )
 
 // Member is the object by which a gateway shows that it shares the limits of endpoints.
@@ -71,6 +75,10 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	for _, c := range changes {
+		r.touched[c.Name] = touch{at: now, revision: c.Revision}
+		if c.Removed {
+			delete(r.touched, c.Name)
+		}
 		var err error
 		switch {
 		case strings.HasPrefix(c.Name, memberPrefix):
@@ -181,6 +189,7 @@
 		if err == nil {
 			revision = next
 		}
+		r.tidy(ctx, time.Now())
 		pause := beatTime*3/4 + rand.N(beatTime/2)
 		if err != nil {
 			revision = 0
@@ -213,9 +222,68 @@
 	return next, err
 }
 
+// crashTries bounds the writes of one mark: several gateways may write it at once.
+const crashTries = 4
+
 // Crashed records that a request crashed an endpoint, for all gateways.
-func (r *Registry) Crashed(ctx context.Context, fingerprint uint64, endpoint string) error {
-	endpoints := append(append([]string(nil), r.Current().Marks[fingerprint]...), endpoint)
-	_, err := r.write(ctx, fmt.Sprintf("%s%016x", markPrefix, fingerprint), 0, Mark{Endpoints: endpoints})
+func (r *Registry) Crashed(ctx context.Context, fingerprint uint64, endpoint string) (err error) {
+	defer func() { err = errors.Wrapf(err, "mark of request %016x", fingerprint) }()
+	name := fmt.Sprintf("%s%016x", markPrefix, fingerprint)
+	for range crashTries {
+		var m Mark
+		value, revision, getErr := r.Shared.Get(ctx, name)
+		switch {
+		case errors.Is(getErr, ErrNotFound):
+		case getErr != nil:
+			return getErr
+		default:
+			if err := json.Unmarshal(value, &m); err != nil {
+				return err
+			}
+		}
+		if slices.Contains(m.Endpoints, endpoint) {
+			return nil
+		}
+		m.Endpoints = append(m.Endpoints, endpoint)
+		if _, err = r.Shared.Put(ctx, name, revision, m); !errors.Is(err, ErrConflict) {
+			return err
+		}
+	}
 	return err
 }
+
+// touch is when this gateway saw an object change, and to which revision.
+type touch struct {
+	at       time.Time
+	revision uint64
+}
+
+// tidy deletes objects that nobody needs any more, since the store keeps everything. The first gateway in an object's order
+// does it.
+func (r *Registry) tidy(ctx context.Context, now time.Time) {
+	for name, t := range r.outdated(now) {
+		if !r.First(name) {
+			continue
+		}
+		if err := r.Shared.Delete(ctx, name, t.revision); err != nil && ctx.Err() == nil {
+			event.Info(r.Log, event.StoreWriteFailed, "name", name, "reason", err.Error())
+		}
+	}
+}
+
+func (r *Registry) outdated(now time.Time) map[string]touch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := map[string]touch{}
+	if now.Sub(r.shared.lastTrouble()) < forgetTime {
+		return old
+	}
+	for name, t := range r.touched {
+		member := strings.HasPrefix(name, memberPrefix) && name != memberPrefix+r.Name
+		mark := strings.HasPrefix(name, markPrefix)
+		if (member && now.Sub(t.at) > forgetTime) || (mark && now.Sub(t.at) > markTime) {
+			old[name] = t
+		}
+	}
+	return old
+}
--- a/pkg/site/endpoint.go
+++ b/pkg/site/endpoint.go
@@ -56,10 +56,11 @@
 	Endpoints map[string][]*Endpoint
 	// Evacuated are the failure domains that must get no work.
 	Evacuated map[string]bool
-	// Versions holds the weight version that is to be served by model, NamedAt when it was first seen, as time since the
-	// start of the machine.
-	Versions map[string]uint64
-	NamedAt  map[string]time.Duration
+	// Versions holds the weight version that is to be served by model. NamedAt is when it was first seen, UnnamedAt the last
+	// moment at which it was not yet named, both as time since the start of the machine.
+	Versions  map[string]uint64
+	NamedAt   map[string]time.Duration
+	UnnamedAt map[string]time.Duration
 	// Gateways is the number of gateways that share limits, this one included. At least 1.
 	Gateways int
 	// Updating are the endpoints that are about to change their weights.
--- a/pkg/tiering/plan.go
+++ b/pkg/tiering/plan.go
@@ -137,13 +137,13 @@
 )
 
 // MayUse reports whether parts of a weight version may be fetched and saved: the version that is named, or one that it
-// replaced a short while ago. viewAge is the age of what is known of named versions, namedFor how long the named version
-// has been known.
+// replaced a short while ago. viewAge is the age of what is known of named versions, namedFor the time since the last moment
+// at which the named version was known not to be named yet.
 func MayUse(version, named uint64, viewAge, namedFor time.Duration) bool {
 	return viewAge < ViewTime && (version >= named || namedFor < ViewTime)
 }
 
-// Retired reports whether parts of a weight version may be freed.
+// Retired reports whether parts of a weight version may be freed. namedFor is how long the named version has been known.
 func Retired(version, named uint64, namedFor time.Duration) bool {
 	return version < named && namedFor >= ViewTime+TransferTime+retireMargin
 }
