Tell gateways of each other's loads; weigh only a few endpoints drawn at random

Change: gateways send each other what they have under way, in datagrams of msgpack, each 50 ms among few. Placement takes the endpoints' version when none was named.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -85,7 +85,8 @@
 	store := platform.New(settings.Store)
 	defer store.Close()
 	shared := platform.Shared(store)
-	r := &registry.Registry{Name: settings.Name, Configurations: platform.Configurations(store), Endpoints: platform.Endpoints(store),
+	r := &registry.Registry{Name: settings.Name, LoadAddress: settings.LoadAddress(),
+		Configurations: platform.Configurations(store), Endpoints: platform.Endpoints(store),
 		Evacuations: platform.Evacuations(store), Versions: platform.Versions(store), Shared: shared, Log: log}
 	orders := lease.New(settings.Name, shared, registry.LeaseName())
 	orders.Time, orders.ThawTime, orders.Log = settings.LeaseTime, settings.ThawTime, log
--- /dev/null
+++ b/internal/connection/loads/exchange.go
@@ -0,0 +1,154 @@
+package loads
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"primrosecourse/internal/event"
+	"primrosecourse/pkg/placement"
+)
+
+// Peers lists the other gateways.
+type Peers interface {
+	// Peers returns the addresses of the other gateways. The result must not be changed.
+	Peers() []netip.AddrPort
+}
+
+// Table holds what is known of endpoints; placement.Table is one.
+type Table interface {
+	// Loads returns what this process has under way, the endpoints with most first, at most limit.
+	Loads(limit int) []placement.Load
+	// PeerLoads replaces what is known of another process.
+	PeerLoads(now time.Time, peer string, loads []placement.Load)
+}
+
+// message is a datagram.
+type message struct {
+	Name        string
+	Incarnation uint64
+	// Number rises with each message of an incarnation.
+	Number uint64
+	Loads  []placement.Load
+}
+
+const (
+	// shortestInterval is the time between two messages of a gateway among few, manyPeers the number of others from which it
+	// grows.
+	shortestInterval = 50 * time.Millisecond
+	manyPeers        = 8
+	// idleInterval is the time between two messages when nothing has changed.
+	idleInterval = 500 * time.Millisecond
+	// maxLoads bounds the endpoints of a message, so that it fits into one packet.
+	maxLoads = 40
+	// maxMessage bounds a datagram that is read.
+	maxMessage = 4096
+)
+
+// Exchange sends and receives loads. Its exported fields are set before Run.
+type Exchange struct {
+	Name        string
+	Incarnation uint64
+	Address     netip.AddrPort
+	Peers       Peers
+	Table       Table
+	Log         logr.Logger
+
+	unreadable atomic.Int64
+	mu         sync.Mutex
+	seen       map[string]message
+}
+
+// Unreadable returns the number of datagrams that could not be read.
+func (e *Exchange) Unreadable() int64 { return e.unreadable.Load() }
+
+// Run exchanges loads until ctx is done.
+func (e *Exchange) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "exchange of loads") }()
+	e.seen = map[string]message{}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(e.Address))
+	if err != nil {
+		return err
+	}
+	var receiver sync.WaitGroup
+	receiver.Go(func() { e.receive(conn) })
+	e.send(ctx, conn)
+	_ = conn.Close()
+	receiver.Wait()
+	return nil
+}
+
+// send tells the peers what is under way here until ctx is done.
+func (e *Exchange) send(ctx context.Context, conn *net.UDPConn) {
+	var number uint64
+	var sent time.Time
+	quiet := false
+	for {
+		peers := e.Peers.Peers()
+		interval := shortestInterval * time.Duration(max(1, len(peers)/manyPeers))
+		loads := e.Table.Loads(maxLoads)
+		idle := len(loads) == 0
+		if len(peers) > 0 && (!idle || !quiet || time.Since(sent) >= idleInterval) {
+			number++
+			e.tell(conn, peers, message{Name: e.Name, Incarnation: e.Incarnation, Number: number, Loads: loads})
+			sent, quiet = time.Now(), idle
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(interval):
+		}
+	}
+}
+
+func (e *Exchange) tell(conn *net.UDPConn, peers []netip.AddrPort, m message) {
+	b, err := msgpack.Marshal(&m)
+	if err != nil {
+		event.Error(e.Log, err, event.LoadsNotSent)
+		return
+	}
+	for _, p := range peers {
+		// A datagram that cannot be sent is as good as lost; the next one replaces it.
+		_, _ = conn.WriteToUDPAddrPort(b, p)
+	}
+}
+
+func (e *Exchange) receive(conn *net.UDPConn) {
+	buffer := make([]byte, maxMessage)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		e.take(buffer[:n], time.Now())
+	}
+}
+
+// take applies a datagram. One that was overtaken by a later one is dropped.
+func (e *Exchange) take(b []byte, now time.Time) {
+	var m message
+	if err := msgpack.Unmarshal(b, &m); err != nil || m.Name == "" || m.Name == e.Name {
+		e.unreadable.Add(1)
+		return
+	}
+	e.mu.Lock()
+	last, known := e.seen[m.Name]
+	overtaken := known && last.Incarnation == m.Incarnation && m.Number <= last.Number
+	if !overtaken {
+		e.seen[m.Name] = message{Incarnation: m.Incarnation, Number: m.Number}
+	}
+	e.mu.Unlock()
+	if !overtaken {
+		e.Table.PeerLoads(now, m.Name, m.Loads)
+	}
+}
--- /dev/null
+++ b/internal/connection/loads/exchange_test.go
@@ -0,0 +1,112 @@
+package loads
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"primrosecourse/pkg/placement"
+)
+
+// table records what it is told.
+type table struct {
+	mu    sync.Mutex
+	own   []placement.Load
+	peers map[string][]placement.Load
+}
+
+func (t *table) Loads(limit int) []placement.Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.own[:min(limit, len(t.own))]
+}
+
+func (t *table) PeerLoads(_ time.Time, peer string, loads []placement.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.peers == nil {
+		t.peers = map[string][]placement.Load{}
+	}
+	t.peers[peer] = loads
+}
+
+func (t *table) of(peer string) []placement.Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.peers[peer]
+}
+
+type peers []netip.AddrPort
+
+func (p peers) Peers() []netip.AddrPort { return p }
+
+// address returns a free address.
+func address(t *testing.T) netip.AddrPort {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return netip.MustParseAddrPort(c.LocalAddr().String())
+}
+
+// TestExchange guards against gateways that do not learn of each other's loads, or keep what is over.
+func TestExchange(t *testing.T) {
+	is := is.New(t)
+	a, b := address(t), address(t)
+	tableA, tableB := &table{own: []placement.Load{{Endpoint: "e1", InFlight: 2, Pending: 500}}}, &table{}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	for _, e := range []*Exchange{{Name: "A", Address: a, Peers: peers{b}, Table: tableA, Log: logr.Discard()},
+		{Name: "B", Address: b, Peers: peers{a}, Table: tableB, Log: logr.Discard()}} {
+		go func() { ended <- e.Run(ctx) }()
+	}
+	defer func() {
+		cancel()
+		is.NoErr(<-ended)
+		is.NoErr(<-ended)
+	}()
+	wait := func(n int) {
+		for deadline := time.Now().Add(3 * time.Second); len(tableB.of("A")) != n; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("B knows %v of A", tableB.of("A"))
+			}
+		}
+	}
+	wait(1)
+	is.Equal(tableB.of("A")[0], placement.Load{Endpoint: "e1", InFlight: 2, Pending: 500})
+	tableA.mu.Lock()
+	tableA.own = nil
+	tableA.mu.Unlock()
+	wait(0)
+}
+
+// TestOvertakenAndUnreadable guards against going back to an older state, and against a datagram that stops the exchange.
+func TestOvertakenAndUnreadable(t *testing.T) {
+	is := is.New(t)
+	tb := &table{}
+	e := &Exchange{Name: "A", Table: tb, seen: map[string]message{}}
+	take := func(m message) {
+		b, err := msgpack.Marshal(&m)
+		is.NoErr(err)
+		e.take(b, time.Now())
+	}
+	take(message{Name: "B", Incarnation: 1, Number: 5, Loads: []placement.Load{{Endpoint: "new"}}})
+	take(message{Name: "B", Incarnation: 1, Number: 4, Loads: []placement.Load{{Endpoint: "old"}}})
+	is.Equal(tb.of("B")[0].Endpoint, "new")
+	take(message{Name: "B", Incarnation: 2, Number: 1, Loads: []placement.Load{{Endpoint: "restarted"}}})
+	is.Equal(tb.of("B")[0].Endpoint, "restarted")
+	for _, bad := range []string{"", "\xc1", "GET / HTTP/1.1\r\n", "\x81\xa4Name"} {
+		e.take([]byte(bad), time.Now())
+	}
+	take(message{Name: "A", Number: 9}) // its own
+	is.Equal(e.Unreadable(), int64(5))
+}
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -66,6 +66,8 @@
 	CacheStoreLost
 	// CacheFreed tells that parts in a KV store were freed.
 	CacheFreed
+	// LoadsNotSent tells that other gateways could not be told of the loads.
+	LoadsNotSent
 	// LogDropped tells how many lines were left out.
 	LogDropped
 )
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,6 +17,7 @@
 	"primrosecourse/internal/connection/endpoint"
 	"primrosecourse/internal/connection/front"
 	"primrosecourse/internal/connection/kvstore"
+	"primrosecourse/internal/connection/loads"
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/request/forward"
 	"primrosecourse/internal/version/registry"
@@ -140,6 +142,9 @@
 	run(g.Registry.Run)
 	run(g.pool.Run)
 	run(g.Tiers.Run)
+	exchange := &loads.Exchange{Name: g.Settings.Name, Incarnation: rand.Uint64(), Address: g.Settings.LoadAddress(),
+		Peers: g.Registry, Table: g.table, Log: g.Log}
+	run(exchange.Run)
 	for _, p := range g.Parts {
 		run(p.Run)
 	}
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -38,6 +38,11 @@
 	VersionTime time.Duration
 }
 
+// LoadAddress returns where the gateway takes the loads of others.
+func (s *Settings) LoadAddress() netip.AddrPort {
+	return netip.AddrPortFrom(s.Address, uint16(s.FirstPeerPort))
+}
+
 // ReadSettings reads a settings file in INI. Errors name the file, the section and the key, and say what is allowed.
 func ReadSettings(path string) (s Settings, err error) {
 	defer func() { err = errors.Wrapf(err, "settings %s", path) }()
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -69,7 +69,7 @@
 // run sends the request until it is answered or must be given up.
 func (q *request) run() {
 	for {
-		choice, refusal := q.place()
+		choice, ask, refusal := q.place()
 		if refusal != nil {
 			q.giveUp(refusal.Reason.String(), refusal.RetryAfter)
 			return
@@ -79,7 +79,7 @@
 			q.giveUp("RetryBudget", 500*time.Millisecond)
 			return
 		}
-		v := q.attempt(choice)
+		v := q.attempt(choice, ask)
 		switch {
 		case v == done:
 			return
@@ -102,7 +102,7 @@
 }
 
 // place chooses an endpoint.
-func (q *request) place() (placement.Choice, *placement.Refusal) {
+func (q *request) place() (placement.Choice, *placement.Ask, *placement.Refusal) {
 	now := time.Now()
 	r := q.h.ring(q.view, q.service)
 	service := q.view.Configuration.Services[q.service]
@@ -112,7 +112,7 @@
 		for _, p := range shared {
 			ask.Shared += p.Tokens
 		}
-		actions := q.tiers(service, q.view.Versions[q.meta.Model])
+		actions := q.tiers(service, q.served(r.eligible))
 		for i, a := range actions {
 			if a.Fetch != nil {
 				ask.Stored += shared[i].Tokens
@@ -123,7 +123,22 @@
 			ask.Homes = append(ask.Homes, r.ring.Endpoint(i).Name)
 		}
 	}
-	return q.h.Table.Choose(now, ask, q.usable(r.eligible))
+	choice, refusal := q.h.Table.Choose(now, ask, q.usable(r.eligible))
+	return choice, ask, refusal
+}
+
+// served returns the weight version that most requests for the model begin on: the named one, or that of the endpoints if
+// none was named yet; 0 if it is not known.
+func (q *request) served(endpoints []*site.Endpoint) uint64 {
+	if named, ok := q.view.Versions[q.meta.Model]; ok {
+		return named
+	}
+	for _, e := range endpoints {
+		if version, ok := e.Version(q.meta.Model); ok {
+			return version
+		}
+	}
+	return 0
 }
 
 // usable leaves out endpoints that are about to change their weights, unless there are no others.
@@ -195,15 +210,14 @@
 }
 
 // attempt sends the request to an endpoint and passes its answer on.
-func (q *request) attempt(choice placement.Choice) verdict {
+func (q *request) attempt(choice placement.Choice, ask *placement.Ask) verdict {
 	e := choice.Endpoint
 	now := time.Now()
-	ask := &placement.Ask{Gateways: q.view.Gateways}
 	q.h.Table.Sent(now, e, ask, choice.Unread)
 	q.tried = append(q.tried, e.ID)
 	q.sent++
 	event.Info(q.h.Log, event.RequestSent, "request", q.meta.ID, "route", q.route.Name, "endpoint", e.ID,
-		"reason", choice.Reason.String(), "waitMs", choice.Wait.Milliseconds(), "unread", choice.Unread,
+		"reason", choice.Reason.String(), "waitMs", choice.Wait.Milliseconds(), "unread", choice.Unread, "shared", ask.Shared, "stored", ask.Stored,
 		"considered", choice.Considered, "attempt", q.sent, "configuration", q.view.Configuration.Version, "entry", e.Revision)
 	service := q.view.Configuration.Services[q.service]
 	a := &attempt{q: q, e: e, unread: choice.Unread, began: now}
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -33,7 +34,9 @@
 // Registry follows the platform's store. Its exported fields are set before Run.
 type Registry struct {
 	// Name is the name of this gateway, which differs from those of all others.
-	Name           string
+	Name string
+	// LoadAddress is where this gateway takes the loads of others.
+	LoadAddress    netip.AddrPort
 	Configurations Source[*site.Configuration]
 	Endpoints      Source[*site.Endpoint]
 	Evacuations    Source[struct{}]
@@ -52,7 +55,8 @@
 	endpoints map[string]*site.Endpoint
 	// missing holds when an endpoint that disappeared after an outage is dropped.
 	missing map[string]time.Time
-	members map[string]time.Time
+	members map[string]member
+	peers   atomic.Pointer[[]netip.AddrPort]
 	touched map[string]touch
 	lease   Lease
 	leaseAt time.Time
@@ -67,7 +71,7 @@
 	r.once.Do(func() {
 		r.done = make(chan struct{})
 		r.endpoints, r.missing = map[string]*site.Endpoint{}, map[string]time.Time{}
-		r.members, r.touched = map[string]time.Time{}, map[string]touch{}
+		r.members, r.touched = map[string]member{}, map[string]touch{}
 		r.next = site.Snapshot{Endpoints: map[string][]*site.Endpoint{}, Evacuated: map[string]bool{},
 			Versions: map[string]uint64{}, NamedAt: map[string]time.Duration{},
 			UnnamedAt: map[string]time.Duration{}, Updating: map[string]bool{}, Marks: map[uint64][]string{}, Gateways: 1}
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -37,6 +38,8 @@
 type Member struct {
 	Name string
 	Beat uint64
+	// Address is where the gateway takes the loads of others.
+	Address netip.AddrPort
 }
 
 // Mark is the object of a request that crashed endpoints.
@@ -82,7 +85,7 @@
 		var err error
 		switch {
 		case strings.HasPrefix(c.Name, memberPrefix):
-			r.applyMember(strings.TrimPrefix(c.Name, memberPrefix), c.Removed, now)
+			err = r.applyMember(c, now)
 		case strings.HasPrefix(c.Name, markPrefix):
 			err = r.applyMark(c)
 		case c.Name == leaseName:
@@ -97,12 +100,46 @@
 	}
 }
 
-func (r *Registry) applyMember(name string, removed bool, now time.Time) {
+func (r *Registry) applyMember(c Change[json.RawMessage], now time.Time) error {
+	name := strings.TrimPrefix(c.Name, memberPrefix)
 	delete(r.members, name)
-	if !removed {
-		r.members[name] = now
+	defer r.countMembers()
+	if c.Removed {
+		return nil
 	}
-	r.countMembers()
+	var m Member
+	if err := json.Unmarshal(c.Value, &m); err != nil {
+		return err
+	}
+	r.members[name] = member{seen: now, address: m.Address}
+	return nil
+}
+
+// member is another gateway, or this one.
+type member struct {
+	seen    time.Time
+	address netip.AddrPort
+}
+
+// Peers returns the addresses of the other gateways. The result must not be changed.
+func (r *Registry) Peers() []netip.AddrPort {
+	r.init()
+	if peers := r.peers.Load(); peers != nil {
+		return *peers
+	}
+	return nil
+}
+
+// publishPeers makes the members that take loads the current peers. The caller holds mu.
+func (r *Registry) publishPeers() {
+	var peers []netip.AddrPort
+	for name, m := range r.members {
+		if name != r.Name && m.address.IsValid() {
+			peers = append(peers, m.address)
+		}
+	}
+	slices.SortFunc(peers, netip.AddrPort.Compare)
+	r.peers.Store(&peers)
 }
 
 // First reports whether this gateway comes first of all in the order of a name, which differs from name to name.
@@ -119,6 +156,7 @@
 }
 
 func (r *Registry) countMembers() {
+	r.publishPeers()
 	n := len(r.members)
 	if _, listed := r.members[r.Name]; !listed {
 		n++
@@ -135,8 +173,8 @@
 		return
 	}
 	before := r.next.Gateways
-	for name, seen := range r.members {
-		if name != r.Name && now.Sub(seen) > memberTime {
+	for name, m := range r.members {
+		if name != r.Name && now.Sub(m.seen) > memberTime {
 			delete(r.members, name)
 		}
 	}
@@ -185,7 +223,7 @@
 	name := memberPrefix + r.Name
 	var revision uint64
 	for n := uint64(1); ctx.Err() == nil; n++ {
-		next, err := r.write(ctx, name, revision, Member{Name: r.Name, Beat: n})
+		next, err := r.write(ctx, name, revision, Member{Name: r.Name, Beat: n, Address: r.LoadAddress})
 		if err == nil {
 			revision = next
 		}
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -46,6 +46,9 @@
 	Tried []string
 	// Domain is the failure domain of this process, preferred when all else is equal.
 	Domain string
+
+	// everyone makes all endpoints considered.
+	everyone bool
 }
 
 // Choice is a chosen endpoint.
@@ -77,6 +80,8 @@
 	errorCost = time.Second
 	// probeCost makes a suspect endpoint the last choice, unless its pause has passed.
 	suspectCost = 10 * time.Second
+	// sampleSize is the number of endpoints that are considered beside the homes.
+	sampleSize = 4
 	// probeShare is the part of requests that may try a suspect endpoint.
 	probeShare = 0.1
 )
@@ -88,16 +93,35 @@
 func (t *Table) Choose(now time.Time, a *Ask, candidates []*site.Endpoint) (Choice, *Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.choose(now, a, candidates)
+}
+
+// sampleShare returns the part of the endpoints that are considered beside the homes. Gateways know each other's loads with a
+// delay; if all of them took the least loaded endpoint of all, each one that is free would get a prompt from many of them at
+// once.
+func (t *Table) sampleShare(a *Ask, n int) float64 {
+	if a.everyone || n <= sampleSize {
+		return 1
+	}
+	return float64(sampleSize) / float64(n)
+}
+
+func (t *Table) choose(now time.Time, a *Ask, candidates []*site.Endpoint) (Choice, *Refusal) {
 	best := Choice{}
 	bestCost := time.Duration(1<<62 - 1)
 	meanErrors := t.meanErrors(candidates)
-	coldest, considered := false, 0
+	coldest, skipped, considered := false, false, 0
 	soonest := lastSuspicion
+	drawn := t.sampleShare(a, len(candidates))
 	for _, e := range candidates {
 		s := t.state(e)
 		if contains(a.Tried, e.ID) {
 			continue
 		}
+		if drawn < 1 && !contains(a.Homes, e.ID) && t.Random() > drawn {
+			skipped = true
+			continue
+		}
 		if !s.cold.Allows(now, a.Gateways) {
 			coldest = true
 			continue
@@ -116,6 +140,11 @@
 		}
 	}
 	best.Considered = considered
+	if best.Endpoint == nil && skipped {
+		all := *a
+		all.everyone = true
+		return t.choose(now, &all, candidates)
+	}
 	switch {
 	case best.Endpoint != nil && a.Left > 0 && best.Wait > a.Left:
 		return Choice{Considered: considered}, &Refusal{Reason: TooLate, RetryAfter: t.spread(best.Wait / 2)}
@@ -159,13 +188,18 @@
 	}
 	missing := (1 - here) * float64(a.Shared-a.Stored)
 	unread := a.Tokens - a.Shared + int(missing)
-	wait := time.Duration(s.pending / perSecond * float64(time.Second))
+	inFlight, pending, known := t.others(now, e.ID)
+	wait := time.Duration((s.pending + pending) / perSecond * float64(time.Second))
 	cost := wait + time.Duration(float64(unread)/perSecond*float64(time.Second)) + time.Duration((1-here)*float64(a.FetchTime))
 	perRun := plainRunCost
 	if a.Tokens > 0 {
 		perRun = runCost
 	}
-	cost += perRun * time.Duration(t.underWay(now, s))
+	underWay := s.inFlight + inFlight
+	if !known {
+		underWay = s.reportedUnderWay(now)
+	}
+	cost += perRun * time.Duration(underWay)
 	if e.FailureDomain != a.Domain {
 		cost += remoteCost
 	}
@@ -186,8 +220,9 @@
 	return cost, Choice{Endpoint: e, Reason: reason, Wait: wait, Unread: unread}
 }
 
-// underWay estimates the requests at an endpoint: its last report loses weight with age against what this process has there.
-func (t *Table) underWay(now time.Time, s *state) int {
+// reportedUnderWay estimates the requests at an endpoint without the word of other processes: the endpoint's last report
+// loses weight with age against what this process has there.
+func (s *state) reportedUnderWay(now time.Time) int {
 	age := now.Sub(s.reported)
 	if s.reported.IsZero() || age > reportAge {
 		return s.inFlight
--- /dev/null
+++ b/pkg/placement/peers.go
@@ -0,0 +1,69 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Load is what one process has under way at an endpoint.
+type Load struct {
+	Endpoint string
+	// InFlight is the number of requests, Pending the number of their prompt tokens that probably have not been read.
+	InFlight int
+	Pending  int
+}
+
+// peerAge is the age at which the word of another process counts for nothing.
+const peerAge = time.Second
+
+// peerLoads is the word of another process.
+type peerLoads struct {
+	at    time.Time
+	loads map[string]Load
+}
+
+// Loads returns what this process has under way, the endpoints with most first, at most limit.
+func (t *Table) Loads(limit int) (list []Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range t.states {
+		if s.inFlight > 0 || s.pending > 0 {
+			list = append(list, Load{Endpoint: id, InFlight: s.inFlight, Pending: int(s.pending)})
+		}
+	}
+	slices.SortFunc(list, func(a, b Load) int {
+		return cmp.Or(cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.InFlight, a.InFlight), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return list[:min(limit, len(list))]
+}
+
+// PeerLoads replaces what is known of another process.
+func (t *Table) PeerLoads(now time.Time, peer string, loads []Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	byEndpoint := make(map[string]Load, len(loads))
+	for _, l := range loads {
+		byEndpoint[l.Endpoint] = l
+	}
+	t.peers[peer] = peerLoads{at: now, loads: byEndpoint}
+	for name, p := range t.peers {
+		if now.Sub(p.at) > 10*peerAge {
+			delete(t.peers, name)
+		}
+	}
+}
+
+// others returns what the other processes have under way at an endpoint. The caller holds mu.
+func (t *Table) others(now time.Time, endpoint string) (inFlight int, pending float64, known bool) {
+	for _, p := range t.peers {
+		if now.Sub(p.at) > peerAge {
+			continue
+		}
+		known = true
+		l := p.loads[endpoint]
+		inFlight += l.InFlight
+		pending += float64(l.Pending)
+	}
+	return inFlight, pending, known
+}
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -76,13 +76,15 @@
 	states map[string]*state
 	// readRate is the number of prompt tokens that an engine reads in a second, by service.
 	readRate map[string]*rate
+	// peers holds the word of other processes.
+	peers map[string]peerLoads
 	// Random returns a number from 0 to 1. Default math/rand/v2. Set before the first call.
 	Random func() float64
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{states: map[string]*state{}, readRate: map[string]*rate{}, Random: rand.Float64}
+	return &Table{states: map[string]*state{}, readRate: map[string]*rate{}, peers: map[string]peerLoads{}, Random: rand.Float64}
 }
 
 func (t *Table) state(e *site.Endpoint) *state {
