Ask at once after an order without an answer, and let it hold no turn

Ruled out: slow servers (all but the unanswered ones loaded in 1 to 2 s).

Change: an order waits 300 ms and is followed at once by the question whether it was taken; an endpoint that has not taken one after that time does not count among those that change at once. Each order names the newest version.

--- a/internal/version/weights/rollout.go
+++ b/internal/version/weights/rollout.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -110,8 +111,10 @@
 	pollPeriod = 250 * time.Millisecond
 	// loadTime is the time after which an endpoint that does not reach the version is tried again later.
 	loadTime = 8 * time.Second
-	// callTime bounds one call to an endpoint.
-	callTime = 800 * time.Millisecond
+	// callTime bounds one call to an endpoint, orderTime an order: an endpoint takes or refuses it within milliseconds, and
+	// one without an answer is followed by the question whether it was taken.
+	callTime  = 800 * time.Millisecond
+	orderTime = 300 * time.Millisecond
 	// atOnceShare is the part of a service's endpoints that change at once: few enough for the others to carry the load, and
 	// enough for all to be done in time.
 	atOnceShare = 4
@@ -121,11 +124,17 @@
 type update struct {
 	endpoint *site.Endpoint
 	model    string
-	version  uint64
 	begun    time.Time
-	ended    chan bool
+	// carried is set once the endpoint is known to carry an order out.
+	carried atomic.Bool
+	// ended receives the version that the endpoint has in the end, 0 if it is not known.
+	ended chan uint64
 }
 
+// changes reports whether the endpoint counts among those that change at once. One that leaves its orders unanswered for a
+// while serves on, and keeps no other from its turn.
+func (u *update) changes(now time.Time) bool { return u.carried.Load() || now.Sub(u.begun) < orderTime }
+
 // need is an endpoint that lacks a version.
 type need struct {
 	endpoint *site.Endpoint
@@ -222,10 +231,10 @@
 func (r *Rollout) collect() {
 	for id, u := range r.updating {
 		select {
-		case done := <-u.ended:
+		case version := <-u.ended:
 			delete(r.updating, id)
-			if done {
-				r.confirmed[confirmation(u.endpoint, u.model)] = u.version
+			if version > 0 {
+				r.confirmed[confirmation(u.endpoint, u.model)] = version
 			}
 		default:
 		}
@@ -237,15 +246,22 @@
 	if !r.Lease.Valid() {
 		return nil
 	}
+	now, changing := time.Now(), 0
+	for _, u := range r.updating {
+		if u.changes(now) {
+			changing++
+		}
+	}
 	for _, n := range needs {
-		if len(r.updating) >= n.atOnce {
+		if changing >= n.atOnce || len(r.updating) >= 2*n.atOnce {
 			break
 		}
 		if r.updating[n.endpoint.ID] != nil || !r.Lease.MayOrder(n.endpoint.ID) {
 			continue
 		}
-		u := &update{endpoint: n.endpoint, model: n.model, version: n.version, begun: time.Now(), ended: make(chan bool, 1)}
+		u := &update{endpoint: n.endpoint, model: n.model, begun: now, ended: make(chan uint64, 1)}
 		r.updating[n.endpoint.ID] = u
+		changing++
 		began = append(began, u)
 	}
 	return began
@@ -282,67 +298,62 @@
 	return list
 }
 
-// update brings one endpoint to a version and reports whether it has it.
-func (r *Rollout) update(ctx context.Context, u *update) bool {
+// update brings one endpoint to the named version and returns the version that it has, 0 if that is not known.
+func (r *Rollout) update(ctx context.Context, u *update) (version uint64) {
 	if !pause(ctx, noticeTime) {
-		return false
+		return 0
 	}
-	ordered := false
 	for time.Since(u.begun) < loadTime {
+		named := r.View.Current().Versions[u.model]
 		report, err := r.report(ctx, u.endpoint)
+		wait := pollPeriod
 		switch {
 		case err != nil:
-			if !pause(ctx, pollPeriod) {
-				return false
-			}
-			continue
-		case report.Versions[u.model] >= u.version && !report.Busy:
-			return true
-		case !report.Busy:
-			result, ok := r.order(ctx, u, report.Orders)
-			if !ok {
-				return false
-			}
-			if result == Holds {
-				return true
+		case report.Versions[u.model] >= named && !report.Busy:
+			return report.Versions[u.model]
+		case report.Busy:
+			u.carried.Store(true)
+		default:
+			result, err := r.order(ctx, u, named, report.Orders)
+			switch {
+			case err != nil:
+				wait = 0 // Ask at once whether it was taken.
+			case result == Holds:
+				return named
+			case result == Accepted:
+				u.carried.Store(true)
+			case result != Busy:
+				return 0
 			}
-			ordered = ordered || result == Accepted
 		}
-		if !pause(ctx, pollPeriod) {
-			return false
+		if !pause(ctx, wait) {
+			return 0
 		}
 	}
-	event.Info(r.Log, event.OrderSent, "endpoint", u.endpoint.ID, "version", u.version, "outcome", "not reached in time",
-		"ordered", ordered)
-	return false
+	event.Info(r.Log, event.OrderSent, "endpoint", u.endpoint.ID, "outcome", "version not reached in time", "carried", u.carried.Load())
+	return 0
 }
 
-// order gives one order. It reports false if this gateway must not or need not go on with the endpoint.
-func (r *Rollout) order(ctx context.Context, u *update, expected uint64) (result Result, ok bool) {
+// order gives one order. An error means that it is not known whether the endpoint took it.
+func (r *Rollout) order(ctx context.Context, u *update, version, expected uint64) (result Result, err error) {
 	if !r.Lease.MayOrder(u.endpoint.ID) {
-		return Refused, false
+		return Refused, nil
 	}
 	token := r.Lease.Token()
-	call, cancel := context.WithTimeout(ctx, callTime)
+	call, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
-	result, err := r.Engines.Order(call, u.endpoint, Order{Model: u.model, Version: u.version, Holder: r.Name, Token: token,
+	result, err = r.Engines.Order(call, u.endpoint, Order{Model: u.model, Version: version, Holder: r.Name, Token: token,
 		Expected: expected})
 	outcome := result.String()
 	if err != nil {
 		outcome = "no answer: " + err.Error()
 	}
-	event.Info(r.Log, event.OrderSent, "endpoint", u.endpoint.ID, "model", u.model, "version", u.version, "token", token,
+	event.Info(r.Log, event.OrderSent, "endpoint", u.endpoint.ID, "model", u.model, "version", version, "token", token,
 		"expected", expected, "outcome", outcome)
-	switch {
-	case err != nil:
-		return Busy, true
-	case result == Fenced:
+	if err == nil && result == Fenced {
 		r.Lease.Lost("an endpoint knows a higher token")
-		return result, false
-	case result == Moved || result == Refused:
-		return result, false
 	}
-	return result, true
+	return result, err
 }
 
 func (r *Rollout) report(ctx context.Context, e *site.Endpoint) (Report, error) {
--- a/internal/version/weights/rollout_test.go
+++ b/internal/version/weights/rollout_test.go
@@ -22,8 +22,8 @@
 	versions map[string]uint64
 	orders   map[string]uint64
 	busy     map[string]bool
-	// late endpoints leave the first order unanswered and carry it out seconds later.
-	late map[string]bool
+	// late endpoints leave that many orders unanswered and carry them out seconds later.
+	late map[string]int
 	// loading and mostLoading count endpoints that carry orders out.
 	loading, mostLoading int
 	// updating is what the lease published last; unpublished counts orders to endpoints that it did not name.
@@ -39,7 +39,7 @@
 	return weights.Report{Orders: e.orders[n.ID], Busy: e.busy[n.ID], Versions: map[string]uint64{"M": e.versions[n.ID]}}, nil
 }
 
-func (e *engines) Order(_ context.Context, n *site.Endpoint, o weights.Order) (weights.Result, error) {
+func (e *engines) Order(ctx context.Context, n *site.Endpoint, o weights.Order) (weights.Result, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.updating[n.ID] {
@@ -49,13 +49,16 @@
 		e.afterFence++
 		return weights.Fenced, nil
 	}
-	if e.late[n.ID] {
-		delete(e.late, n.ID)
+	if e.late[n.ID] > 0 {
+		e.late[n.ID]--
 		time.AfterFunc(3*time.Second, func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.start(n.ID, o)
 		})
+		e.mu.Unlock()
+		<-ctx.Done() // until the caller gives up
+		e.mu.Lock()
 		return weights.Refused, errors.New("no answer")
 	}
 	return e.start(n.ID, o), nil
@@ -158,13 +161,30 @@
 func TestLateOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		e := &engines{late: map[string]bool{"e00": true, "e03": true, "e07": true}}
+		e := &engines{late: map[string]int{"e00": 1, "e03": 3, "e07": 2}}
 		play(t, 9, e, 14*time.Second)
 		for id, v := range e.versions {
-			is.Equal(v, uint64(2))                 // version
-			is.Equal(e.orders[id], uint64(1))      // the late order found another number and was not carried out again
-			is.True(!e.late[id] && e.loading == 0) // nothing is under way
+			is.Equal(v, uint64(2))                     // version
+			is.Equal(e.orders[id], uint64(1))          // the late order found another number and was not carried out again
+			is.True(e.late[id] == 0 && e.loading == 0) // nothing is under way
+		}
+	})
+}
+
+// TestManyLateOrders guards against endpoints that leave orders unanswered and keep the others from their turn: the version
+// must be everywhere within the 10 s of the platform.
+func TestManyLateOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &engines{late: map[string]int{}}
+		for i := range 12 {
+			e.late[fmt.Sprintf("e%02d", i)] = i % 4 // three in five orders are left unanswered
+		}
+		play(t, 12, e, 9*time.Second)
+		for _, v := range e.versions {
+			is.Equal(v, uint64(2))
 		}
+		is.Equal(e.unpublished, 0)
 	})
 }
 
