Call the store less: list gateways stale, contend for the lease by rank

Each sign of a gateway and each renewal of the lease woke the watches of all others; each gateway asked for the lease five times a second while weights were loaded.

Ruled out: one watch for several kinds (the store has none).

Change: gateways are listed stale every 4 s instead of watched; the endpoints about to change are an object apart from the lease, written when they change; the first three gateways in an order ask for the lease, the others when nothing has changed for 2 s. An endpoint with the named version counts as usable, whatever a holder that is gone has published.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -87,8 +87,10 @@
 	shared := platform.Shared(store)
 	r := &registry.Registry{Name: settings.Name, LoadAddress: settings.LoadAddress(),
 		Configurations: platform.Configurations(store), Endpoints: platform.Endpoints(store),
-		Evacuations: platform.Evacuations(store), Versions: platform.Versions(store), Shared: shared, Log: log}
-	orders := lease.New(settings.Name, shared, registry.LeaseName())
+		Evacuations: platform.Evacuations(store), Versions: platform.Versions(store), Shared: shared,
+		Members: platform.Members(store), Log: log}
+	orders := lease.New(settings.Name, platform.Leases(store), "Orders")
+	orders.Publish, orders.PublishName = shared, registry.UpdatingName()
 	orders.Time, orders.ThawTime, orders.Log = settings.LeaseTime, settings.ThawTime, log
 	rollout := &weights.Rollout{Name: settings.Name, View: r, Lease: orders, Engines: platform.NewServers(), Log: log,
 		LeaseTime: settings.LeaseTime}
--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -9,7 +9,8 @@
 //
 // # Usage
 //
-//	l := lease.New("Gateway1", objects, "Lease.Orders")
+//	l := lease.New("Gateway1", leases, "Orders")
+//	l.Publish, l.PublishName = shared, registry.UpdatingName()
 //	held, err := l.Acquire(ctx)
 //	if l.Renew(ctx, updating, ordered) && l.MayOrder(endpoint) { order }
 //	l.Release(ctx)
@@ -55,6 +56,10 @@
 	Silence  time.Duration
 	Validity time.Duration
 	Log      logr.Logger
+	// Publish is where the endpoints that are about to change are named, in the object PublishName, for all gateways. Nil for
+	// nowhere.
+	Publish     Objects
+	PublishName string
 	// Clock returns the time since the start of the machine. Default bootclock.Now.
 	Clock func() time.Duration
 
@@ -69,6 +74,9 @@
 	// foreign are the endpoints that the holder before may have given orders to, foreignUntil how long they are left alone.
 	foreign      map[string]bool
 	foreignUntil time.Duration
+	// published are the endpoints named last, publishedAt the revision of that object.
+	published   []string
+	publishedAt uint64
 	// seen is the lease as last read, seenAt when it first looked so.
 	seen     registry.Lease
 	seenAt   time.Duration
@@ -141,6 +149,7 @@
 		return false, err
 	}
 	l.held, l.value, l.revision, l.renewed = true, next, revision, now
+	l.published = nil
 	if current.Last != "" && current.Last != l.name {
 		l.foreign = make(map[string]bool, len(current.Ordered))
 		for _, id := range current.Ordered {
@@ -169,9 +178,12 @@
 // reports whether the store has confirmed it; only then may the endpoints get orders.
 func (l *Lease) Renew(ctx context.Context, updating, ordered []string) (confirmed bool) {
 	begun := l.Clock()
+	if !l.publish(ctx, updating) {
+		return false
+	}
 	next := l.value
 	next.Renewal++
-	next.Updating, next.Ordered = updating, ordered
+	next.Ordered = ordered
 	if begun < l.foreignUntil {
 		next.Ordered = append(slices.Clone(ordered), slices.Sorted(maps.Keys(l.foreign))...)
 	}
@@ -183,6 +195,26 @@
 	return true
 }
 
+// publish names the endpoints that are about to change, if they differ from those named last. It reports whether the store has
+// confirmed them.
+func (l *Lease) publish(ctx context.Context, updating []string) bool {
+	if l.Publish == nil || slices.Equal(updating, l.published) {
+		return true
+	}
+	value := registry.Updating{Token: l.value.Token, Endpoints: updating}
+	revision, err := l.Publish.Put(ctx, l.PublishName, l.publishedAt, value)
+	if err != nil {
+		// Another holder wrote it, or an answer was lost: the next try begins with the present revision.
+		_, l.publishedAt, err = l.Publish.Get(ctx, l.PublishName)
+		if errors.Is(err, registry.ErrNotFound) {
+			l.publishedAt = 0
+		}
+		return false
+	}
+	l.published, l.publishedAt = updating, revision
+	return true
+}
+
 // reread finds out what became of a renewal that failed. What cannot be found out ends with the last renewal.
 func (l *Lease) reread(ctx context.Context, cause error, next registry.Lease, begun time.Duration) (confirmed bool) {
 	raw, revision, err := l.objects.Get(ctx, l.object)
@@ -223,8 +255,9 @@
 	if !l.held {
 		return
 	}
+	l.publish(ctx, nil)
 	next := l.value
-	next.Holder, next.Updating = "", nil
+	next.Holder = ""
 	next.Renewal++
 	if _, err := l.objects.Put(ctx, l.object, l.revision, next); err != nil {
 		l.lost("release: " + err.Error())
--- a/internal/process/lease/lease_test.go
+++ b/internal/process/lease/lease_test.go
@@ -155,6 +155,30 @@
 	is.True(!s.a.Held())
 }
 
+// TestPublished guards against orders to endpoints that other gateways do not know to be about to change, and against names
+// that stay when the work is done.
+func TestPublished(t *testing.T) {
+	is := is.New(t)
+	s := newSite()
+	var named objects
+	s.a.Publish, s.a.PublishName = &named, "Updating"
+	ctx := context.Background()
+	is.True(acquire(t, s.a))
+	is.True(s.a.Renew(ctx, []string{"e1"}, nil))
+	is.Equal(string(named.value), `{"Token":1,"Endpoints":["e1"]}`)
+	is.True(s.a.Renew(ctx, []string{"e1"}, nil))
+	is.Equal(named.revision, uint64(1)) // nobody is woken for nothing
+	named.fail = true
+	is.True(!s.a.Renew(ctx, []string{"e2"}, nil))
+	named.fail, named.lose = false, true
+	is.True(!s.a.Renew(ctx, []string{"e2"}, nil)) // written, but not known to be
+	named.lose = false
+	is.True(s.a.Renew(ctx, []string{"e2"}, nil))
+	is.Equal(string(named.value), `{"Token":1,"Endpoints":["e2"]}`)
+	s.a.Release(ctx)
+	is.Equal(string(named.value), `{"Token":1,"Endpoints":null}`)
+}
+
 // TestFreeLeaseGoesToLastHolder guards against holders that change with each piece of work.
 func TestFreeLeaseGoesToLastHolder(t *testing.T) {
 	is := is.New(t)
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -92,7 +92,7 @@
 }
 
 // staleTime is how old a configuration may be before its silence on a route or a credential proves nothing.
-const staleTime = 4 * time.Second
+const staleTime = 7 * time.Second
 
 // defaultTimeout bounds a request whose caller and route state no time.
 const defaultTimeout = 60 * time.Second
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -141,14 +141,16 @@
 	return 0
 }
 
-// usable leaves out endpoints that are about to change their weights, unless there are no others.
+// usable leaves out endpoints that are about to change their weights, unless there are no others. One that has the named
+// version is not about to change, whatever a holder that is gone has published.
 func (q *request) usable(list []*site.Endpoint) []*site.Endpoint {
 	if len(q.view.Updating) == 0 {
 		return list
 	}
 	kept := make([]*site.Endpoint, 0, len(list))
 	for _, e := range list {
-		if !q.view.Updating[e.ID] {
+		version, _ := e.Version(q.meta.Model)
+		if !q.view.Updating[e.ID] || version >= q.view.Versions[q.meta.Model] {
 			kept = append(kept, e)
 		}
 	}
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -24,11 +24,10 @@
 	MissingTime = 2 * time.Second
 	// outageMemory is how long after its last failed call the store counts as just back.
 	outageMemory = 3 * time.Second
-	// watchWait is how long a watch waits. A connection that went silent is noticed when the wait and the time-out of a call
-	// have passed, which must be less than the time within which a configuration or a leaving endpoint must be acted on.
-	watchWait = 2500 * time.Millisecond
-	// slowWatchWait is the wait for kinds with longer bounds.
-	slowWatchWait = 5 * time.Second
+	// watchWait is how long a watch waits, and so the age that a view may have.
+	watchWait = 5 * time.Second
+	// versionsWait is the same for weight versions, whose view must be young for KV stores to be used.
+	versionsWait = 2500 * time.Millisecond
 )
 
 // Registry follows the platform's store. Its exported fields are set before Run.
@@ -42,7 +41,9 @@
 	Evacuations    Source[struct{}]
 	Versions       Source[site.ModelVersion]
 	Shared         Objects
-	Log            logr.Logger
+	// Members are the objects by which gateways show that they are there. Their lists may be seconds old.
+	Members Objects
+	Log     logr.Logger
 	// Changed is called after each change of the snapshot, one call at a time. It must not block.
 	Changed func(*site.Snapshot)
 
@@ -56,10 +57,12 @@
 	// missing holds when an endpoint that disappeared after an outage is dropped.
 	missing map[string]time.Time
 	members map[string]member
-	peers   atomic.Pointer[[]netip.AddrPort]
-	touched map[string]touch
-	lease   Lease
-	leaseAt time.Time
+	// membersTrouble is when a list of the gateways last failed.
+	membersTrouble time.Time
+	peers          atomic.Pointer[[]netip.AddrPort]
+	touched        map[string]touch
+	// updatingToken is the highest token seen in the object of endpoints about to change.
+	updatingToken uint64
 
 	configurations *follower[*site.Configuration]
 	servers        *follower[*site.Endpoint]
@@ -81,9 +84,9 @@
 			log: r.Log, apply: r.applyConfigurations}
 		r.servers = &follower[*site.Endpoint]{kind: "Endpoint", source: r.Endpoints, wait: watchWait, log: r.Log,
 			apply: r.applyEndpoints}
-		r.versions = &follower[site.ModelVersion]{kind: "Version", source: r.Versions, wait: watchWait, log: r.Log,
+		r.versions = &follower[site.ModelVersion]{kind: "Version", source: r.Versions, wait: versionsWait, log: r.Log,
 			apply: r.applyVersions}
-		r.shared = &follower[json.RawMessage]{kind: "Shared", source: r.Shared, wait: slowWatchWait, log: r.Log,
+		r.shared = &follower[json.RawMessage]{kind: "Shared", source: r.Shared, wait: watchWait, log: r.Log,
 			apply: r.applyShared}
 	})
 }
@@ -121,11 +124,11 @@
 func (r *Registry) Run(ctx context.Context) error {
 	r.init()
 	defer close(r.done)
-	evacuations := &follower[struct{}]{kind: "Evacuation", source: r.Evacuations, wait: slowWatchWait, log: r.Log,
+	evacuations := &follower[struct{}]{kind: "Evacuation", source: r.Evacuations, wait: watchWait, log: r.Log,
 		apply: r.applyEvacuations}
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){r.configurations.run, r.servers.run, r.shared.run, evacuations.run, r.versions.run,
-		r.beat, r.sweep} {
+		r.beat, r.sweep, r.followMembers} {
 		parts.Go(func() { run(ctx) })
 	}
 	parts.Wait()
@@ -230,7 +233,6 @@
 	if dropped {
 		r.publishEndpoints()
 	}
-	r.expireMembers(now)
 }
 
 func (r *Registry) applyEvacuations(changes []Change[struct{}]) {
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -20,15 +20,16 @@
 
 // The names of shared objects begin with what they are.
 const (
-	memberPrefix = "Gateway."
 	markPrefix   = "Mark."
-	leaseName    = "Lease.Orders"
+	updatingName = "Updating"
 )
 
 const (
 	// beatTime is the time between two signs of a gateway, memberTime how long it counts after the last one.
-	beatTime   = 6 * time.Second
-	memberTime = 20 * time.Second
+	beatTime   = 10 * time.Second
+	memberTime = 32 * time.Second
+	// membersPeriod is the time between two lists of the gateways. A watch would wake each gateway with each sign of another.
+	membersPeriod = 4 * time.Second
 	// forgetTime is how long the object of a silent gateway is kept, markTime how long a mark is.
 	forgetTime = time.Minute
 	markTime   = 15 * time.Minute
@@ -57,21 +58,20 @@
 	Token uint64
 	// Renewal changes with each renewal.
 	Renewal uint64
-	// Updating are the endpoints that are about to change their weights, Ordered those that got an order within the lease
-	// time, or may get one.
-	Updating []string
-	Ordered  []string
+	// Ordered are the endpoints that got an order within the lease time, or may get one.
+	Ordered []string
 }
 
-// CurrentLease returns the lease as last seen, and when it last changed.
-func (r *Registry) CurrentLease() (lease Lease, changed time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.lease, r.leaseAt
+// Updating is the object that names the endpoints that are about to change their weights. It is apart from the lease, since
+// all gateways watch it and the lease changes often.
+type Updating struct {
+	// Token is that of the holder who wrote it; an object with a lower one than seen before is ignored.
+	Token     uint64
+	Endpoints []string
 }
 
-// LeaseName is the name of the lease object.
-func LeaseName() string { return leaseName }
+// UpdatingName is the name of the object that names the endpoints about to change.
+func UpdatingName() string { return updatingName }
 
 func (r *Registry) applyShared(changes []Change[json.RawMessage]) {
 	r.mu.Lock()
@@ -84,12 +84,10 @@
 		}
 		var err error
 		switch {
-		case strings.HasPrefix(c.Name, memberPrefix):
-			err = r.applyMember(c, now)
 		case strings.HasPrefix(c.Name, markPrefix):
 			err = r.applyMark(c)
-		case c.Name == leaseName:
-			err = r.applyLease(c, now)
+		case c.Name == updatingName:
+			err = r.applyUpdating(c)
 		}
 		if err != nil {
 			event.Info(r.Log, event.ObjectUnreadable, "kind", "Shared", "name", c.Name, "reason", err.Error())
@@ -100,25 +98,58 @@
 	}
 }
 
-func (r *Registry) applyMember(c Change[json.RawMessage], now time.Time) error {
-	name := strings.TrimPrefix(c.Name, memberPrefix)
-	delete(r.members, name)
-	defer r.countMembers()
-	if c.Removed {
-		return nil
+// followMembers lists the gateways from time to time until ctx is done.
+func (r *Registry) followMembers(ctx context.Context) {
+	for ctx.Err() == nil {
+		changes, _, err := r.Members.List(ctx)
+		switch {
+		case err == nil:
+			r.applyMembers(changes, time.Now())
+		case ctx.Err() == nil:
+			r.mu.Lock()
+			r.membersTrouble = time.Now()
+			r.mu.Unlock()
+		}
+		sleep(ctx, membersPeriod*3/4+rand.N(membersPeriod/2))
 	}
-	var m Member
-	if err := json.Unmarshal(c.Value, &m); err != nil {
-		return err
+}
+
+// applyMembers takes a list of the gateways. One counts while its object changes.
+func (r *Registry) applyMembers(changes []Change[json.RawMessage], now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := map[string]bool{}
+	for _, c := range changes {
+		listed[c.Name] = true
+		m := r.members[c.Name]
+		if m.revision >= c.Revision {
+			continue
+		}
+		var value Member
+		if err := json.Unmarshal(c.Value, &value); err != nil {
+			event.Info(r.Log, event.ObjectUnreadable, "kind", "Member", "name", c.Name, "reason", err.Error())
+			continue
+		}
+		r.members[c.Name] = member{seen: now, address: value.Address, revision: c.Revision}
 	}
-	r.members[name] = member{seen: now, address: m.Address}
-	return nil
+	for name := range r.members {
+		if !listed[name] {
+			delete(r.members, name)
+		}
+	}
+	r.expireMembers(now)
 }
 
 // member is another gateway, or this one.
 type member struct {
-	seen    time.Time
-	address netip.AddrPort
+	seen     time.Time
+	address  netip.AddrPort
+	revision uint64
+}
+
+// counts reports whether the gateway shares limits. While the store cannot tell, all do that did before.
+func (m member) counts(now, trouble time.Time) bool {
+	return now.Sub(m.seen) <= memberTime || now.Sub(trouble) < memberTime
 }
 
 // Peers returns the addresses of the other gateways. The result must not be changed.
@@ -130,56 +161,40 @@
 	return nil
 }
 
-// publishPeers makes the members that take loads the current peers. The caller holds mu.
-func (r *Registry) publishPeers() {
-	var peers []netip.AddrPort
-	for name, m := range r.members {
-		if name != r.Name && m.address.IsValid() {
-			peers = append(peers, m.address)
-		}
-	}
-	slices.SortFunc(peers, netip.AddrPort.Compare)
-	r.peers.Store(&peers)
-}
-
 // First reports whether this gateway comes first of all in the order of a name, which differs from name to name.
-func (r *Registry) First(name string) bool {
+func (r *Registry) First(name string) bool { return r.Rank(name) == 0 }
+
+// Rank returns the number of gateways that come before this one in the order of a name.
+func (r *Registry) Rank(name string) (rank int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	own := xxhash.Sum64String(r.Name + "\n" + name)
-	for member := range r.members {
-		if h := xxhash.Sum64String(member + "\n" + name); member != r.Name && h > own {
-			return false
+	own, now := xxhash.Sum64String(r.Name+"\n"+name), time.Now()
+	for other, m := range r.members {
+		if h := xxhash.Sum64String(other + "\n" + name); other != r.Name && h > own && m.counts(now, r.membersTrouble) {
+			rank++
 		}
 	}
-	return true
+	return rank
 }
 
-func (r *Registry) countMembers() {
-	r.publishPeers()
-	n := len(r.members)
-	if _, listed := r.members[r.Name]; !listed {
+// expireMembers counts the gateways that share limits. The caller holds mu.
+func (r *Registry) expireMembers(now time.Time) {
+	n := 1
+	var peers []netip.AddrPort
+	for name, m := range r.members {
+		if name == r.Name || !m.counts(now, r.membersTrouble) {
+			continue
+		}
 		n++
+		if m.address.IsValid() {
+			peers = append(peers, m.address)
+		}
 	}
+	slices.SortFunc(peers, netip.AddrPort.Compare)
+	r.peers.Store(&peers)
 	if n != r.next.Gateways {
 		event.Info(r.Log, event.GatewaysCounted, "gateways", n, "before", r.next.Gateways)
 		r.next.Gateways = n
-	}
-}
-
-// expireMembers drops gateways that fell silent while the store could tell of them.
-func (r *Registry) expireMembers(now time.Time) {
-	if now.Sub(r.shared.lastTrouble()) < memberTime {
-		return
-	}
-	before := r.next.Gateways
-	for name, m := range r.members {
-		if name != r.Name && now.Sub(m.seen) > memberTime {
-			delete(r.members, name)
-		}
-	}
-	r.countMembers()
-	if r.next.Gateways != before {
 		r.publish()
 	}
 }
@@ -202,28 +217,30 @@
 	return nil
 }
 
-func (r *Registry) applyLease(c Change[json.RawMessage], now time.Time) error {
-	var lease Lease
+func (r *Registry) applyUpdating(c Change[json.RawMessage]) error {
+	var u Updating
 	if !c.Removed {
-		if err := json.Unmarshal(c.Value, &lease); err != nil {
+		if err := json.Unmarshal(c.Value, &u); err != nil {
 			return err
 		}
 	}
-	r.lease, r.leaseAt = lease, now
-	updating := make(map[string]bool, len(lease.Updating))
-	for _, id := range lease.Updating {
+	if u.Token < r.updatingToken {
+		return nil
+	}
+	r.updatingToken = u.Token
+	updating := make(map[string]bool, len(u.Endpoints))
+	for _, id := range u.Endpoints {
 		updating[id] = true
 	}
-	r.next.Updating = updating
+	r.next.Updating, r.next.UpdatingAt = updating, time.Now()
 	return nil
 }
 
 // beat shows the other gateways that this one shares the limits of endpoints.
 func (r *Registry) beat(ctx context.Context) {
-	name := memberPrefix + r.Name
 	var revision uint64
 	for n := uint64(1); ctx.Err() == nil; n++ {
-		next, err := r.write(ctx, name, revision, Member{Name: r.Name, Beat: n, Address: r.LoadAddress})
+		next, err := r.write(ctx, r.Name, revision, Member{Name: r.Name, Beat: n, Address: r.LoadAddress})
 		if err == nil {
 			revision = next
 		}
@@ -238,21 +255,21 @@
 	// A planned stop gives the share of this gateway back; the bound keeps an outage of the store from holding it up.
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	if err := r.Shared.Delete(ctx, name, revision); err != nil {
-		event.Info(r.Log, event.StoreWriteFailed, "name", name, "reason", err.Error())
+	if err := r.Members.Delete(ctx, r.Name, revision); err != nil {
+		event.Info(r.Log, event.StoreWriteFailed, "name", r.Name, "reason", err.Error())
 	}
 }
 
-// write puts an object that only this gateway writes. After a conflict it takes the revision that the store has.
+// write puts the object of this gateway. After a conflict it takes the revision that the store has.
 func (r *Registry) write(ctx context.Context, name string, revision uint64, value any) (next uint64, err error) {
-	next, err = r.Shared.Put(ctx, name, revision, value)
+	next, err = r.Members.Put(ctx, name, revision, value)
 	if errors.Is(err, ErrConflict) {
-		if _, revision, err = r.Shared.Get(ctx, name); err == nil {
-			next, err = r.Shared.Put(ctx, name, revision, value)
+		if _, revision, err = r.Members.Get(ctx, name); err == nil {
+			next, err = r.Members.Put(ctx, name, revision, value)
 		}
 	}
 	if errors.Is(err, ErrNotFound) {
-		next, err = r.Shared.Put(ctx, name, 0, value)
+		next, err = r.Members.Put(ctx, name, 0, value)
 	}
 	if err != nil && ctx.Err() == nil {
 		event.Info(r.Log, event.StoreWriteFailed, "name", name, "reason", err.Error())
@@ -299,29 +316,39 @@
 // tidy deletes objects that nobody needs any more, since the store keeps everything. The first gateway in an object's order
 // does it.
 func (r *Registry) tidy(ctx context.Context, now time.Time) {
-	for name, t := range r.outdated(now) {
+	members, marks := r.outdated(now)
+	r.deleteAll(ctx, r.Members, members)
+	r.deleteAll(ctx, r.Shared, marks)
+}
+
+func (r *Registry) deleteAll(ctx context.Context, objects Objects, old map[string]uint64) {
+	for name, revision := range old {
 		if !r.First(name) {
 			continue
 		}
-		if err := r.Shared.Delete(ctx, name, t.revision); err != nil && ctx.Err() == nil {
+		if err := objects.Delete(ctx, name, revision); err != nil && ctx.Err() == nil {
 			event.Info(r.Log, event.StoreWriteFailed, "name", name, "reason", err.Error())
 		}
 	}
 }
 
-func (r *Registry) outdated(now time.Time) map[string]touch {
+// outdated returns silent gateways and old marks with their revisions.
+func (r *Registry) outdated(now time.Time) (members, marks map[string]uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	old := map[string]touch{}
-	if now.Sub(r.shared.lastTrouble()) < forgetTime {
-		return old
+	members, marks = map[string]uint64{}, map[string]uint64{}
+	if now.Sub(r.shared.lastTrouble()) < forgetTime || now.Sub(r.membersTrouble) < forgetTime {
+		return members, marks
+	}
+	for name, m := range r.members {
+		if name != r.Name && now.Sub(m.seen) > forgetTime {
+			members[name] = m.revision
+		}
 	}
 	for name, t := range r.touched {
-		member := strings.HasPrefix(name, memberPrefix) && name != memberPrefix+r.Name
-		mark := strings.HasPrefix(name, markPrefix)
-		if (member && now.Sub(t.at) > forgetTime) || (mark && now.Sub(t.at) > markTime) {
-			old[name] = t
+		if strings.HasPrefix(name, markPrefix) && now.Sub(t.at) > markTime {
+			marks[name] = t.revision
 		}
 	}
-	return old
+	return members, marks
 }
--- a/internal/version/weights/rollout.go
+++ b/internal/version/weights/rollout.go
@@ -64,6 +64,8 @@
 // View is what is known of the site.
 type View interface {
 	Current() *site.Snapshot
+	// Rank returns the number of gateways that come before this one in the order of a name.
+	Rank(name string) int
 }
 
 // Lease says whether this gateway gives the orders; lease.Lease is one.
@@ -88,20 +90,28 @@
 	Lease   Lease
 	Engines Engines
 	Log     logr.Logger
+	// LeaseTime is how long an endpoint must not get orders from two holders. Default 3 s.
+	LeaseTime time.Duration
 
 	// updating holds the endpoints in work, by name.
 	updating map[string]*update
 	// confirmed holds endpoints that reported a version before the list shows it.
 	confirmed map[string]uint64
+	// neededAt is when there was first something to do, zero if there is nothing.
+	neededAt time.Time
 	// ordered holds when an endpoint last got an order, or was published as about to get one.
 	ordered map[string]time.Time
-	// LeaseTime is how long an endpoint must not get orders from two holders. Default 3 s. Set before Run.
-	LeaseTime time.Duration
 }
 
 const (
-	// idlePeriod is the time between two looks at what is to be done, workPeriod the same while orders are given.
-	idlePeriod = 200 * time.Millisecond
+	// idlePeriod is the time between two looks at what is to be done, workPeriod the same while orders are given, and
+	// acquirePeriod the time between two tries to take the lease.
+	idlePeriod    = 200 * time.Millisecond
+	acquirePeriod = 400 * time.Millisecond
+	// contenders is the number of gateways that try to take the lease from the start. The others do so when nothing has
+	// changed for quietTime: with many gateways their questions would be most of the calls to the store.
+	contenders = 3
+	quietTime  = 2 * time.Second
 	workPeriod = 100 * time.Millisecond
 	// renewPeriod is the time between two renewals, well within the validity of a lease.
 	renewPeriod = 400 * time.Millisecond
@@ -158,8 +168,13 @@
 		case len(needs) == 0 && len(r.updating) == 0:
 			r.Lease.Unwanted()
 			r.Lease.Release(ctx)
+			r.neededAt = time.Time{}
 		case !r.Lease.Held():
 			r.Lease.Wanted()
+			period = acquirePeriod
+			if !r.contends(time.Now()) {
+				break
+			}
 			if held, err := r.Lease.Acquire(ctx); err != nil {
 				event.Info(r.Log, event.StoreWriteFailed, "name", "Lease", "reason", err.Error())
 			} else if held {
@@ -194,6 +209,21 @@
 	}
 }
 
+// contends reports whether this gateway tries to take the lease.
+func (r *Rollout) contends(now time.Time) bool {
+	if r.neededAt.IsZero() {
+		r.neededAt = now
+	}
+	if r.View.Rank("Orders") < contenders {
+		return true
+	}
+	at := r.neededAt
+	if changed := r.View.Current().UpdatingAt; changed.After(at) {
+		at = changed
+	}
+	return now.Sub(at) >= quietTime
+}
+
 // needs lists the endpoints that lack a named version, cold and loaded ones alike, in a fixed order.
 func (r *Rollout) needs() (list []need) {
 	view := r.View.Current()
--- a/pkg/site/endpoint.go
+++ b/pkg/site/endpoint.go
@@ -64,7 +64,9 @@
 	// Gateways is the number of gateways that share limits, this one included. At least 1.
 	Gateways int
 	// Updating are the endpoints that are about to change their weights.
-	Updating map[string]bool
+	// UpdatingAt is when they last changed.
+	Updating   map[string]bool
+	UpdatingAt time.Time
 	// Marks are the fingerprints of requests that crashed endpoints, with the endpoints.
 	Marks map[uint64][]string
 }
