Follow KV stores through other gateways beyond their places for questions

Cause: a store answers 12 questions for events at a time. Names of fields made up most of the bytes that gateways tell each other.

Ruled out: a store for each gateway (parts could be fetched by few), catalogs in the platform's store (each change would wake all watches).

Change: the gateways that come first in a store's order read its events, for three fifths of its places; the others put the same questions to them. The lists of loads are sent without names and less often among many; the watch of endpoints is renewed at most every 300 ms.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -95,7 +96,8 @@
 	rollout := &weights.Rollout{Name: settings.Name, View: r, Lease: orders, Engines: platform.NewServers(), Log: log,
 		LeaseTime: settings.LeaseTime}
 	g := &gateway.Gateway{Settings: settings, Registry: r, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Log: log,
-		Tiers:   &kvstore.Catalog{View: r, Stores: platform.NewCacheStores(), Log: log},
+		Tiers: &kvstore.Catalog{View: r, Stores: platform.NewCacheStores(), Log: log,
+			Relays: &kvstore.Relays{Client: &http.Client{}}, RelayPort: settings.RelayAddress().Port()},
 		Metrics: metrics.NewRegistry(), Parts: []gateway.Part{rollout}}
 	reloadEnded := make(chan struct{})
 	go func() {
--- a/internal/connection/kvstore/catalog.go
+++ b/internal/connection/kvstore/catalog.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -23,13 +25,13 @@
 
 // Held is a whole part in a store.
 type Held struct {
-	Key
+	Key    `msgpack:",inline"`
 	Tokens int
 }
 
 // Unfinished is a part that is being written, or whose save broke off.
 type Unfinished struct {
-	Key
+	Key `msgpack:",inline"`
 	// Done is the number of tokens that have arrived, Reserved what the part takes up.
 	Done, Reserved int
 }
@@ -47,7 +49,7 @@
 
 // Change is a part that appeared or disappeared.
 type Change struct {
-	Held
+	Held `msgpack:",inline"`
 	Gone bool
 }
 
@@ -76,13 +78,19 @@
 	Current() *site.Snapshot
 	// First reports whether this gateway comes first of all in the order of a name.
 	First(name string) bool
+	// Leaders returns the addresses of the first n gateways in the order of a name, and whether this one is among them.
+	Leaders(name string, n int) (addresses []netip.Addr, self bool)
 }
 
 // Catalog follows the KV stores of a site. Its exported fields are set before Run.
 type Catalog struct {
 	View   View
 	Stores Stores
-	Log    logr.Logger
+	// Relays asks other gateways, at RelayPort, for stores that this one does not follow itself. With a RelayPort of 0 it
+	// follows all stores.
+	Relays    Stores
+	RelayPort uint16
+	Log       logr.Logger
 
 	mu     sync.Mutex
 	stores map[string]*contents
@@ -95,18 +103,44 @@
 
 // contents is what is known of one store.
 type contents struct {
-	store  tiering.Store
-	stop   context.CancelFunc
-	known  bool
-	epoch  uint64
-	held   map[Key]int
-	used   int
-	saving map[Key]save
+	store tiering.Store
+	// readers is the number of questions for events that the store answers at a time.
+	readers int
+	stop    context.CancelFunc
+	known   bool
+	epoch   uint64
+	held    map[Key]int
+	used    int
+	saving  map[Key]save
 	// missing counts saves that did not appear since the last listing at listedAt.
 	missing  int
 	listedAt time.Time
 	// stuck are the unfinished saves of the last listing.
 	stuck map[Key]progress
+	// direct tells that this gateway reads the events of the store itself; relay is what it tells others.
+	direct bool
+	relay  relayed
+}
+
+// source is where the contents of a store are read.
+type source struct {
+	stores  Stores
+	address string
+	direct  bool
+}
+
+// source chooses between the store and a gateway that follows it.
+func (c *Catalog) source(n *contents) source {
+	own := source{stores: c.Stores, address: n.store.Address, direct: true}
+	if c.RelayPort == 0 || c.Relays == nil {
+		return own
+	}
+	leaders, self := c.View.Leaders(n.store.Name, max(1, int(readersShare*float64(n.readers))))
+	if self || len(leaders) == 0 {
+		return own
+	}
+	leader := leaders[rand.IntN(len(leaders))]
+	return source{stores: c.Relays, address: relayAddress(netip.AddrPortFrom(leader, c.RelayPort), n.store.Name)}
 }
 
 // save is a part that an engine was told to save.
@@ -178,7 +212,7 @@
 			known.stop()
 		}
 		follow, stop := context.WithCancel(ctx)
-		n := &contents{store: store, stop: stop, held: map[Key]int{}, saving: map[Key]save{}}
+		n := &contents{store: store, readers: s.Store.MaxReaders, stop: stop, held: map[Key]int{}, saving: map[Key]save{}}
 		c.stores[s.Name] = n
 		followers.Go(func() { c.follow(follow, n) })
 	}
@@ -194,16 +228,19 @@
 // follow keeps what is known of one store current.
 func (c *Catalog) follow(ctx context.Context, n *contents) {
 	listed, next := false, uint64(0)
+	var from source
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
-			if next, err = c.listStore(ctx, n); err == nil {
+			from = c.source(n)
+			if next, err = c.listStore(ctx, n, from); err == nil {
 				listed = true
 				c.freeStuck(ctx, n)
 				continue
 			}
 		} else {
-			next, listed, err = c.watchStore(ctx, n, next)
+			next, listed, err = c.watchStore(ctx, n, from, next)
+			listed = listed && c.source(n).direct == from.direct
 		}
 		if err == nil || ctx.Err() != nil {
 			continue
@@ -217,10 +254,10 @@
 	}
 }
 
-func (c *Catalog) listStore(ctx context.Context, n *contents) (next uint64, err error) {
+func (c *Catalog) listStore(ctx context.Context, n *contents, from source) (next uint64, err error) {
 	call, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	l, err := c.Stores.List(call, n.store.Address)
+	l, err := from.stores.List(call, from.address)
 	if err != nil {
 		return 0, err
 	}
@@ -232,8 +269,11 @@
 		n.stuck = nil
 	}
 	n.epoch, n.known, n.held, n.used = l.Epoch, true, make(map[Key]int, len(l.Held)), 0
-	n.missing, n.listedAt = 0, now
-	n.observeUnfinished(l.Unfinished, now)
+	n.missing, n.listedAt, n.direct = 0, now, from.direct
+	n.relay.reset()
+	if from.direct {
+		n.observeUnfinished(l.Unfinished, now)
+	}
 	for _, h := range l.Held {
 		n.held[h.Key] = h.Tokens
 		n.used += h.Tokens
@@ -243,14 +283,15 @@
 		n.used += u.Reserved
 	}
 	event.Info(c.Log, event.CacheStoreListed, "store", n.store.Name, "epoch", l.Epoch, "parts", len(l.Held),
-		"unfinished", len(l.Unfinished), "tokens", n.used)
+		"unfinished", len(l.Unfinished), "tokens", n.used,
+		"from", from.address)
 	return l.Next, nil
 }
 
-func (c *Catalog) watchStore(ctx context.Context, n *contents, since uint64) (next uint64, listed bool, err error) {
+func (c *Catalog) watchStore(ctx context.Context, n *contents, from source, since uint64) (next uint64, listed bool, err error) {
 	call, cancel := context.WithTimeout(ctx, watchWait+callTime)
 	defer cancel()
-	changes, err := c.Stores.Watch(call, n.store.Address, since, watchWait)
+	changes, err := from.stores.Watch(call, from.address, since, watchWait)
 	if err != nil {
 		return since, false, err
 	}
@@ -272,6 +313,7 @@
 			delete(n.saving, change.Key)
 		}
 	}
+	n.relay.add(changes.Changes)
 	now := time.Now()
 	n.expireSaves(now)
 	return changes.Next, !n.wantsListing(now), nil
--- a/internal/connection/kvstore/catalog_test.go
+++ b/internal/connection/kvstore/catalog_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -40,7 +44,7 @@
 		return kvstore.Listing{}, errors.New("down")
 	}
 	s.changes, s.lost = nil, false
-	return kvstore.Listing{Epoch: s.epoch, Next: s.next, Held: s.held, Unfinished: s.unfinished, Clock: time.Hour}, nil
+	return kvstore.Listing{Epoch: s.epoch, Next: s.next, Held: slices.Clone(s.held), Unfinished: slices.Clone(s.unfinished), Clock: time.Hour}, nil
 }
 
 func (s *store) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) (kvstore.Changes, error) {
@@ -68,6 +72,19 @@
 	return nil
 }
 
+// freedParts returns what was freed, listings how often the store was listed.
+func (s *store) freedParts() []kvstore.Key {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.freed)
+}
+
+func (s *store) listings() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists
+}
+
 func (s *store) set(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -77,11 +94,14 @@
 type view struct {
 	snapshot *site.Snapshot
 	first    bool
+	leaders  []netip.Addr
 }
 
 func (v *view) Current() *site.Snapshot { return v.snapshot }
 func (v *view) First(string) bool       { return v.first }
 
+func (v *view) Leaders(string, int) ([]netip.Addr, bool) { return v.leaders, len(v.leaders) == 0 }
+
 // run plays a catalog of one store on a virtual clock.
 func run(t *testing.T, s *store, v *view, play func(c *kvstore.Catalog)) {
 	t.Helper()
@@ -169,7 +189,7 @@
 		s.set(func() { s.lost, s.held = true, []kvstore.Held{held("a", 100)} })
 		time.Sleep(2 * time.Second)
 		is.True(c.Scope(shared).Holds("K", part("a", 100)))
-		is.Equal(s.lists, 2)
+		is.Equal(s.listings(), 2)
 	})
 }
 
@@ -194,8 +214,8 @@
 			run(t, s, v, func(*kvstore.Catalog) {
 				is := is.New(t)
 				time.Sleep(2 * time.Second)
-				is.Equal(len(s.freed), c.freed)
-				for _, key := range s.freed {
+				is.Equal(len(s.freedParts()), c.freed)
+				for _, key := range s.freedParts() {
 					is.Equal(key.Scope, old)
 				}
 			})
@@ -211,16 +231,60 @@
 	run(t, s, &view{first: true}, func(*kvstore.Catalog) {
 		is := is.New(t)
 		time.Sleep(5 * time.Second)
-		is.Equal(len(s.freed), 0)
+		is.Equal(len(s.freedParts()), 0)
 		s.set(func() { s.unfinished[1].Done = 60 })
 		time.Sleep(6 * time.Second)
-		is.Equal(len(s.freed), 1)
-		is.Equal(s.freed[0].ID, "stuck")
+		is.Equal(len(s.freedParts()), 1)
+		is.Equal(s.freedParts()[0].ID, "stuck")
 		s.set(func() {
 			s.unfinished = nil
 			s.held = []kvstore.Held{held("slow", 100)}
 		})
 		time.Sleep(20 * time.Second)
-		is.Equal(len(s.freed), 1)
+		is.Equal(len(s.freedParts()), 1)
+	})
+}
+
+// TestRelay guards against a gateway beyond the number of questions that a store answers which does not learn what the store
+// holds, or goes on from changes that it missed.
+func TestRelay(t *testing.T) {
+	is := is.New(t)
+	s := &store{epoch: 1, held: []kvstore.Held{held("a", 100)}, unfinished: []kvstore.Unfinished{{Reserved: 50}}}
+	service := site.Service{Name: "K", Store: &site.CacheStore{Address: "a", Tokens: 1000}}
+	snapshot := &site.Snapshot{Configuration: site.NewConfiguration(1, nil, []site.Service{service}, nil, site.Limits{})}
+	leader := &kvstore.Catalog{View: &view{snapshot: snapshot}, Stores: s, Log: logr.Discard()}
+	relay := httptest.NewServer(leader)
+	defer relay.Close()
+	address := netip.MustParseAddrPort(relay.Listener.Addr().String())
+	follower := &kvstore.Catalog{View: &view{snapshot: snapshot, leaders: []netip.Addr{address.Addr()}}, Stores: &store{down: true},
+		Relays: &kvstore.Relays{Client: &http.Client{}}, RelayPort: address.Port(), Log: logr.Discard()}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	for _, c := range []*kvstore.Catalog{leader, follower} {
+		go func() { ended <- c.Run(ctx) }()
+	}
+	defer func() {
+		cancel()
+		<-ended
+		<-ended
+	}()
+	until := func(what string, done func() bool) {
+		for deadline := time.Now().Add(10 * time.Second); !done(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal(what)
+			}
+		}
+	}
+	scope := follower.Scope(shared)
+	until("the listing", func() bool { return scope.Holds("K", part("a", 100)) })
+	is.Equal(scope.Room("K"), 850)
+	s.set(func() {
+		s.changes = append(s.changes, kvstore.Change{Held: held("b", 10)}, kvstore.Change{Held: held("a", 100), Gone: true})
 	})
+	until("a change", func() bool { return scope.Holds("K", part("b", 10)) && !scope.Holds("K", part("a", 100)) })
+	s.set(func() { s.epoch, s.held, s.unfinished = 2, []kvstore.Held{held("c", 30)}, nil })
+	until("a restart of the store", func() bool { return scope.Holds("K", part("c", 30)) && !scope.Holds("K", part("b", 10)) })
+	is.Equal(scope.Room("K"), 970)
+	clock, ok := follower.Clock()
+	is.True(ok && clock > time.Hour)
 }
--- a/internal/connection/kvstore/upkeep.go
+++ b/internal/connection/kvstore/upkeep.go
@@ -54,6 +54,10 @@
 	f := freeing{contents: n, reason: "save broke off", within: stuckFreeTime}
 	c.mu.Lock()
 	f.epoch = n.epoch
+	if !n.direct {
+		c.mu.Unlock()
+		return
+	}
 	for key, p := range n.stuck {
 		if p.broken && len(f.parts) < maxFreed {
 			f.parts = append(f.parts, key)
@@ -99,7 +103,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, n := range c.stores {
-		if !n.known || !c.View.First(name) {
+		if !n.known || !n.direct || !c.View.First(name) {
 			continue
 		}
 		f := freeing{contents: n, epoch: n.epoch, reason: "weight version is not served", within: freeTime}
@@ -141,7 +145,7 @@
 
 // wantsListing reports whether saves may have broken off that only a listing shows. The caller holds mu.
 func (n *contents) wantsListing(now time.Time) bool {
-	if n.missing >= missingLimit {
+	if n.missing >= missingLimit && now.Sub(n.listedAt) > time.Second {
 		return true
 	}
 	if now.Sub(n.listedAt) < stuckTime+time.Second {
--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -36,14 +36,38 @@
 	Incarnation uint64
 	// Number rises with each message of an incarnation.
 	Number uint64
-	Loads  []placement.Load
+	// The lists have the same length. They are apart since the names of fields would be most of a list of loads.
+	Endpoints []string
+	InFlight  []int
+	Pending   []int
+}
+
+func newMessage(name string, incarnation, number uint64, loads []placement.Load) *message {
+	m := &message{Name: name, Incarnation: incarnation, Number: number}
+	for _, l := range loads {
+		m.Endpoints = append(m.Endpoints, l.Endpoint)
+		m.InFlight = append(m.InFlight, l.InFlight)
+		m.Pending = append(m.Pending, l.Pending)
+	}
+	return m
+}
+
+// loads returns the loads of the message, false if its lists do not fit together.
+func (m *message) loads() (list []placement.Load, ok bool) {
+	if len(m.InFlight) != len(m.Endpoints) || len(m.Pending) != len(m.Endpoints) {
+		return nil, false
+	}
+	for i, id := range m.Endpoints {
+		list = append(list, placement.Load{Endpoint: id, InFlight: m.InFlight[i], Pending: m.Pending[i]})
+	}
+	return list, true
 }
 
 const (
 	// shortestInterval is the time between two messages of a gateway among few, manyPeers the number of others from which it
 	// grows.
 	shortestInterval = 50 * time.Millisecond
-	manyPeers        = 8
+	manyPeers        = 5
 	// idleInterval is the time between two messages when nothing has changed.
 	idleInterval = 500 * time.Millisecond
 	// maxLoads bounds the endpoints of a message, so that it fits into one packet.
@@ -97,7 +121,7 @@
 		idle := len(loads) == 0
 		if len(peers) > 0 && (!idle || !quiet || time.Since(sent) >= idleInterval) {
 			number++
-			e.tell(conn, peers, message{Name: e.Name, Incarnation: e.Incarnation, Number: number, Loads: loads})
+			e.tell(conn, peers, newMessage(e.Name, e.Incarnation, number, loads))
 			sent, quiet = time.Now(), idle
 		}
 		select {
@@ -108,8 +132,8 @@
 	}
 }
 
-func (e *Exchange) tell(conn *net.UDPConn, peers []netip.AddrPort, m message) {
-	b, err := msgpack.Marshal(&m)
+func (e *Exchange) tell(conn *net.UDPConn, peers []netip.AddrPort, m *message) {
+	b, err := msgpack.Marshal(m)
 	if err != nil {
 		event.Error(e.Log, err, event.LoadsNotSent)
 		return
@@ -137,7 +161,9 @@
 // take applies a datagram. One that was overtaken by a later one is dropped.
 func (e *Exchange) take(b []byte, now time.Time) {
 	var m message
-	if err := msgpack.Unmarshal(b, &m); err != nil || m.Name == "" || m.Name == e.Name {
+	err := msgpack.Unmarshal(b, &m)
+	loads, ok := m.loads()
+	if err != nil || !ok || m.Name == "" || m.Name == e.Name {
 		e.unreadable.Add(1)
 		return
 	}
@@ -149,6 +175,6 @@
 	}
 	e.mu.Unlock()
 	if !overtaken {
-		e.Table.PeerLoads(now, m.Name, m.Loads)
+		e.Table.PeerLoads(now, m.Name, loads)
 	}
 }
--- a/internal/connection/loads/exchange_test.go
+++ b/internal/connection/loads/exchange_test.go
@@ -94,19 +94,20 @@
 	is := is.New(t)
 	tb := &table{}
 	e := &Exchange{Name: "A", Table: tb, seen: map[string]message{}}
-	take := func(m message) {
-		b, err := msgpack.Marshal(&m)
+	take := func(m *message) {
+		b, err := msgpack.Marshal(m)
 		is.NoErr(err)
 		e.take(b, time.Now())
 	}
-	take(message{Name: "B", Incarnation: 1, Number: 5, Loads: []placement.Load{{Endpoint: "new"}}})
-	take(message{Name: "B", Incarnation: 1, Number: 4, Loads: []placement.Load{{Endpoint: "old"}}})
+	take(newMessage("B", 1, 5, []placement.Load{{Endpoint: "new"}}))
+	take(newMessage("B", 1, 4, []placement.Load{{Endpoint: "old"}}))
 	is.Equal(tb.of("B")[0].Endpoint, "new")
-	take(message{Name: "B", Incarnation: 2, Number: 1, Loads: []placement.Load{{Endpoint: "restarted"}}})
+	take(newMessage("B", 2, 1, []placement.Load{{Endpoint: "restarted"}}))
 	is.Equal(tb.of("B")[0].Endpoint, "restarted")
 	for _, bad := range []string{"", "\xc1", "GET / HTTP/1.1\r\n", "\x81\xa4Name"} {
 		e.take([]byte(bad), time.Now())
 	}
-	take(message{Name: "A", Number: 9}) // its own
-	is.Equal(e.Unreadable(), int64(5))
+	take(&message{Name: "A", Number: 9}) // its own
+	take(&message{Name: "B", Incarnation: 2, Number: 2, Endpoints: []string{"e1"}})
+	is.Equal(e.Unreadable(), int64(6))
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -116,15 +116,11 @@
 func (g *Gateway) Run(ctx context.Context) (err error) {
 	g.init()
 	defer func() { err = errors.Wrapf(err, "gateway %s", g.Settings.Name) }()
-	callers, err := listen(ctx, g.Settings.Callers)
+	listeners, err := listenAll(ctx, g.Settings.Callers, g.Settings.Readiness, g.Settings.RelayAddress())
 	if err != nil {
 		return err
 	}
-	readiness, err := listen(ctx, g.Settings.Readiness)
-	if err != nil {
-		_ = callers.Close()
-		return err
-	}
+	callers, readiness, relays := listeners[0], listeners[1], listeners[2]
 	event.Info(g.Log, event.GatewayStarted, "name", g.Settings.Name, "callers", g.Settings.Callers.String(),
 		"failureDomain", g.Settings.FailureDomain, "store", g.Settings.Store.String())
 	// The parts outlive ctx, since requests under way need them until they are finished.
@@ -148,22 +144,37 @@
 	for _, p := range g.Parts {
 		run(p.Run)
 	}
-	serving := make(chan error, 2)
+	relay := &http.Server{Handler: g.Tiers, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute}
+	serving := make(chan error, 3)
+	go func() { serving <- relay.Serve(relays) }()
 	go func() { serving <- g.front.Run(work, callers) }()
 	go func() { serving <- ready.Serve(readiness) }()
 	<-ctx.Done()
 	g.drain(callers)
 	_ = ready.Close()
+	_ = relay.Close()
 	stop()
-	<-serving
-	<-serving
+	for range cap(serving) {
+		<-serving
+	}
 	parts.Wait()
 	event.Info(g.Log, event.GatewayStopped, "name", g.Settings.Name)
 	return nil
 }
 
-func listen(ctx context.Context, addr netip.AddrPort) (net.Listener, error) {
-	return (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", addr.String())
+// listenAll opens listeners at all addresses, or none.
+func listenAll(ctx context.Context, addresses ...netip.AddrPort) (listeners []net.Listener, err error) {
+	for _, addr := range addresses {
+		l, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", addr.String())
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, err
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
 }
 
 // drain finishes what is under way.
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -43,6 +43,11 @@
 	return netip.AddrPortFrom(s.Address, uint16(s.FirstPeerPort))
 }
 
+// RelayAddress returns where the gateway tells others of the KV stores that it follows.
+func (s *Settings) RelayAddress() netip.AddrPort {
+	return netip.AddrPortFrom(s.Address, uint16(s.LastPeerPort))
+}
+
 // ReadSettings reads a settings file in INI. Errors name the file, the section and the key, and say what is allowed.
 func ReadSettings(path string) (s Settings, err error) {
 	defer func() { err = errors.Wrapf(err, "settings %s", path) }()
--- a/internal/version/registry/follower.go
+++ b/internal/version/registry/follower.go
@@ -27,6 +27,8 @@
 	source Source[T]
 	// wait is how long a watch waits for a change.
 	wait time.Duration
+	// pace is the least time between two calls. Changes in between come with the next call.
+	pace time.Duration
 	log  logr.Logger
 	// apply takes changed objects; removed ones have Removed set.
 	apply func(changes []Change[T])
@@ -60,6 +62,7 @@
 	listed, down := false, false
 	pause := firstRetry
 	for ctx.Err() == nil {
+		begun := time.Now()
 		err := f.step(ctx, listed)
 		switch {
 		case err == nil:
@@ -69,6 +72,9 @@
 				down = false
 				event.Info(f.log, event.StoreRegained, "kind", f.kind, "revision", f.revision)
 			}
+			if rest := f.pace - time.Since(begun); rest > 0 {
+				sleep(ctx, rest)
+			}
 			continue
 		case ctx.Err() != nil:
 			return
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -26,6 +26,10 @@
 	outageMemory = 3 * time.Second
 	// watchWait is how long a watch waits, and so the age that a view may have.
 	watchWait = 5 * time.Second
+	// endpointPace and sharedPace bound the calls while many endpoints change at once. They are small against the time within
+	// which a leaving endpoint must get no more work.
+	endpointPace = 300 * time.Millisecond
+	sharedPace   = 150 * time.Millisecond
 	// versionsWait is the same for weight versions, whose view must be young for KV stores to be used.
 	versionsWait = 2500 * time.Millisecond
 )
@@ -82,11 +86,11 @@
 		r.current.Store(&first)
 		r.configurations = &follower[*site.Configuration]{kind: "Configuration", source: r.Configurations, wait: watchWait,
 			log: r.Log, apply: r.applyConfigurations}
-		r.servers = &follower[*site.Endpoint]{kind: "Endpoint", source: r.Endpoints, wait: watchWait, log: r.Log,
+		r.servers = &follower[*site.Endpoint]{kind: "Endpoint", source: r.Endpoints, wait: watchWait, pace: endpointPace, log: r.Log,
 			apply: r.applyEndpoints}
 		r.versions = &follower[site.ModelVersion]{kind: "Version", source: r.Versions, wait: versionsWait, log: r.Log,
 			apply: r.applyVersions}
-		r.shared = &follower[json.RawMessage]{kind: "Shared", source: r.Shared, wait: watchWait, log: r.Log,
+		r.shared = &follower[json.RawMessage]{kind: "Shared", source: r.Shared, wait: watchWait, pace: sharedPace, log: r.Log,
 			apply: r.applyShared}
 	})
 }
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -164,6 +165,31 @@
 // First reports whether this gateway comes first of all in the order of a name, which differs from name to name.
 func (r *Registry) First(name string) bool { return r.Rank(name) == 0 }
 
+// Leaders returns the addresses of the first n gateways in the order of a name, and whether this one is among them.
+func (r *Registry) Leaders(name string, n int) (addresses []netip.Addr, self bool) {
+	if r.Rank(name) < n {
+		return nil, true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	type leader struct {
+		hash    uint64
+		address netip.Addr
+	}
+	var list []leader
+	now := time.Now()
+	for other, m := range r.members {
+		if other != r.Name && m.address.IsValid() && m.counts(now, r.membersTrouble) {
+			list = append(list, leader{xxhash.Sum64String(other + "\n" + name), m.address.Addr()})
+		}
+	}
+	slices.SortFunc(list, func(a, b leader) int { return cmp.Compare(b.hash, a.hash) })
+	for _, l := range list[:min(n, len(list))] {
+		addresses = append(addresses, l.address)
+	}
+	return addresses, false
+}
+
 // Rank returns the number of gateways that come before this one in the order of a name.
 func (r *Registry) Rank(name string) (rank int) {
 	r.mu.Lock()
