Tell the story of a request, serve metrics, keep the lines that matter

Cause: an engineer on call had to search the logs of all machines by hand, and under load the lines on failures were left out like all others.

Ruled out: sampling by request (a failure is known only at its end).

Change: primrosectl story reads log files of several machines and prints one request in order of time, with what was believed of the endpoints that it met, and what is missing. Lines on requests that went well are written at level 1 and left out first, when half of the buffer waits. Counters and histograms are served as text; the deploy file names the address. A gateway whose log is not read serves as before.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -11,6 +11,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -45,6 +46,9 @@
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr, signals, reloads))
 }
 
+// levelWithin is the number of bytes within which a line states its level.
+const levelWithin = 80
+
 // memoryShare is the part of the allowed memory from which the collector works harder, the rest being for stacks and for
 // bytes in the kernel.
 const memoryShare = 0.6
@@ -76,13 +80,16 @@
 	sink.Dropped = func(lines int) string {
 		return fmt.Sprintf(`{"level":"WARN","msg":%q,"Event":%d,"lines":%d}`, event.LogDropped, int(event.LogDropped), lines)
 	}
+	sink.Ordinary = func(line []byte) bool {
+		return bytes.Contains(line[:min(len(line), levelWithin)], []byte(`"level":"DEBUG`))
+	}
 	sinkEnded := make(chan error, 1)
 	go func() { sinkEnded <- sink.Run(ctx) }()
 	defer func() {
 		stop()
 		<-sinkEnded
 	}()
-	log := logr.FromSlogHandler(slog.NewJSONHandler(sink, nil)).WithName(settings.Name)
+	log := logr.FromSlogHandler(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: slog.LevelDebug})).WithName(settings.Name)
 	store := platform.New(settings.Store)
 	defer store.Close()
 	shared := platform.Shared(store)
--- a/cmd/primrosectl/command.go
+++ b/cmd/primrosectl/command.go
@@ -7,7 +7,10 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"primrosecourse/internal/process/operator"
+	"primrosecourse/internal/process/story"
 )
 
 // trait tells which flags a command has.
@@ -19,6 +22,7 @@
 	reads                // only reads the configuration, so an entry can serve it
 	repeats              // prints again and again
 	online               // needs the platform or an entry
+	logs                 // reads log files
 )
 
 // command is one command of the command line.
@@ -89,6 +93,22 @@
 			return o.Apply(ctx, inv.files, inv.options)
 		}),
 	},
+	{
+		name:      "story",
+		arguments: "REQUEST",
+		summary:   "tell what log files say of a request, in order of time",
+		details: "Needs no platform. Shows the request's lines of all machines, what was believed of the endpoints that it met, and\n" +
+			"what is missing.",
+		examples: []string{
+			"primrosectl story 9c41d07be2a35f68 -Logs gateway1.log,gateway2.log",
+			"primrosectl story 9c41d07be2a35f68 -Logs all.log -Format json",
+		},
+		traits: []trait{logs},
+		run: once(func(_ context.Context, inv *invocation, _ *operator.Operator) (r operator.Report, err error) {
+			r.Story, err = story.Read(inv.arguments[0], strings.Split(inv.logs, ",")...)
+			return r, errors.Mark(err, operator.ErrUsage)
+		}),
+	},
 	{
 		name:    "get",
 		summary: "print the accepted configuration",
--- a/cmd/primrosectl/parse.go
+++ b/cmd/primrosectl/parse.go
@@ -30,6 +30,7 @@
 	operator string
 	files    operator.Files
 	options  operator.ApplyOptions
+	logs     string
 	interval time.Duration
 	count    int
 }
@@ -60,6 +61,9 @@
 	if c.has(reads) {
 		fs.TextVar(&inv.entry, "Entry", netip.AddrPort{}, "read the configuration from the entry at this `address`, not from the platform")
 	}
+	if c.has(logs) {
+		fs.StringVar(&inv.logs, "Logs", "", "log `files` of all machines, separated by commas")
+	}
 	if c.has(repeats) {
 		fs.DurationVar(&inv.interval, "Interval", 2*time.Second, "`time` between two refreshes")
 		fs.IntVar(&inv.count, "Count", 0, "`number` of refreshes, 0 for no end")
@@ -148,6 +152,8 @@
 		return errors.New("-Base is missing; allowed: the base settings file")
 	case c.has(changes) && strings.TrimSpace(inv.operator) == "":
 		return errors.New("-Operator is empty; allowed: the name that is recorded with the change")
+	case c.has(logs) && inv.logs == "":
+		return errors.New("-Logs is missing; allowed: log files, separated by commas")
 	case c.has(online) && !inv.platform.IsValid() && !inv.entry.IsValid():
 		return errors.New("-Platform is missing; allowed: the IP:port of the platform")
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -12,6 +12,11 @@
 	log.Info(id.String(), append([]any{"Event", int(id)}, keysAndValues...)...)
 }
 
+// Detail logs the event at level 1, for what goes well in ordinary service. Such lines are the first to be left out under load.
+func Detail(log logr.Logger, id ID, keysAndValues ...any) {
+	Info(log.V(1), id, keysAndValues...)
+}
+
 // Error logs the event as an error with its number, its name and the given key-value pairs.
 func Error(log logr.Logger, err error, id ID, keysAndValues ...any) {
 	log.Error(err, id.String(), append([]any{"Event", int(id)}, keysAndValues...)...)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -116,11 +116,12 @@
 func (g *Gateway) Run(ctx context.Context) (err error) {
 	g.init()
 	defer func() { err = errors.Wrapf(err, "gateway %s", g.Settings.Name) }()
-	listeners, err := listenAll(ctx, g.Settings.Callers, g.Settings.Readiness, g.Settings.RelayAddress())
+	listeners, err := listenAll(ctx, g.Settings.Callers, g.Settings.Readiness, g.Settings.RelayAddress(),
+		g.Settings.Metrics)
 	if err != nil {
 		return err
 	}
-	callers, readiness, relays := listeners[0], listeners[1], listeners[2]
+	callers, readiness, relays, shown := listeners[0], listeners[1], listeners[2], listeners[3]
 	event.Info(g.Log, event.GatewayStarted, "name", g.Settings.Name, "callers", g.Settings.Callers.String(),
 		"failureDomain", g.Settings.FailureDomain, "store", g.Settings.Store.String())
 	// The parts outlive ctx, since requests under way need them until they are finished.
@@ -145,7 +146,9 @@
 		run(p.Run)
 	}
 	relay := &http.Server{Handler: g.Tiers, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute}
-	serving := make(chan error, 3)
+	figures := &http.Server{Handler: metricsHandler(g.Metrics), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute}
+	serving := make(chan error, 4)
+	go func() { serving <- figures.Serve(shown) }()
 	go func() { serving <- relay.Serve(relays) }()
 	go func() { serving <- g.front.Run(work, callers) }()
 	go func() { serving <- ready.Serve(readiness) }()
@@ -153,6 +156,7 @@
 	g.drain(callers)
 	_ = ready.Close()
 	_ = relay.Close()
+	_ = figures.Close()
 	stop()
 	for range cap(serving) {
 		<-serving
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -17,6 +17,8 @@
 	// Callers is where callers are served, Readiness where the balancer asks whether to send them here.
 	Callers   netip.AddrPort
 	Readiness netip.AddrPort
+	// Metrics is where the metrics are served.
+	Metrics netip.AddrPort
 	// FirstPeerPort and LastPeerPort bound the ports for other gateways.
 	FirstPeerPort int
 	LastPeerPort  int
@@ -62,6 +64,7 @@
 		FailureDomain:   r.text("Gateway", "FailureDomain"),
 		Callers:         r.addrPort("Gateway", "Callers"),
 		Readiness:       r.addrPort("Gateway", "Readiness"),
+		Metrics:         r.addrPort("Gateway", "Metrics"),
 		FirstPeerPort:   int(r.number("Gateway", "FirstPeerPort", 1, 65535)),
 		LastPeerPort:    int(r.number("Gateway", "LastPeerPort", 1, 65535)),
 		Store:           r.addrPort("Store", "Address"),
--- /dev/null
+++ b/internal/process/gateway/settings_test.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const exampleSettings = `
+[Gateway]
+Name = edge-a-1
+Address = 10.1.0.19
+FailureDomain = a
+Callers = 10.1.0.19:8749
+Readiness = 10.1.0.19:8741
+Metrics = 10.1.0.19:9109
+FirstPeerPort = 7580
+LastPeerPort = 7595
+[Store]
+Address = 10.200.1.7:8744
+[Limits]
+MemoryMegabytes = 284
+Descriptors = 4100
+[Bounds]
+RepeatRatio = 0.2
+RepeatExtra = 58
+RepeatSpan = 10s
+StopTime = 8s
+LeaseTime = 3000ms
+ThawTime = 300ms
+VersionTime = 10000ms
+`
+
+func read(t *testing.T, text string) (Settings, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return ReadSettings(path)
+}
+
+// TestSettings guards against settings that are taken for something else, and against errors that do not say what to mend.
+func TestSettings(t *testing.T) {
+	is := is.New(t)
+	s, err := read(t, exampleSettings)
+	is.NoErr(err)
+	is.Equal(s.RelayAddress().String(), "10.1.0.19:7595")
+	is.Equal(s.LeaseTime, 3*time.Second)
+	is.Equal(s.RepeatRatio, 0.2)
+	for name, c := range map[string]struct{ old, new, want string }{
+		"address a name":   {"10.1.0.19:8749", "host:80", `[Gateway] Callers = "host:80": must be an IP number and a port`},
+		"no name":          {"Name = edge-a-1", "", `[Gateway] Name = "": must be set`},
+		"memory too small": {"284", "2", `[Limits] MemoryMegabytes = "2": must be a number from 16`},
+		"time without unit": {"LeaseTime = 3000ms", "LeaseTime = 3000",
+			`[Bounds] LeaseTime = "3000": must be a time above 0 with a unit, such as 500ms`},
+		"not a number": {"RepeatRatio = 0.2", "RepeatRatio = NaN", `[Bounds] RepeatRatio = "NaN": must be a number`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := read(t, strings.Replace(exampleSettings, c.old, c.new, 1))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), c.want))
+			is.True(strings.Contains(err.Error(), "settings.ini"))
+		})
+	}
+	_, err = ReadSettings("/does/not/exist")
+	is.True(err != nil)
+}
--- a/internal/process/logsink/sink.go
+++ b/internal/process/logsink/sink.go
@@ -2,6 +2,7 @@
 //
 // Lines gather in a bounded buffer that one goroutine writes out in batches. When the buffer is full, because the reader of
 // the pipe is slow or the load is high, further lines are left out and counted; the count is written in a line of its own.
+// Ordinary lines are left out first, so that those on failures and changes are kept.
 //
 // # Usage
 //
@@ -25,6 +26,8 @@
 	Limit int
 	// Period is the time between two batches. Default 100 ms.
 	Period time.Duration
+	// Ordinary tells lines that are left out first, when half of Limit waits. It may be nil.
+	Ordinary func(line []byte) bool
 	// Dropped writes the line that counts lines left out. It may be nil.
 	Dropped func(lines int) string
 
@@ -51,9 +54,13 @@
 
 // Write implements io.Writer for one line at a time. It never fails.
 func (s *Sink) Write(p []byte) (n int, err error) {
+	limit := cmp.Or(s.Limit, 1<<20)
+	if s.Ordinary != nil && s.Ordinary(p) {
+		limit /= 2
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.buffer)+len(p) > cmp.Or(s.Limit, 1<<20) {
+	if len(s.buffer)+len(p) > limit {
 		s.dropped++
 		s.total++
 		return len(p), nil
--- a/internal/process/operator/report.go
+++ b/internal/process/operator/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"primrosecourse/internal/process/story"
 	"primrosecourse/pkg/settings"
 )
 
@@ -17,6 +18,8 @@
 	Version  uint64    `json:",omitzero"`
 	Operator string    `json:",omitempty"`
 	At       time.Time `json:",omitzero"`
+	// Story is what log files tell of a request.
+	Story *story.Story `json:",omitempty"`
 	// Changes lists what the command changed or, with DryRun, would change.
 	Changes []settings.Change `json:",omitempty"`
 	DryRun  bool              `json:",omitempty"`
--- a/internal/process/operator/text.go
+++ b/internal/process/operator/text.go
@@ -19,6 +19,8 @@
 	case r.Deployment != nil:
 		fmt.Fprintf(out, "# version %d, accepted by %s at %s\n%s", r.Version, r.Operator, stamp(r.At),
 			settings.Format(*r.Deployment))
+	case r.Story != nil:
+		r.Story.WriteText(out)
 	case r.Status != nil:
 		r.Status.writeText(out)
 	default:
--- /dev/null
+++ b/internal/process/story/story.go
@@ -0,0 +1,203 @@
+// Package story puts together what the log files of several machines tell of one request: its own lines in the order of time,
+// and for each endpoint that it met what the machine believed of that endpoint and of the configuration at that time.
+//
+// Lines that are not JSON objects are skipped; text before the object, such as a time or a machine's name, is ignored. What
+// the lines cannot tell is said in Gaps.
+//
+// # Usage
+//
+//	s, err := story.Read("9c41d07be2a35f68", files...)
+//	s.WriteText(os.Stdout)
+package story
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"primrosecourse/internal/event"
+)
+
+// Line is one line of a log.
+type Line struct {
+	Time    time.Time
+	Machine string
+	Event   int
+	Name    string
+	Fields  map[string]any
+}
+
+// Story is what the logs tell of a request.
+type Story struct {
+	Request string
+	Lines   []Line
+	// Beliefs are the last lines before the request was sent that tell of the endpoints and the configuration that it met.
+	Beliefs []Line
+	// Gaps says what is missing.
+	Gaps []string
+}
+
+// gapTime is how near to a request a line on dropped lines must be to concern it.
+const gapTime = 2 * time.Second
+
+// Read reads the story of a request from log files.
+func Read(request string, files ...string) (s *Story, err error) {
+	defer func() { err = errors.Wrapf(err, "story of %s", request) }()
+	var all []Line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		lines, err := scan(f)
+		_ = f.Close()
+		if err != nil {
+			return nil, errors.Wrap(err, name)
+		}
+		all = append(all, lines...)
+	}
+	slices.SortStableFunc(all, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return tell(request, all), nil
+}
+
+// maxLine bounds a line of a log.
+const maxLine = 1 << 20
+
+func scan(r io.Reader) (lines []Line, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		start := bytes.IndexByte(text, '{')
+		if start < 0 {
+			continue
+		}
+		var fields map[string]any
+		if json.Unmarshal(text[start:], &fields) != nil {
+			continue
+		}
+		number, ok := fields["Event"].(float64)
+		if !ok {
+			continue
+		}
+		l := Line{Event: int(number), Fields: fields}
+		l.Name, _ = fields["msg"].(string)
+		l.Machine, _ = fields["logger"].(string)
+		if at, ok := fields["time"].(string); ok {
+			// A line without a readable time sorts first and is still shown.
+			l.Time, _ = time.Parse(time.RFC3339Nano, at)
+		}
+		for _, name := range []string{"time", "level", "msg", "logger", "Event"} {
+			delete(fields, name)
+		}
+		lines = append(lines, l)
+	}
+	return lines, scanner.Err()
+}
+
+// tell picks the lines of a request and what it met.
+func tell(request string, all []Line) *Story {
+	s := &Story{Request: request}
+	beliefs := map[string]Line{}
+	for _, l := range all {
+		switch event.ID(l.Event) {
+		case event.EndpointListed, event.EndpointMissing, event.EndpointRemoved, event.EndpointSuspect, event.EndpointTrusted:
+			beliefs[l.Machine+"/"+l.text("endpoint")] = l
+		case event.ConfigurationApplied:
+			beliefs[l.Machine] = l
+		}
+		if l.Fields["request"] != request {
+			continue
+		}
+		s.Lines = append(s.Lines, l)
+		if event.ID(l.Event) == event.RequestSent {
+			s.believe(beliefs, l)
+		}
+	}
+	slices.SortStableFunc(s.Beliefs, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	s.findGaps(all)
+	return s
+}
+
+func (s *Story) believe(beliefs map[string]Line, sent Line) {
+	for _, key := range []string{sent.Machine, sent.Machine + "/" + sent.text("endpoint")} {
+		b, ok := beliefs[key]
+		if !ok {
+			s.Gaps = append(s.Gaps, fmt.Sprintf("no line tells what %s believed of %s", sent.Machine, key))
+			continue
+		}
+		if !slices.ContainsFunc(s.Beliefs, func(l Line) bool {
+			return l.Time.Equal(b.Time) && l.Machine == b.Machine && l.Event == b.Event && l.text("endpoint") == b.text("endpoint")
+		}) {
+			s.Beliefs = append(s.Beliefs, b)
+		}
+	}
+}
+
+func (s *Story) findGaps(all []Line) {
+	if len(s.Lines) == 0 {
+		s.Gaps = append(s.Gaps, "no line names the request: it was left out under load, or the logs are not those of its machine")
+		return
+	}
+	last := s.Lines[len(s.Lines)-1]
+	if event.ID(last.Event) != event.RequestAnswered {
+		s.Gaps = append(s.Gaps, "no line tells its end: the process ended, or the line was left out")
+	}
+	attempts := 0
+	for _, l := range s.Lines {
+		if event.ID(l.Event) != event.RequestSent {
+			continue
+		}
+		attempts++
+		if n, ok := l.Fields["attempt"].(float64); ok && int(n) != attempts {
+			s.Gaps = append(s.Gaps, fmt.Sprintf("attempt %d is the line of attempt %d", attempts, int(n)))
+		}
+	}
+	first := s.Lines[0]
+	for _, l := range all {
+		if event.ID(l.Event) == event.LogDropped && l.Machine == first.Machine && l.Time.After(first.Time.Add(-gapTime)) &&
+			l.Time.Before(last.Time.Add(gapTime)) {
+			s.Gaps = append(s.Gaps, fmt.Sprintf("%s left out %v lines about then", l.Machine, l.Fields["lines"]))
+		}
+	}
+}
+
+func (l *Line) text(field string) string {
+	value, _ := l.Fields[field].(string)
+	return value
+}
+
+// WriteText writes the story for a reader.
+func (s *Story) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "request %s\n", s.Request)
+	for _, l := range s.Lines {
+		l.write(w)
+	}
+	if len(s.Beliefs) > 0 {
+		fmt.Fprintln(w, "believed when it was sent:")
+	}
+	for _, l := range s.Beliefs {
+		l.write(w)
+	}
+	for _, g := range s.Gaps {
+		fmt.Fprintf(w, "missing: %s\n", g)
+	}
+}
+
+func (l *Line) write(w io.Writer) {
+	fmt.Fprintf(w, "%s %s %d %s", l.Time.Format("15:04:05.000"), l.Machine, l.Event, l.Name)
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		if name != "request" {
+			fmt.Fprintf(w, " %s=%v", name, l.Fields[name])
+		}
+	}
+	fmt.Fprintln(w)
+}
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -218,7 +218,7 @@
 	q.h.Table.Sent(now, e, ask, choice.Unread)
 	q.tried = append(q.tried, e.ID)
 	q.sent++
-	event.Info(q.h.Log, event.RequestSent, "request", q.meta.ID, "route", q.route.Name, "endpoint", e.ID,
+	event.Detail(q.h.Log, event.RequestSent, "request", q.meta.ID, "route", q.route.Name, "endpoint", e.ID,
 		"reason", choice.Reason.String(), "waitMs", choice.Wait.Milliseconds(), "unread", choice.Unread, "shared", ask.Shared, "stored", ask.Stored,
 		"considered", choice.Considered, "attempt", q.sent, "configuration", q.view.Configuration.Version, "entry", e.Revision)
 	service := q.view.Configuration.Services[q.service]
@@ -339,7 +339,11 @@
 	if q.reason != "" {
 		q.h.count("Reasons." + q.reason)
 	}
-	event.Info(q.h.Log, event.RequestAnswered, "request", q.meta.ID, "route", kind, "status", q.status, "reason", q.reason,
+	log := q.h.Log
+	if q.reason == "" && q.status < 400 {
+		log = log.V(1)
+	}
+	event.Info(log, event.RequestAnswered, "request", q.meta.ID, "route", kind, "status", q.status, "reason", q.reason,
 		"sent", q.sent, "tookMs", took.Milliseconds(), "firstMs", q.firstMs())
 }
 
