Leave endpoints that refuse alone for longer; tell a deadline from a broken path

An order whose time was over ended as 502 with an endpoint that "broke", since the connection's deadline fired just before the request's.

Ruled out: a larger budget (the rule bounds it); asking the endpoints whether they load (probes).

Change: the request's context alone ends an exchange. The pause of an endpoint that refuses doubles with each refusal in a row up to 1.2 s, and a third try waits 50 to 100 ms.

--- a/internal/connection/endpoint/conn.go
+++ b/internal/connection/endpoint/conn.go
@@ -92,11 +92,8 @@
 // begin sends the request. It returns ErrNotSent if no byte left.
 func (c *conn) begin(ctx context.Context, call *Call) (x *exchange, err error) {
 	x = &exchange{conn: c, written: make(chan struct{})}
-	if deadline, ok := ctx.Deadline(); ok {
-		_ = c.SetDeadline(deadline)
-	} else {
-		_ = c.SetDeadline(time.Time{})
-	}
+	// The context ends the exchange, so that a caller that asks it after an error sees why.
+	_ = c.SetDeadline(time.Time{})
 	x.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	head := call.head()
 	first := head
--- a/internal/connection/endpoint/pool_test.go
+++ b/internal/connection/endpoint/pool_test.go
@@ -221,6 +221,24 @@
 	is.True(errors.Is(err, ErrBroken))
 }
 
+// TestDeadlineIsTheCallers guards against taking the end of a caller's time for a broken connection: a caller that asks its
+// context after an error must see that its time is over.
+func TestDeadlineIsTheCallers(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(s *server, _ int, c net.Conn, br *bufio.Reader) {
+		_, _ = s.next(br)
+		_, _ = io.Copy(io.Discard, c)
+	})
+	p := newPool(t)
+	for range 200 {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Millisecond)
+		_, err := p.Send(ctx, Target{ID: "e1", Address: s.addr}, call("1"))
+		is.True(err != nil)
+		is.True(ctx.Err() != nil)
+		cancel()
+	}
+}
+
 // TestUnreachable guards against calling a request sent that never left.
 func TestUnreachable(t *testing.T) {
 	is := is.New(t)
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -95,12 +96,31 @@
 		case q.sent >= maxSends:
 			q.giveUp("EndpointsRefused", 300*time.Millisecond)
 			return
+		case v == notRun && q.sent > 1 && !q.pause():
+			q.giveUp("Deadline", 0)
+			return
 		}
 		// Beliefs may have changed since the request was admitted.
 		q.view = q.h.View.Current()
 	}
 }
 
+// refusedPause is the least pause after the second endpoint refused a request. What makes several refuse at once passes within
+// some hundred milliseconds, and each further try draws on the budget for repeats.
+const refusedPause = 50 * time.Millisecond
+
+// pause waits before another endpoint is tried and reports false if the time of the request is over.
+func (q *request) pause() bool {
+	timer := time.NewTimer(refusedPause + rand.N(refusedPause))
+	defer timer.Stop()
+	select {
+	case <-q.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // place chooses an endpoint.
 func (q *request) place() (placement.Choice, *placement.Ask, *placement.Refusal) {
 	now := time.Now()
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -78,7 +78,9 @@
 	plainRunCost = 5 * time.Millisecond
 	// errorCost is what a request costs more at an endpoint whose answers all fail, if those of its fellows do not.
 	errorCost = time.Second
-	// probeCost makes a suspect endpoint the last choice, unless its pause has passed.
+	// fullCost makes an endpoint that refused of late a late choice.
+	fullCost = 2 * time.Second
+	// suspectCost makes a suspect endpoint the last choice, unless its pause has passed.
 	suspectCost = 10 * time.Second
 	// sampleSize is the number of endpoints that are considered beside the homes.
 	sampleSize = 4
@@ -207,7 +209,7 @@
 		cost += time.Duration(over * float64(errorCost))
 	}
 	if now.Before(s.fullUntil) {
-		cost += fullPause
+		cost += fullCost
 	}
 	if s.suspect {
 		reason = Probe
--- a/pkg/placement/choose_test.go
+++ b/pkg/placement/choose_test.go
@@ -145,6 +145,33 @@
 	is.True(refusal == nil)
 }
 
+// TestFullEndpoint guards against asking an endpoint again and again that refuses for a second while it loads weights: each
+// such request spends the budget for repeats.
+func TestFullEndpoint(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	list := endpoints(3)
+	table := placement.New()
+	table.Learn(start, nil, list)
+	ask := &placement.Ask{Service: "S", Homes: []string{"e0"}, Tokens: 300, Shared: 250, Gateways: 1, Domain: "d"}
+	refused := 0
+	for ms := 0; ms < 1500; ms += 10 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		c, refusal := table.Choose(now, ask, list)
+		is.True(refusal == nil)
+		table.Sent(now, c.Endpoint, ask, 0)
+		o := placement.Answered
+		if c.Endpoint.ID == "e0" {
+			o = placement.Full
+			refused++
+		}
+		table.Ended(now, c.Endpoint, 0, o)
+	}
+	is.True(refused <= 4) // at 0, 150, 450 and 1,050 ms, of 150 requests
+	_, refusal := table.Choose(start.Add(1500*time.Millisecond), ask, list[:1])
+	is.True(refusal == nil) // it is asked if there is no other
+}
+
 // TestRestartedEndpoint guards against judging an endpoint that started anew by what was known of it before.
 func TestRestartedEndpoint(t *testing.T) {
 	is := is.New(t)
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -39,8 +39,10 @@
 	// some seconds after a crash.
 	firstSuspicion = 400 * time.Millisecond
 	lastSuspicion  = 3 * time.Second
-	// fullPause is how long an endpoint that refused for lack of room is left alone, if others can be had.
-	fullPause = 150 * time.Millisecond
+	// fullPause is how long an endpoint that refused for lack of room is left alone, if others can be had. It doubles with each
+	// refusal in a row, up to longestFull: an endpoint that loads weights refuses for about a second.
+	fullPause   = 150 * time.Millisecond
+	longestFull = 1200 * time.Millisecond
 	// brokenLimit is the number of broken connections in a row after which an endpoint is suspect. A single one may be due to
 	// the path or to one request.
 	brokenLimit = 2
@@ -66,6 +68,7 @@
 	pause     time.Duration
 	probing   bool
 	fullUntil time.Time
+	fullFor   time.Duration
 	errors    float64
 	cold      warmup.Rate
 }
@@ -175,12 +178,16 @@
 	switch o {
 	case Answered:
 		s.errors -= s.errors * errorWeight
+		s.fullFor = 0
 		return false, s.trust()
 	case Erred:
 		s.errors += (1 - s.errors) * errorWeight
 		return false, s.trust()
 	case Full:
-		s.fullUntil = now.Add(fullPause)
+		if !now.Before(s.fullUntil) { // Refusals of requests sent at the same time count once.
+			s.fullFor = min(longestFull, max(fullPause, 2*s.fullFor))
+			s.fullUntil = now.Add(s.fullFor)
+		}
 		return false, s.trust()
 	case Misdirected, Unreachable:
 		return s.suspectNow(now), false
