Renew all watches when one of them finds the store disturbed

Ruled out: shorter waits (more calls for all, and still near the bound); keep-alive probes (the connections were sound).

Change: the first follower whose call fails, or that is told that history is gone, ends the waiting watches of the others, which then look again.

TestSilentWatches fails without the renewals.

--- a/internal/version/registry/follower.go
+++ b/internal/version/registry/follower.go
@@ -32,11 +32,15 @@
 	log  logr.Logger
 	// apply takes changed objects; removed ones have Removed set.
 	apply func(changes []Change[T])
+	// disturbed is called when the store lost history or a call failed after others had worked.
+	disturbed func()
 
 	revision uint64
 	known    map[string]uint64
 
 	mu sync.Mutex
+	// cancel ends the watch that is waiting, nil if there is none.
+	cancel context.CancelFunc
 	// contact is measured by the clock that goes on while the machine is suspended.
 	contact time.Duration
 	trouble time.Time
@@ -78,14 +82,18 @@
 			continue
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, context.Canceled):
+			continue // It was renewed.
 		case errors.Is(err, ErrGap):
 			event.Info(f.log, event.StoreHistoryLost, "kind", f.kind, "revision", f.revision)
 			listed = false
+			f.disturbed()
 			continue
 		}
 		f.failed()
 		if !down {
 			down = true
+			f.disturbed()
 			event.Info(f.log, event.StoreLost, "kind", f.kind, "revision", f.revision, "reason", err.Error())
 		}
 		sleep(ctx, pause/2+rand.N(pause))
@@ -106,7 +114,14 @@
 		f.replace(changes, revision)
 		return nil
 	}
-	changes, revision, err := f.source.Watch(ctx, f.revision, cmp.Or(f.wait, 2500*time.Millisecond))
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.waiting(cancel)
+	changes, revision, err := f.source.Watch(watch, f.revision, cmp.Or(f.wait, 2500*time.Millisecond))
+	f.waiting(nil)
+	if err != nil && watch.Err() != nil {
+		return context.Canceled
+	}
 	if err != nil {
 		return err
 	}
@@ -118,6 +133,23 @@
 	return nil
 }
 
+func (f *follower[T]) waiting(cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancel = cancel
+}
+
+// renew ends the watch that is waiting, so that the next one finds out whether it would still be told of changes: a store that
+// lost its history may leave watches without an answer. Followers cannot renew each other for ever: a renewal alone is no
+// disturbance.
+func (f *follower[T]) renew() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
 // replace takes a whole list: objects that it lacks are gone.
 func (f *follower[T]) replace(changes []Change[T], revision uint64) {
 	listed := make(map[string]bool, len(changes))
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -128,8 +128,15 @@
 func (r *Registry) Run(ctx context.Context) error {
 	r.init()
 	defer close(r.done)
-	evacuations := &follower[struct{}]{kind: "Evacuation", source: r.Evacuations, wait: watchWait, log: r.Log,
-		apply: r.applyEvacuations}
+	evacuations := r.evacuationsFollower()
+	renew := []func(){r.configurations.renew, r.servers.renew, r.shared.renew, r.versions.renew, evacuations.renew}
+	disturbed := func() {
+		for _, f := range renew {
+			f()
+		}
+	}
+	r.configurations.disturbed, r.servers.disturbed, r.shared.disturbed = disturbed, disturbed, disturbed
+	r.versions.disturbed, evacuations.disturbed = disturbed, disturbed
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){r.configurations.run, r.servers.run, r.shared.run, evacuations.run, r.versions.run,
 		r.beat, r.sweep, r.followMembers} {
@@ -139,6 +146,11 @@
 	return nil
 }
 
+func (r *Registry) evacuationsFollower() *follower[struct{}] {
+	return &follower[struct{}]{kind: "Evacuation", source: r.Evacuations, wait: watchWait, log: r.Log,
+		apply: r.applyEvacuations}
+}
+
 // publish makes the next snapshot the current one. The caller holds mu and has replaced, not changed, what differs.
 func (r *Registry) publish() {
 	published := r.next
--- a/internal/version/registry/registry_test.go
+++ b/internal/version/registry/registry_test.go
@@ -26,6 +26,8 @@
 	// oldest is the revision before which history is gone.
 	oldest uint64
 	down   bool
+	// silent leaves the watches that wait without an answer.
+	silent bool
 	// stale makes lists show an earlier state, with its revision.
 	stale    map[string]registry.Change[T]
 	staleAt  uint64
@@ -87,6 +89,18 @@
 			return nil, revision, nil
 		case <-changed:
 		}
+		s.mu.Lock()
+		silent := s.silent
+		s.mu.Unlock()
+		if silent {
+			select {
+			case <-ctx.Done():
+				return nil, 0, ctx.Err()
+			case <-deadline:
+				<-time.After(watchMargin)
+				return nil, 0, registry.ErrUnavailable
+			}
+		}
 	}
 }
 
@@ -230,8 +244,11 @@
 		time.Sleep(3 * time.Second)
 		is.Equal(w.registry.Current().Configuration.Version, uint64(5))
 		w.configurations.set(func() { w.configurations.stale = nil })
+		time.Sleep(time.Second)
 		w.configurations.put("main", configuration(4), nil)
+		time.Sleep(time.Second)
 		w.configurations.put("main", nil, errors.New("unreadable"))
+		time.Sleep(time.Second)
 		w.configurations.drop("main")
 		time.Sleep(3 * time.Second)
 		is.Equal(w.registry.Current().Configuration.Version, uint64(5))
@@ -241,6 +258,34 @@
 	})
 }
 
+// watchMargin is what a watch without an answer takes beyond its wait.
+const watchMargin = 800 * time.Millisecond
+
+// TestSilentWatches guards against a configuration that comes late since the store dropped its history and left the watches
+// without an answer: the first follower to notice must make the others look again. The bound is the time in which machines
+// count as out of touch, and what a configuration may take, on both sites.
+func TestSilentWatches(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.configurations.put("main", configuration(1), nil)
+		w.versions.put("M", site.ModelVersion{Model: "M", Version: 1}, nil)
+		time.Sleep(time.Second)
+		for _, compact := range []func(){
+			func() { w.versions.set(func() { w.versions.silent = true }); w.versions.compact() },
+			func() { w.configurations.set(func() { w.configurations.silent = true }); w.configurations.compact() },
+		} {
+			compact()
+		}
+		w.configurations.set(func() { // a change that no event tells
+			w.configurations.revision++
+			w.configurations.objects["main"] = registry.Change[*site.Configuration]{Name: "main",
+				Revision: w.configurations.revision, Value: configuration(2)}
+		})
+		time.Sleep(4 * time.Second)
+		is.Equal(w.registry.Current().Configuration.Version, uint64(2))
+	})
+}
+
 // TestLostHistory guards against changes that are never seen since they were made while history was dropped.
 func TestLostHistory(t *testing.T) {
 	play(t, func(t *testing.T, w *world) {
