--- a/internal/connection/endpoint/pool.go
+++ b/internal/connection/endpoint/pool.go
@@ -201,12 +201,13 @@
 		}
 		p.put(k, c, false)
 	}
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(p.DialTimeout, time.Second))
+	dial, cancel := context.WithTimeout(ctx, cmp.Or(p.DialTimeout, time.Second))
 	defer cancel()
 	dialer := net.Dialer{KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", k.addr.String())
+	c, err := dialer.DialContext(dial, "tcp", k.addr.String())
 	if err != nil {
 		p.release(k)
+		settle(ctx)
 		return nil, errors.Mark(errors.Wrap(err, "dial"), ErrNotSent)
 	}
 	if p.Dialed != nil {
@@ -215,6 +216,13 @@
 	return newConn(c), nil
 }
 
+// settle waits for the end of a context whose deadline has passed: a dialer's own timer may fire just before it.
+func settle(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		<-ctx.Done()
+	}
+}
+
 // takeIdle returns the connection used last, or nil after it has counted a new one.
 func (p *Pool) takeIdle(k key, limit int, now time.Time, once bool) (*conn, error) {
 	p.mu.Lock()
