--- a/internal/process/logsink/sink.go
+++ b/internal/process/logsink/sink.go
@@ -69,25 +69,37 @@
 	return len(p), nil
 }
 
+// stopLimit is the time that a stop leaves the reader to take the last lines: short against any time for a stop.
+const stopLimit = time.Second
+
 // Run writes batches until ctx is done, and what is left then. It does not wait for a reader that does not read.
 func (s *Sink) Run(ctx context.Context) error {
 	defer close(s.done)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.write(ctx)
+	}()
+	<-ctx.Done()
+	limit := time.NewTimer(stopLimit)
+	defer limit.Stop()
+	select {
+	case <-ended:
+	case <-limit.C:
+	}
+	return nil
+}
+
+// write writes a batch each Period until ctx is done, and the last one then.
+func (s *Sink) write(ctx context.Context) {
 	ticker := time.NewTicker(cmp.Or(s.Period, 100*time.Millisecond))
 	defer ticker.Stop()
 	var spare []byte
 	for {
 		select {
 		case <-ctx.Done():
-			last := make(chan struct{})
-			go func() {
-				defer close(last)
-				s.flush(nil)
-			}()
-			select {
-			case <-last:
-			case <-time.After(time.Second):
-			}
-			return nil
+			s.flush(nil)
+			return
 		case <-ticker.C:
 			spare = s.flush(spare)
 		}
