Make all calls of outside stores by one client; one vocabulary of their errors

Cause: the users' platform had come in beside the product's own object API, so that five types built an HTTP client, a deadline, a bound of the answer and a reading of statuses each: platform.Store, Servers and CacheStores, the relays between gateways, and the client of the own platform. Two vocabularies said "not found", "conflict" and "history gone", and they disagreed on what a failed write means: platform.Store called a write that never left uncertain.

Change: internal/connection/call makes a call once, bounded, and says whether it was sent. internal/process/platform reads statuses for both surfaces (StatusError, Unanswered). platform/ keeps paths and formats only; the errors of package registry are gone.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -17,7 +17,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -27,6 +26,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"primrosecourse/internal/connection/call"
 	"primrosecourse/internal/connection/kvstore"
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/daemon"
@@ -104,7 +104,7 @@
 		LeaseTime: settings.LeaseTime}
 	g := &gateway.Gateway{Settings: settings, Registry: r, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Log: log,
 		Tiers: &kvstore.Catalog{View: r, Stores: platform.NewCacheStores(), Log: log,
-			Relays: &kvstore.Relays{Client: &http.Client{}}, RelayPort: settings.RelayAddress().Port()},
+			Relays: &kvstore.Relays{Calls: call.New(call.Settings{IdleConnections: 2})}, RelayPort: settings.RelayAddress().Port()},
 		Metrics: metrics.NewRegistry(), Parts: []gateway.Part{rollout}}
 	reloadEnded := make(chan struct{})
 	go func() {
--- a/internal/connection/kvstore/catalog_test.go
+++ b/internal/connection/kvstore/catalog_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"slices"
@@ -15,6 +14,7 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"primrosecourse/internal/connection/call"
 	"primrosecourse/internal/connection/kvstore"
 	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/pkg/site"
@@ -257,7 +257,7 @@
 	defer relay.Close()
 	address := netip.MustParseAddrPort(relay.Listener.Addr().String())
 	follower := &kvstore.Catalog{View: &view{snapshot: snapshot, leaders: []netip.Addr{address.Addr()}}, Stores: &store{down: true},
-		Relays: &kvstore.Relays{Client: &http.Client{}}, RelayPort: address.Port(), Log: logr.Discard()}
+		Relays: &kvstore.Relays{Calls: call.New(call.Settings{IdleConnections: 2})}, RelayPort: address.Port(), Log: logr.Discard()}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 2)
 	for _, c := range []*kvstore.Catalog{leader, follower} {
--- a/internal/connection/kvstore/relay.go
+++ b/internal/connection/kvstore/relay.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -14,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"primrosecourse/internal/connection/call"
 )
 
 // A store answers only few questions for events at a time. Gateways beyond that number follow one that does: the first ones
@@ -167,8 +167,8 @@
 
 // Relays asks other gateways as if they were stores. An address has the form IP:PORT/STORE.
 type Relays struct {
-	// Client makes the calls. Default http.DefaultClient.
-	Client *http.Client
+	// Calls makes the calls. Set before the first one.
+	Calls *call.Client
 }
 
 // relayAddress returns the address of a store at another gateway.
@@ -199,17 +199,12 @@
 	if err != nil {
 		return err
 	}
-	response, err := cmp.Or(r.Client, http.DefaultClient).Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxRelayBytes))
+	answer, err := r.Calls.Do(ctx, request, call.Bounds{Limit: maxRelayBytes})
 	if err != nil {
 		return err
 	}
-	if response.StatusCode != http.StatusOK {
-		return errors.Newf("status %d", response.StatusCode)
+	if answer.Status != http.StatusOK {
+		return errors.Newf("status %d", answer.Status)
 	}
-	return msgpack.Unmarshal(body, into)
+	return msgpack.Unmarshal(answer.Body, into)
 }
--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -28,6 +28,7 @@
 
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/bootclock"
+	"primrosecourse/internal/process/platform"
 	"primrosecourse/internal/version/registry"
 )
 
@@ -123,7 +124,7 @@
 		return true, nil
 	}
 	raw, revision, err := l.objects.Get(ctx, l.object)
-	if err != nil && !errors.Is(err, registry.ErrNotFound) {
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return false, err
 	}
 	var current registry.Lease
@@ -142,7 +143,7 @@
 	next := registry.Lease{Holder: l.name, Token: current.Token + 1, Renewal: current.Renewal + 1, Last: l.name,
 		Ordered: current.Ordered}
 	revision, err = l.objects.Put(ctx, l.object, revision, next)
-	if errors.Is(err, registry.ErrConflict) {
+	if errors.Is(err, platform.ErrConflict) {
 		return false, nil
 	}
 	if err != nil {
@@ -206,7 +207,7 @@
 	if err != nil {
 		// Another holder wrote it, or an answer was lost: the next try begins with the present revision.
 		_, l.publishedAt, err = l.Publish.Get(ctx, l.PublishName)
-		if errors.Is(err, registry.ErrNotFound) {
+		if errors.Is(err, platform.ErrNotFound) {
 			l.publishedAt = 0
 		}
 		return false
--- a/internal/process/lease/lease_test.go
+++ b/internal/process/lease/lease_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	"primrosecourse/internal/process/lease"
-	"primrosecourse/internal/version/registry"
+	"primrosecourse/internal/process/platform"
 )
 
 // objects is a store with one object.
@@ -23,19 +23,19 @@
 func (o *objects) Get(context.Context, string) (json.RawMessage, uint64, error) {
 	switch {
 	case o.fail:
-		return nil, 0, registry.ErrRefused
+		return nil, 0, platform.ErrRateLimited
 	case o.revision == 0:
-		return nil, 0, registry.ErrNotFound
+		return nil, 0, platform.ErrNotFound
 	}
 	return o.value, o.revision, nil
 }
 
 func (o *objects) Put(_ context.Context, _ string, revision uint64, value any) (uint64, error) {
 	if o.fail {
-		return 0, registry.ErrRefused
+		return 0, platform.ErrRateLimited
 	}
 	if revision != o.revision {
-		return 0, registry.ErrConflict
+		return 0, platform.ErrConflict
 	}
 	encoded, err := json.Marshal(value)
 	if err != nil {
@@ -44,7 +44,7 @@
 	o.value = encoded
 	o.revision++
 	if o.lose {
-		return 0, registry.ErrUnavailable
+		return 0, platform.ErrUncertain
 	}
 	return o.revision, nil
 }
--- a/internal/process/platform/object.go
+++ b/internal/process/platform/object.go
@@ -1,9 +1,12 @@
 package platform
 
 import (
+	"net/http"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
+
+	"primrosecourse/internal/connection/call"
 )
 
 // MaxValueBytes is the largest value that the platform stores.
@@ -56,3 +59,37 @@
 	}
 	return false
 }
+
+// StatusError returns what the status of an answer says, nil for success. A status that the interface does not name leaves
+// the outcome of a write open.
+func StatusError(status int, write bool) error {
+	switch status {
+	case http.StatusOK, http.StatusCreated, http.StatusAccepted, http.StatusNoContent:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusGone:
+		return ErrWatchGap
+	case http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case http.StatusTooManyRequests:
+		return ErrRateLimited
+	case http.StatusServiceUnavailable:
+		return ErrUnavailable
+	}
+	err := errors.Newf("unexpected status %d", status)
+	if write {
+		return errors.Mark(err, ErrUncertain)
+	}
+	return errors.Mark(err, ErrUnavailable)
+}
+
+// Unanswered returns what an error of package call says. A failed write is ErrUnavailable only if it never had a connection.
+func Unanswered(err error, write bool) error {
+	if write && !errors.Is(err, call.ErrNotSent) {
+		return errors.Mark(err, ErrUncertain)
+	}
+	return errors.Mark(err, ErrUnavailable)
+}
--- a/internal/version/registry/follower.go
+++ b/internal/version/registry/follower.go
@@ -12,6 +12,7 @@
 
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/bootclock"
+	"primrosecourse/internal/process/platform"
 )
 
 const (
@@ -84,7 +85,7 @@
 			return
 		case errors.Is(err, context.Canceled):
 			continue // It was renewed.
-		case errors.Is(err, ErrGap):
+		case errors.Is(err, platform.ErrWatchGap):
 			event.Info(f.log, event.StoreHistoryLost, "kind", f.kind, "revision", f.revision)
 			listed = false
 			f.disturbed()
@@ -126,7 +127,7 @@
 		return err
 	}
 	if revision < f.revision {
-		return errors.Wrapf(ErrGap, "watch went back from revision %d to %d", f.revision, revision)
+		return errors.Wrapf(platform.ErrWatchGap, "watch went back from revision %d to %d", f.revision, revision)
 	}
 	f.revision = revision
 	f.update(changes)
--- a/internal/version/registry/registry_test.go
+++ b/internal/version/registry/registry_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"primrosecourse/internal/process/platform"
 	"primrosecourse/internal/version/registry"
 	"primrosecourse/pkg/site"
 )
@@ -46,7 +47,7 @@
 	s.lists++
 	if s.down {
 		s.refusals++
-		return nil, 0, registry.ErrRefused
+		return nil, 0, platform.ErrRateLimited
 	}
 	objects, revision := s.objects, s.revision
 	if s.stale != nil {
@@ -65,11 +66,11 @@
 		if s.down {
 			s.refusals++
 			s.mu.Unlock()
-			return nil, 0, registry.ErrRefused
+			return nil, 0, platform.ErrRateLimited
 		}
 		if after < s.oldest {
 			s.mu.Unlock()
-			return nil, 0, registry.ErrGap
+			return nil, 0, platform.ErrWatchGap
 		}
 		var changes []registry.Change[T]
 		for _, c := range s.log {
@@ -98,7 +99,7 @@
 				return nil, 0, ctx.Err()
 			case <-deadline:
 				<-time.After(watchMargin)
-				return nil, 0, registry.ErrUnavailable
+				return nil, 0, platform.ErrUncertain
 			}
 		}
 	}
@@ -151,7 +152,7 @@
 	defer s.mu.Unlock()
 	c, ok := s.objects[name]
 	if !ok {
-		return nil, 0, registry.ErrNotFound
+		return nil, 0, platform.ErrNotFound
 	}
 	return c.Value, c.Revision, nil
 }
@@ -160,7 +161,7 @@
 	s.mu.Lock()
 	if s.objects[name].Revision != revision {
 		s.mu.Unlock()
-		return 0, registry.ErrConflict
+		return 0, platform.ErrConflict
 	}
 	s.mu.Unlock()
 	encoded, err := json.Marshal(value)
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/platform"
 )
 
 // The names of shared objects begin with what they are.
@@ -289,12 +290,12 @@
 // write puts the object of this gateway. After a conflict it takes the revision that the store has.
 func (r *Registry) write(ctx context.Context, name string, revision uint64, value any) (next uint64, err error) {
 	next, err = r.Members.Put(ctx, name, revision, value)
-	if errors.Is(err, ErrConflict) {
+	if errors.Is(err, platform.ErrConflict) {
 		if _, revision, err = r.Members.Get(ctx, name); err == nil {
 			next, err = r.Members.Put(ctx, name, revision, value)
 		}
 	}
-	if errors.Is(err, ErrNotFound) {
+	if errors.Is(err, platform.ErrNotFound) {
 		next, err = r.Members.Put(ctx, name, 0, value)
 	}
 	if err != nil && ctx.Err() == nil {
@@ -314,7 +315,7 @@
 		var m Mark
 		value, revision, getErr := r.Shared.Get(ctx, name)
 		switch {
-		case errors.Is(getErr, ErrNotFound):
+		case errors.Is(getErr, platform.ErrNotFound):
 		case getErr != nil:
 			return getErr
 		default:
@@ -326,7 +327,7 @@
 			return nil
 		}
 		m.Endpoints = append(m.Endpoints, endpoint)
-		if _, err = r.Shared.Put(ctx, name, revision, m); !errors.Is(err, ErrConflict) {
+		if _, err = r.Shared.Put(ctx, name, revision, m); !errors.Is(err, platform.ErrConflict) {
 			return err
 		}
 	}
--- a/internal/version/registry/source.go
+++ b/internal/version/registry/source.go
@@ -4,18 +4,6 @@
 	"context"
 	"encoding/json"
 	"time"
-
-	"github.com/cockroachdb/errors"
-)
-
-// The ways in which a call of the store fails. ErrRefused says that it had no effect; after ErrUnavailable a write may have
-// taken effect, now or later.
-var (
-	ErrNotFound    = errors.New("object not found")
-	ErrConflict    = errors.New("object has another revision")
-	ErrGap         = errors.New("history is gone")
-	ErrRefused     = errors.New("store refuses calls")
-	ErrUnavailable = errors.New("store does not answer")
 )
 
 // Change is the present state of one object, or its removal.
@@ -28,11 +16,11 @@
 	Err error
 }
 
-// Source reads one kind of object.
+// Source reads one kind of object. The errors of sources and objects are those of package platform.
 type Source[T any] interface {
 	// List returns all objects, and a revision from which Watch reports every later change.
 	List(ctx context.Context) (changes []Change[T], revision uint64, err error)
-	// Watch returns the changes after a revision, waiting for the first one, and the revision to go on from. Errors: ErrGap
+	// Watch returns the changes after a revision, waiting for the first one, and the revision to go on from. Errors: ErrWatchGap
 	// if the history is gone.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []Change[T], revision uint64, err error)
 }
