Bound the watch for crashes; figures by kind and outcome; tell spent budgets

Metrics had one series for each route, of which a configuration may have any number, and none for refusals and waits; a spent budget was a counter only.

Change: forward.CrashWatch is a part of the gateway with four workers and a bounded queue; a question asked after a connection broke answers for all that broke before. Suspicions that find no place are counted and told. Figures are named by kind, service and outcome (docs/OPERATIONS.md). RepeatsSpent and RepeatsGranted tell changes of a budget, one line each.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -70,4 +70,8 @@
 	LoadsNotSent
 	// LogDropped tells how many lines were left out.
 	LogDropped
+	// RepeatsSpent tells that no more requests to a service may be sent again for now.
+	RepeatsSpent
+	// RepeatsGranted tells that requests to the service may be sent again.
+	RepeatsGranted
 )
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -51,6 +51,7 @@
 	once     sync.Once
 	table    *placement.Table
 	pool     *endpoint.Pool
+	crashes  *forward.CrashWatch
 	front    *front.Server
 }
 
@@ -72,8 +73,10 @@
 		}
 		dialed := metrics.GetOrRegisterCounter("Endpoint.Connections", g.Metrics)
 		g.pool.Dialed = func(string) { dialed.Inc(1) }
+		lost := metrics.GetOrRegisterCounter("Crashes.NotLookedInto", g.Metrics)
+		g.crashes = &forward.CrashWatch{Marks: g.Registry, Endpoints: g.pool, Log: g.Log, Dropped: func() { lost.Inc(1) }}
 		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table,
-			Endpoints: g.pool, Crashes: g.Registry, Tiers: g.Tiers, Log: g.Log, Metrics: g.Metrics,
+			Endpoints: g.pool, Crashes: g.crashes, Tiers: g.Tiers, Log: g.Log, Metrics: g.Metrics,
 			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
 				RepeatSpan: g.Settings.RepeatSpan}}
 		g.front = front.New(handler)
@@ -138,6 +141,7 @@
 	}
 	run(g.Registry.Run)
 	run(g.pool.Run)
+	run(g.crashes.Run)
 	run(g.Tiers.Run)
 	exchange := &loads.Exchange{Name: g.Settings.Name, Incarnation: rand.Uint64(), Address: g.Settings.LoadAddress(),
 		Peers: g.Registry, Table: g.table, Log: g.Log}
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"time"
@@ -34,9 +33,6 @@
 // still be replaced.
 const wholeLimit = 256 << 10
 
-// crashProbe is the pause before an endpoint that broke a connection is asked whether it is still there.
-const crashProbe = 30 * time.Millisecond
-
 // ended tells the table how the attempt ended.
 func (a *attempt) ended(o placement.Outcome) {
 	suspect, trusted := a.q.h.Table.Ended(time.Now(), a.e, a.unread, o)
@@ -86,23 +82,9 @@
 	o := a.outcome(placement.Broken)
 	a.ended(o)
 	service := a.q.view.Configuration.Services[a.q.service]
-	if o != placement.Broken || service == nil || service.Engine == nil {
-		return
+	if o == placement.Broken && service != nil && service.Engine != nil && a.q.h.Crashes != nil {
+		a.q.h.Crashes.Broke(a.q.meta.ID, a.q.fingerprint, a.q.target(a.e, service))
 	}
-	go a.probe(service)
-}
-
-// probe finds out whether the endpoint crashed: a connection that broke alone says nothing.
-func (a *attempt) probe(service *site.Service) {
-	time.Sleep(crashProbe)
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	target := a.q.target(a.e, service)
-	a.q.h.Endpoints.Drop(target)
-	if !a.q.h.Gone(ctx, target) {
-		return
-	}
-	a.q.h.crashed(ctx, a.q, a.e.ID)
 }
 
 // answered judges an answer and passes it on if it is the caller's.
@@ -302,7 +284,7 @@
 		return true
 	}
 	q.status, q.firstPiece = answer.Status, time.Now()
-	q.h.took("FirstPiece."+q.route.Name, q.firstPiece.Sub(q.begun))
+	q.h.took(q.series("FirstPiece"), q.firstPiece.Sub(q.begun))
 	if err := q.w.Start(answer.Status, answer.Header, -1); err != nil {
 		a.ended(placement.Abandoned)
 		q.reason = "CallerLeft"
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -58,6 +58,7 @@
 // fixture is a handler with endpoints that play answers.
 type fixture struct {
 	snapshot *site.Snapshot
+	handler  *forward.Handler
 	age      time.Duration
 	addr     string
 
@@ -111,6 +112,7 @@
 	parts.Go(func() { _ = pool.Run(ctx) })
 	h := &forward.Handler{Codec: codec{}, View: f, Table: placement.New(), Endpoints: pool, Log: logr.Discard(),
 		Limits: forward.Limits{RepeatRatio: 1, RepeatExtra: 100, RepeatSpan: 10 * time.Second}}
+	f.handler = h
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -4,15 +4,12 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"strconv"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
@@ -48,12 +45,11 @@
 // Sender exchanges requests with endpoints; endpoint.Pool is one.
 type Sender interface {
 	Send(ctx context.Context, t endpoint.Target, call *endpoint.Call) (*endpoint.Answer, error)
-	Drop(t endpoint.Target)
 }
 
-// Crashes records requests that crashed endpoints, for all gateways.
+// Crashes is told of connections that broke under a request; CrashWatch is one.
 type Crashes interface {
-	Crashed(ctx context.Context, fingerprint uint64, endpoint string) error
+	Broke(request string, fingerprint uint64, target endpoint.Target)
 }
 
 // Limits are the bounds that all gateways share.
@@ -73,17 +69,25 @@
 	View      View
 	Table     *placement.Table
 	Endpoints Sender
-	Crashes   Crashes
-	Tiers     Tiers
-	Limits    Limits
-	Log       logr.Logger
-	Metrics   metrics.Registry
+	// Crashes may be nil.
+	Crashes Crashes
+	Tiers   Tiers
+	Limits  Limits
+	Log     logr.Logger
+	Metrics metrics.Registry
 
 	mu      sync.Mutex
-	budgets map[string]*retry.Window
+	budgets map[string]*budget
 	rings   map[string]*serviceRing
 }
 
+// budget is the part of this process in the repeats to one service.
+type budget struct {
+	retry.Window
+	// spent tells that the last repeat was not granted, so that the log tells of changes only.
+	spent atomic.Bool
+}
+
 // serviceRing is the ring of the endpoints of a service that may get work.
 type serviceRing struct {
 	snapshot *site.Snapshot
@@ -190,21 +194,39 @@
 	return d.Sum64()
 }
 
-func (h *Handler) budget(service string) *retry.Window {
+func (h *Handler) budget(service string) *budget {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b := h.budgets[service]
 	if b == nil {
 		if h.budgets == nil {
-			h.budgets = map[string]*retry.Window{}
+			h.budgets = map[string]*budget{}
 		}
 		// A tenth is left for what the gateways count apart from the endpoints.
-		b = &retry.Window{Ratio: 0.9 * h.Limits.RepeatRatio, Extra: 0.8 * h.Limits.RepeatExtra, Span: h.Limits.RepeatSpan}
+		b = &budget{Window: retry.Window{Ratio: 0.9 * h.Limits.RepeatRatio, Extra: 0.8 * h.Limits.RepeatExtra,
+			Span: h.Limits.RepeatSpan}}
 		h.budgets[service] = b
 	}
 	return b
 }
 
+// mayRepeat takes a repeat from the budget of the request's service and tells the log when the budget becomes spent, and when
+// it no longer is.
+func (q *request) mayRepeat() bool {
+	b := q.h.budget(q.service)
+	granted := b.Repeat(time.Now(), q.view.Gateways)
+	switch {
+	case !granted && b.spent.CompareAndSwap(false, true):
+		event.Info(q.h.Log, event.RepeatsSpent, "service", q.service, "request", q.meta.ID, "gateways", q.view.Gateways)
+	case granted && b.spent.CompareAndSwap(true, false):
+		event.Info(q.h.Log, event.RepeatsGranted, "service", q.service, "request", q.meta.ID, "gateways", q.view.Gateways)
+	}
+	if !granted {
+		q.h.count("Repeats.Denied." + q.service)
+	}
+	return granted
+}
+
 // ring returns the endpoints of a service that may get work at present.
 func (h *Handler) ring(view *site.Snapshot, service string) *serviceRing {
 	h.mu.Lock()
@@ -259,38 +281,3 @@
 func (h *Handler) quarantined(view *site.Snapshot, fingerprint uint64) bool {
 	return len(view.Marks[fingerprint]) >= crashLimit
 }
-
-func (h *Handler) count(name string) {
-	if h.Metrics != nil {
-		metrics.GetOrRegisterCounter(name, h.Metrics).Inc(1)
-	}
-}
-
-func (h *Handler) took(name string, d time.Duration) {
-	if h.Metrics != nil {
-		metrics.GetOrRegisterHistogram(name, h.Metrics, metrics.NewExpDecaySample(1028, 0.015)).Update(d.Microseconds())
-	}
-}
-
-func uintText(n uint64) string { return strconv.FormatUint(n, 10) }
-
-// crashed records that an endpoint crashed under a request, unless the caller's request is known for it.
-func (h *Handler) crashed(ctx context.Context, q *request, endpoint string) {
-	event.Info(h.Log, event.RequestMarked, "request", q.meta.ID, "endpoint", endpoint, "fingerprint", uintText(q.fingerprint))
-	if h.Crashes == nil {
-		return
-	}
-	if err := h.Crashes.Crashed(ctx, q.fingerprint, endpoint); err != nil {
-		event.Info(h.Log, event.StoreWriteFailed, "request", q.meta.ID, "reason", err.Error())
-	}
-}
-
-// Gone reports whether an endpoint refuses connections.
-func (h *Handler) Gone(ctx context.Context, t endpoint.Target) bool {
-	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", t.Address.String())
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil
-	}
-	_ = c.Close()
-	return false
-}
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -48,6 +48,8 @@
 	firstPiece time.Time
 	status     int
 	reason     string
+	// own tells that the caller's answer is one of this process.
+	own bool
 	// stream is the state of an answer that may be resumed; nil before its first byte.
 	stream *events
 }
@@ -75,8 +77,7 @@
 			q.giveUp(refusal.Reason.String(), refusal.RetryAfter)
 			return
 		}
-		if q.sent > 0 && !q.h.budget(q.service).Repeat(time.Now(), q.view.Gateways) {
-			q.h.count("RetryBudgetSpent")
+		if q.sent > 0 && !q.mayRepeat() {
 			q.giveUp("RetryBudget", 500*time.Millisecond)
 			return
 		}
@@ -241,6 +242,7 @@
 	event.Detail(q.h.Log, event.RequestSent, "request", q.meta.ID, "route", q.route.Name, "endpoint", e.ID,
 		"reason", choice.Reason.String(), "waitMs", choice.Wait.Milliseconds(), "unread", choice.Unread, "shared", ask.Shared, "stored", ask.Stored,
 		"considered", choice.Considered, "attempt", q.sent, "configuration", q.view.Configuration.Version, "entry", e.Revision)
+	q.h.took(q.series("Wait"), choice.Wait)
 	service := q.view.Configuration.Services[q.service]
 	a := &attempt{q: q, e: e, unread: choice.Unread, began: now}
 	call := q.call(e, service)
@@ -332,7 +334,7 @@
 
 // refuse answers without an endpoint's answer.
 func (q *request) refuse(status int, reason, detail string, retryAfter time.Duration) {
-	q.status, q.reason = status, reason
+	q.status, q.reason, q.own = status, reason, true
 	event.Info(q.h.Log, event.RequestDenied, "request", q.meta.ID, "status", status, "reason", reason, "detail", detail,
 		"sent", q.sent, "ran", q.ran, "retryAfterMs", retryAfter.Milliseconds(), "afterMs", time.Since(q.begun).Milliseconds())
 	body := `{"reason":` + strconv.Quote(reason) + `,"outcome":` + strconv.Quote(q.outcome()) + "}\n"
@@ -354,11 +356,7 @@
 	if q.route != nil {
 		kind = q.route.Name
 	}
-	q.h.count("Requests." + kind + "." + strconv.Itoa(q.status))
-	q.h.took("Took."+kind, took)
-	if q.reason != "" {
-		q.h.count("Reasons." + q.reason)
-	}
+	q.figures(took)
 	log := q.h.Log
 	if q.reason == "" && q.status < 400 {
 		log = log.V(1)
