Close connections given back after the pool has ended

The goroutine dump shows the test's endpoint reading from a connection that nobody closes: its answer was read to the end just after Pool.Run had closed all idle connections, and the connection was put among the idle ones.

Ruled out: the endpoint of the test (it waits as it should); an answer that was not closed (each is, by defer).

Change: a pool that has ended closes what is given back.

Test: TestAnswerReadAfterRun; before, the connection is still open after 5 s.

--- a/internal/connection/endpoint/pool.go
+++ b/internal/connection/endpoint/pool.go
@@ -129,7 +129,9 @@
 
 	mu     sync.Mutex
 	groups map[key]*group
-	done   chan struct{}
+	// ended tells that Run has ended, after which nobody would close an idle connection.
+	ended bool
+	done  chan struct{}
 }
 
 // New returns a pool without connections.
@@ -146,7 +148,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			p.expire(time.Now().Add(time.Hour))
+			p.end()
 			return nil
 		case now := <-ticker.C:
 			p.expire(now)
@@ -154,6 +156,14 @@
 	}
 }
 
+// end closes all idle connections, and from now on those that are given back.
+func (p *Pool) end() {
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
+	p.expire(time.Now().Add(time.Hour))
+}
+
 // Send sends a call and returns the header of its answer. Errors: ErrNotSent, ErrNoConnection, ErrBroken.
 func (p *Pool) Send(ctx context.Context, t Target, call *Call) (a *Answer, err error) {
 	defer func() { err = errors.Wrapf(err, "endpoint %s at %s", t.ID, t.Address) }()
@@ -254,15 +264,15 @@
 
 // put gives a connection back, or closes it.
 func (p *Pool) put(k key, c *conn, reusable bool) {
-	if !reusable {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.groups[k]
+	if !reusable || p.ended {
 		_ = c.Close()
-		p.release(k)
+		g.open--
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	c.idleSince = time.Now()
-	g := p.groups[k]
 	g.idle = append(g.idle, c)
 }
 
--- a/internal/connection/endpoint/pool_test.go
+++ b/internal/connection/endpoint/pool_test.go
@@ -315,3 +315,33 @@
 	is.True(<-rest <= int64(len(long))) // the rest was sent, or the connection was closed
 	is.Equal(s.count(), 1)              // nothing of the second request went where the body was due
 }
+
+// TestAnswerReadAfterRun guards against a connection that stays open for good because its answer was read to the end only after
+// the pool had closed its idle connections.
+func TestAnswerReadAfterRun(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	s := serve(t, func(s *server, _ int, c net.Conn, br *bufio.Reader) {
+		id, _ := s.next(br)
+		_, _ = io.WriteString(c, answer(id, "body"))
+		_, _ = s.next(br)
+		close(closed)
+	})
+	p := New()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run(ctx) }()
+	a, err := p.Send(context.Background(), Target{ID: "e1", Address: s.addr}, call("r1"))
+	is.NoErr(err)
+	cancel()
+	is.NoErr(<-ended)
+	_, err = io.ReadAll(a.Body)
+	is.NoErr(err)
+	a.Close()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		p.Drop(Target{ID: "e1", Address: s.addr})
+		t.Fatal("the connection is still open")
+	}
+}
