Tell only near gateways of loads where there are more than a hundred others

With 298 others a gateway sends its loads each 2.95 s, and a word counts for 1 s: two thirds of what was sent counted for nothing.

Ruled out: the interval alone (a shorter one multiplies the bytes).

Change: beyond 100 others, at whose interval a word is renewed just before it counts for nothing, only those of the same failure domain are told. Gateways state their failure domain in their object.

Test: TestAudience.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -93,7 +93,7 @@
 	store := platform.New(settings.Store)
 	defer store.Close()
 	shared := platform.Shared(store)
-	r := &registry.Registry{Name: settings.Name, LoadAddress: settings.LoadAddress(),
+	r := &registry.Registry{Name: settings.Name, LoadAddress: settings.LoadAddress(), FailureDomain: settings.FailureDomain,
 		Configurations: platform.Configurations(store), Endpoints: platform.Endpoints(store),
 		Evacuations: platform.Evacuations(store), Versions: platform.Versions(store), Shared: shared,
 		Members: platform.Members(store), Log: log}
--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,12 +15,13 @@
 
 	"primrosecourse/internal/event"
 	"primrosecourse/pkg/placement"
+	"primrosecourse/pkg/site"
 )
 
 // Peers lists the other gateways.
 type Peers interface {
-	// Peers returns the addresses of the other gateways. The result must not be changed.
-	Peers() []netip.AddrPort
+	// Peers returns the other gateways. The result must not be changed.
+	Peers() []site.Gateway
 }
 
 // Table holds what is known of endpoints; placement.Table is one.
@@ -68,6 +70,9 @@
 	// grows.
 	shortestInterval = 50 * time.Millisecond
 	manyPeers        = 5
+	// maxPeers is the number of others up to which all are told: at the interval for that number, a word is renewed just
+	// before it counts for nothing.
+	maxPeers = 100
 	// idleInterval is the time between two messages when nothing has changed.
 	idleInterval = 500 * time.Millisecond
 	// maxLoads bounds the endpoints of a message, so that it fits into one packet.
@@ -81,9 +86,11 @@
 	Name        string
 	Incarnation uint64
 	Address     netip.AddrPort
-	Peers       Peers
-	Table       Table
-	Log         logr.Logger
+	// Domain is the failure domain of this process.
+	Domain string
+	Peers  Peers
+	Table  Table
+	Log    logr.Logger
 
 	unreadable atomic.Int64
 	mu         sync.Mutex
@@ -115,7 +122,7 @@
 	var sent time.Time
 	quiet := false
 	for {
-		peers := e.Peers.Peers()
+		peers := audience(e.Peers.Peers(), e.Domain)
 		interval := shortestInterval * time.Duration(max(1, len(peers)/manyPeers))
 		loads := e.Table.Loads(maxLoads)
 		idle := len(loads) == 0
@@ -132,7 +139,20 @@
 	}
 }
 
-func (e *Exchange) tell(conn *net.UDPConn, peers []netip.AddrPort, m *message) {
+// audience returns the gateways that are told: all of them, or those of the same failure domain where there are so many that
+// each would hear from the others less often than its word counts.
+func audience(peers []site.Gateway, domain string) []site.Gateway {
+	if len(peers) <= maxPeers {
+		return peers
+	}
+	near := slices.DeleteFunc(slices.Clone(peers), func(p site.Gateway) bool { return p.FailureDomain != domain })
+	if len(near) == 0 {
+		return peers
+	}
+	return near
+}
+
+func (e *Exchange) tell(conn *net.UDPConn, peers []site.Gateway, m *message) {
 	b, err := msgpack.Marshal(m)
 	if err != nil {
 		event.Error(e.Log, err, event.LoadsNotSent)
@@ -140,7 +160,7 @@
 	}
 	for _, p := range peers {
 		// A datagram that cannot be sent is as good as lost; the next one replaces it.
-		_, _ = conn.WriteToUDPAddrPort(b, p)
+		_, _ = conn.WriteToUDPAddrPort(b, p.Address)
 	}
 }
 
--- a/internal/connection/loads/exchange_test.go
+++ b/internal/connection/loads/exchange_test.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"primrosecourse/pkg/placement"
+	"primrosecourse/pkg/site"
 )
 
 // table records what it is told.
@@ -45,7 +46,12 @@
 
 type peers []netip.AddrPort
 
-func (p peers) Peers() []netip.AddrPort { return p }
+func (p peers) Peers() (list []site.Gateway) {
+	for _, addr := range p {
+		list = append(list, site.Gateway{Address: addr})
+	}
+	return list
+}
 
 // address returns a free address.
 func address(t *testing.T) netip.AddrPort {
@@ -111,3 +117,25 @@
 	take(&message{Name: "B", Incarnation: 2, Number: 2, Endpoints: []string{"e1"}})
 	is.Equal(e.Unreadable(), int64(6))
 }
+
+// TestAudience guards against messages to so many gateways that none of them hears from the others in time, and against a
+// gateway that tells nobody.
+func TestAudience(t *testing.T) {
+	many := func(n int, domains ...string) (list []site.Gateway) {
+		for i := range n {
+			list = append(list, site.Gateway{FailureDomain: domains[i%len(domains)]})
+		}
+		return list
+	}
+	for name, c := range map[string]struct {
+		peers []site.Gateway
+		told  int
+	}{
+		"few":                {many(30, "a", "b", "c"), 30},
+		"many":               {many(300, "a", "b", "c"), 100},
+		"many and none near": {many(300, "b", "c"), 300},
+		"none":               {nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(len(audience(c.peers, "a")), c.told) })
+	}
+}
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -41,8 +41,9 @@
 type Registry struct {
 	// Name is the name of this gateway, which differs from those of all others.
 	Name string
-	// LoadAddress is where this gateway takes the loads of others.
+	// LoadAddress is where this gateway takes the loads of others, FailureDomain where it runs.
 	LoadAddress    netip.AddrPort
+	FailureDomain  string
 	Configurations Source[*site.Configuration]
 	Endpoints      Source[*site.Endpoint]
 	Evacuations    Source[struct{}]
@@ -66,7 +67,7 @@
 	members map[string]member
 	// membersTrouble is when a list of the gateways last failed.
 	membersTrouble time.Time
-	peers          atomic.Pointer[[]netip.AddrPort]
+	peers          atomic.Pointer[[]site.Gateway]
 	touched        map[string]touch
 	// updatingToken is the highest token seen in the object of endpoints about to change.
 	updatingToken uint64
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -18,6 +18,7 @@
 
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/platform"
+	"primrosecourse/pkg/site"
 )
 
 // The names of shared objects begin with what they are.
@@ -42,7 +43,8 @@
 	Name string
 	Beat uint64
 	// Address is where the gateway takes the loads of others.
-	Address netip.AddrPort
+	Address       netip.AddrPort
+	FailureDomain string
 }
 
 // Mark is the object of a request that crashed endpoints.
@@ -132,7 +134,8 @@
 			event.Info(r.Log, event.ObjectUnreadable, "kind", "Member", "name", c.Name, "reason", err.Error())
 			continue
 		}
-		r.members[c.Name] = member{seen: now, address: value.Address, revision: c.Revision}
+		r.members[c.Name] = member{seen: now, revision: c.Revision,
+			gateway: site.Gateway{Address: value.Address, FailureDomain: value.FailureDomain}}
 	}
 	for name := range r.members {
 		if !listed[name] {
@@ -145,7 +148,7 @@
 // member is another gateway, or this one.
 type member struct {
 	seen     time.Time
-	address  netip.AddrPort
+	gateway  site.Gateway
 	revision uint64
 }
 
@@ -154,8 +157,8 @@
 	return now.Sub(m.seen) <= memberTime || now.Sub(trouble) < memberTime
 }
 
-// Peers returns the addresses of the other gateways. The result must not be changed.
-func (r *Registry) Peers() []netip.AddrPort {
+// Peers returns the other gateways. The result must not be changed.
+func (r *Registry) Peers() []site.Gateway {
 	r.init()
 	if peers := r.peers.Load(); peers != nil {
 		return *peers
@@ -180,8 +183,8 @@
 	var list []leader
 	now := time.Now()
 	for other, m := range r.members {
-		if other != r.Name && m.address.IsValid() && m.counts(now, r.membersTrouble) {
-			list = append(list, leader{xxhash.Sum64String(other + "\n" + name), m.address.Addr()})
+		if other != r.Name && m.gateway.Address.IsValid() && m.counts(now, r.membersTrouble) {
+			list = append(list, leader{xxhash.Sum64String(other + "\n" + name), m.gateway.Address.Addr()})
 		}
 	}
 	slices.SortFunc(list, func(a, b leader) int { return cmp.Compare(b.hash, a.hash) })
@@ -207,17 +210,17 @@
 // expireMembers counts the gateways that share limits. The caller holds mu.
 func (r *Registry) expireMembers(now time.Time) {
 	n := 1
-	var peers []netip.AddrPort
+	var peers []site.Gateway
 	for name, m := range r.members {
 		if name == r.Name || !m.counts(now, r.membersTrouble) {
 			continue
 		}
 		n++
-		if m.address.IsValid() {
-			peers = append(peers, m.address)
+		if m.gateway.Address.IsValid() {
+			peers = append(peers, m.gateway)
 		}
 	}
-	slices.SortFunc(peers, netip.AddrPort.Compare)
+	slices.SortFunc(peers, func(a, b site.Gateway) int { return a.Address.Compare(b.Address) })
 	r.peers.Store(&peers)
 	if n != r.next.Gateways {
 		event.Info(r.Log, event.GatewaysCounted, "gateways", n, "before", r.next.Gateways)
@@ -267,7 +270,8 @@
 func (r *Registry) beat(ctx context.Context) {
 	var revision uint64
 	for n := uint64(1); ctx.Err() == nil; n++ {
-		next, err := r.write(ctx, r.Name, revision, Member{Name: r.Name, Beat: n, Address: r.LoadAddress})
+		next, err := r.write(ctx, r.Name, revision, Member{Name: r.Name, Beat: n, Address: r.LoadAddress,
+			FailureDomain: r.FailureDomain})
 		if err == nil {
 			revision = next
 		}
--- a/pkg/site/endpoint.go
+++ b/pkg/site/endpoint.go
@@ -87,3 +87,10 @@
 	}
 	return Naming{}, false
 }
+
+// Gateway is another gateway of the site.
+type Gateway struct {
+	// Address is where it takes the loads of others.
+	Address       netip.AddrPort
+	FailureDomain string
+}
