Revert "Count the use of a weight version from the first one that replaced it"

What was wrong with the idea: engines go on with a replaced version until their order comes. The time for which parts of that version may be used ran out sooner with it, and what those engines then read again costs more than the room that is free sooner gains.

--- a/internal/connection/kvstore/upkeep.go
+++ b/internal/connection/kvstore/upkeep.go
@@ -125,8 +125,8 @@
 	if !ok {
 		return false
 	}
-	by, replaced := view.Replaced(scope.Model, scope.Version)
-	return replaced && tiering.Retired(scope.Version, by.Version, bootclock.Now()-by.NamedAt)
+	named, known := view.Versions[scope.Model]
+	return known && tiering.Retired(scope.Version, named, bootclock.Now()-view.NamedAt[scope.Model])
 }
 
 // observeUnfinished records how far unfinished saves have come. The caller holds mu.
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -194,8 +194,8 @@
 	if q.h.Tiers == nil || service.Engine == nil || version == 0 || len(q.shared()) == 0 {
 		return nil
 	}
-	by, _ := q.view.Replaced(q.meta.Model, version)
-	if !tiering.MayUse(version, by.Version, q.h.View.VersionsAge(), bootclock.Now()-by.UnnamedAt) {
+	namedFor := bootclock.Now() - q.view.UnnamedAt[q.meta.Model]
+	if !tiering.MayUse(version, q.view.Versions[q.meta.Model], q.h.View.VersionsAge(), namedFor) {
 		return nil
 	}
 	return tiering.Plan(q.h.Tiers.List(), q.shared(), q.h.Tiers.Scope(q.scope(version).String()))
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -37,9 +37,6 @@
 	// which a leaving endpoint must get no more work.
 	endpointPace = 300 * time.Millisecond
 	sharedPace   = 150 * time.Millisecond
-	// maxNamings is the number of named versions of a model whose times are kept. Parts of a version that was replaced before
-	// them are kept a little longer.
-	maxNamings = 8
 	// versionsWait is the same for weight versions, whose view must be young for KV stores to be used.
 	versionsWait = 2500 * time.Millisecond
 )
@@ -91,8 +88,8 @@
 		r.endpoints, r.missing = map[string]*site.Endpoint{}, map[string]time.Time{}
 		r.members, r.touched = map[string]member{}, map[string]touch{}
 		r.next = site.Snapshot{Endpoints: map[string][]*site.Endpoint{}, Evacuated: map[string]bool{},
-			Versions: map[string]uint64{}, Namings: map[string][]site.Naming{},
-			Updating: map[string]bool{}, Marks: map[uint64][]string{}, Gateways: 1}
+			Versions: map[string]uint64{}, NamedAt: map[string]time.Duration{},
+			UnnamedAt: map[string]time.Duration{}, Updating: map[string]bool{}, Marks: map[uint64][]string{}, Gateways: 1}
 		first := r.next
 		r.current.Store(&first)
 		r.configurations = &follower[*site.Configuration]{kind: "Configuration", source: r.Configurations, wait: configurationWait,
@@ -287,13 +284,11 @@
 		if c.Removed || c.Err != nil || c.Value.Version <= r.next.Versions[c.Value.Model] {
 			continue
 		}
-		versions, namings := maps.Clone(r.next.Versions), maps.Clone(r.next.Namings)
-		versions[c.Value.Model] = c.Value.Version
+		versions, named, unnamed := maps.Clone(r.next.Versions), maps.Clone(r.next.NamedAt), maps.Clone(r.next.UnnamedAt)
 		// The call that brought the version is not counted as contact yet.
-		named := append(slices.Clone(namings[c.Value.Model]),
-			site.Naming{Version: c.Value.Version, NamedAt: bootclock.Now(), UnnamedAt: r.versions.lastContact()})
-		namings[c.Value.Model] = named[max(0, len(named)-maxNamings):]
-		r.next.Versions, r.next.Namings = versions, namings
+		versions[c.Value.Model], named[c.Value.Model] = c.Value.Version, bootclock.Now()
+		unnamed[c.Value.Model] = r.versions.lastContact()
+		r.next.Versions, r.next.NamedAt, r.next.UnnamedAt = versions, named, unnamed
 		event.Info(r.Log, event.WeightVersionNamed, "model", c.Value.Model, "version", c.Value.Version, "revision", c.Revision)
 		r.publish()
 	}
--- a/pkg/site/endpoint.go
+++ b/pkg/site/endpoint.go
@@ -56,9 +56,11 @@
 	Endpoints map[string][]*Endpoint
 	// Evacuated are the failure domains that must get no work.
 	Evacuated map[string]bool
-	// Versions holds the weight version that is to be served by model, Namings how it came to be, the oldest first.
-	Versions map[string]uint64
-	Namings  map[string][]Naming
+	// Versions holds the weight version that is to be served by model. NamedAt is when it was first seen, UnnamedAt the last
+	// moment at which it was not yet named, both as time since the start of the machine.
+	Versions  map[string]uint64
+	NamedAt   map[string]time.Duration
+	UnnamedAt map[string]time.Duration
 	// Gateways is the number of gateways that share limits, this one included. At least 1.
 	Gateways int
 	// Updating are the endpoints that are about to change their weights.
@@ -69,25 +71,6 @@
 	Marks map[uint64][]string
 }
 
-// Naming is a weight version that operators named for a model. Its times are counted from the start of the machine.
-type Naming struct {
-	Version uint64
-	// NamedAt is when this process first saw it, UnnamedAt the last moment at which it was known not to be named yet.
-	NamedAt   time.Duration
-	UnnamedAt time.Duration
-}
-
-// Replaced returns the naming that first replaced a weight version, false if there is none. A version that was named
-// afterwards does not count: it prolongs nothing.
-func (s *Snapshot) Replaced(model string, version uint64) (n Naming, ok bool) {
-	for _, n := range s.Namings[model] {
-		if n.Version > version {
-			return n, true
-		}
-	}
-	return Naming{}, false
-}
-
 // Gateway is another gateway of the site.
 type Gateway struct {
 	// Address is where it takes the loads of others.
