Make the soak notice orders that are sent twice

Change: plain servers work for 20 ms, resets repeat while the trouble lasts.

The check of a KV store's epoch is not covered: the stand-in's engines do not fetch.

--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -103,7 +103,7 @@
 			server: &standin.Server{ID: fmt.Sprintf("engine-%d", i), Model: "m", Version: 1, Events: 6,
 				EventTime: 10 * time.Millisecond, LoadTime: 200 * time.Millisecond}}
 		if i >= engines {
-			b.service, b.server = "shop", &standin.Server{ID: fmt.Sprintf("plain-%d", i)}
+			b.service, b.server = "shop", &standin.Server{ID: fmt.Sprintf("plain-%d", i), WorkTime: 20 * time.Millisecond}
 		}
 		b.link = s.connect(t, s.serve(b.server))
 		s.backends = append(s.backends, b)
@@ -117,7 +117,7 @@
 			callers: address(t, ip), readiness: address(t, ip)}
 		settings := filepath.Join(s.dir, n.name+".ini")
 		text := fmt.Sprintf("[Gateway]\nName = %s\nAddress = %s\nFailureDomain = a\nCallers = %s\nReadiness = %s\nMetrics = %s\n"+
-			"FirstPeerPort = %d\nLastPeerPort = %d\n[Store]\nAddress = %s\n[Limits]\nMemoryMegabytes = 200\n[Bounds]\n"+
+			"FirstPeerPort = %d\nLastPeerPort = %d\n[Store]\nAddress = %s\n[Limits]\nMemoryMegabytes = 200\nMaxDescriptors = 4096\n[Bounds]\n"+
 			"RepeatRatio = 0.2\nRepeatExtra = 58\nRepeatSpan = 10s\nStopTime = %s\nLeaseTime = 3s\nThawTime = 300ms\n",
 			n.name, ip, n.callers, n.readiness, address(t, ip), peers[0], peers[1], n.store.Address(), stopTime)
 		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
--- a/test/soak/troubles_test.go
+++ b/test/soak/troubles_test.go
@@ -73,8 +73,23 @@
 		return onLink(s.backend(target).link, link.Condition{Delay: 30 * time.Millisecond})
 	},
 	"server connections reset": func(_ *testing.T, s *system, target int) func() {
-		s.backend(target).link.Reset()
-		return func() {}
+		l := s.backend(target).link
+		stop := make(chan struct{})
+		var work sync.WaitGroup
+		work.Go(func() {
+			for {
+				l.Reset()
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Millisecond):
+				}
+			}
+		})
+		return func() {
+			close(stop)
+			work.Wait()
+		}
 	},
 	"server hangs": func(_ *testing.T, s *system, target int) func() {
 		b := s.backend(target)
