Use parts of a replaced weight version until all engines have the new one

Change: parts of a replaced version are used for 10 s and freed 3 s later. The age of a gateway's view stays bounded by 6 s.

--- a/pkg/tiering/plan.go
+++ b/pkg/tiering/plan.go
@@ -130,6 +130,9 @@
 const (
 	// ViewTime is the greatest age of a gateway's view of the named weight versions at which it lets engines use stores.
 	ViewTime = 6 * time.Second
+	// ReplacedTime is how long parts of a version that was replaced are used: the time within which all engines must have the new
+	// one on the users' smaller sites. An engine that waits for its order would read them again otherwise.
+	ReplacedTime = 10 * time.Second
 	// TransferTime bounds a fetch from its request on.
 	TransferTime = 2 * time.Second
 	// retireMargin covers the ways of messages.
@@ -140,10 +143,10 @@
 // replaced a short while ago. viewAge is the age of what is known of named versions, namedFor the time since the last moment
 // at which the named version was known not to be named yet.
 func MayUse(version, named uint64, viewAge, namedFor time.Duration) bool {
-	return viewAge < ViewTime && (version >= named || namedFor < ViewTime)
+	return viewAge < ViewTime && (version >= named || namedFor < ReplacedTime)
 }
 
 // Retired reports whether parts of a weight version may be freed. namedFor is how long the named version has been known.
 func Retired(version, named uint64, namedFor time.Duration) bool {
-	return version < named && namedFor >= ViewTime+TransferTime+retireMargin
+	return version < named && namedFor >= ReplacedTime+TransferTime+retireMargin
 }
