Give connections and bodies a budget; refuse beyond it at once

Cause: nothing bounded what callers could make a gateway hold.

Change: Settings.Budget divides memory and descriptors. A connection beyond the bound is closed unread, so that its caller may go elsewhere whatever it sent; a body beyond it is refused with 503 and a time to come back, before the request is handled. Both are counted, and told at most once a second.

Not bounded by themselves: endpoints and the contents of KV stores, which grow with the site.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -49,10 +49,6 @@
 // levelWithin is the number of bytes within which a line states its level.
 const levelWithin = 80
 
-// memoryShare is the part of the allowed memory from which the collector works harder, the rest being for stacks and for
-// bytes in the kernel.
-const memoryShare = 0.6
-
 // run runs the process until a signal and returns its exit code.
 func run(args []string, stdout, stderr io.Writer, signals, reloads <-chan os.Signal) int {
 	set := flag.NewFlagSet("primrose-gateway", flag.ContinueOnError)
@@ -74,7 +70,7 @@
 		fmt.Fprintln(stderr, "primrose-gateway:", err)
 		return 2
 	}
-	debug.SetMemoryLimit(int64(float64(settings.MemoryMegabytes) * memoryShare * (1 << 20)))
+	debug.SetMemoryLimit(settings.Budget().CollectedBytes)
 	ctx, stop := context.WithCancel(context.Background())
 	sink := logsink.New(stdout)
 	sink.Dropped = func(lines int) string {
--- a/internal/connection/front/request.go
+++ b/internal/connection/front/request.go
@@ -121,11 +121,11 @@
 }
 
 // readBody reads the body of a request up to limit bytes.
-func readBody(request *http.Request, br *bufio.Reader, limit int64) (body []byte, err error) {
+func readBody(request *http.Request, br *bufio.Reader, limit int64, held *share) (body []byte, err error) {
 	tooLarge := &badRequest{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
 	switch {
 	case len(request.TransferEncoding) > 0:
-		body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(br), limit+1))
+		body, err = io.ReadAll(&heldReader{from: io.LimitReader(httputil.NewChunkedReader(br), limit+1), held: held})
 		if err != nil {
 			return nil, chunkError(err)
 		}
@@ -136,6 +136,9 @@
 	case request.ContentLength > limit:
 		return nil, tooLarge
 	case request.ContentLength > 0:
+		if !held.take(request.ContentLength) {
+			return nil, errTooMuchHeld
+		}
 		body = make([]byte, request.ContentLength)
 		_, err = io.ReadFull(br, body)
 		return body, err
@@ -146,6 +149,10 @@
 // chunkError tells malformed chunks from a connection that ended or timed out.
 func chunkError(err error) error {
 	var timeout interface{ Timeout() bool }
+	var bad *badRequest
+	if errors.As(err, &bad) {
+		return err
+	}
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.As(err, &timeout) {
 		return err
 	}
--- a/internal/connection/front/server.go
+++ b/internal/connection/front/server.go
@@ -39,6 +39,16 @@
 	Handler Handler
 	// Limits returns what callers may send at present. Zero fields stand for defaults.
 	Limits func() site.Limits
+	// MaxConnections bounds the connections; 0 sets no bound. One beyond it is closed unread, so that its caller may try another
+	// gateway at once whatever it sent.
+	MaxConnections int
+	// MaxHeldBytes bounds the bodies of all requests under way together; 0 sets no bound. A request beyond it is refused with
+	// 503 and Overloaded before it is handled.
+	MaxHeldBytes int64
+	// Overloaded returns the header of such a refusal; it may be nil. Shed is called for each connection and request beyond the
+	// bounds; it may be nil.
+	Overloaded func() http.Header
+	Shed       func(what Excess)
 
 	draining atomic.Bool
 	mu       sync.Mutex
@@ -46,9 +56,29 @@
 	all      map[net.Conn]struct{}
 	work     sync.WaitGroup
 	active   atomic.Int64
+	held     atomic.Int64
 	done     chan struct{}
 }
 
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Excess -output=excess_string.go
+
+// Excess is what exceeds a bound of the server.
+type Excess uint8
+
+// The bounds that may be exceeded.
+const (
+	// Connections means that a connection was closed unread.
+	Connections Excess = iota
+	// HeldBytes means that a request was refused.
+	HeldBytes
+)
+
+func (s *Server) shed(what Excess) {
+	if s.Shed != nil {
+		s.Shed(what)
+	}
+}
+
 // New returns a server that gives its requests to handler.
 func New(handler Handler) *Server {
 	return &Server{Handler: handler, idle: map[net.Conn]struct{}{}, all: map[net.Conn]struct{}{}, done: make(chan struct{})}
@@ -98,12 +128,27 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
+		if !s.admit(c) {
+			s.shed(Connections)
+			_ = c.Close()
+			continue
+		}
 		s.work.Go(func() { s.serve(ctx, c) })
 	}
 }
 
+// admit takes a connection among those that are served, if there is room for it.
+func (s *Server) admit(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.MaxConnections > 0 && len(s.all) >= s.MaxConnections {
+		return false
+	}
+	s.all[c] = struct{}{}
+	return true
+}
+
 func (s *Server) serve(ctx context.Context, c net.Conn) {
-	s.mark(s.all, c, true)
 	defer s.mark(s.all, c, false)
 	defer c.Close()
 	br := bufio.NewReaderSize(c, 4096)
@@ -153,7 +198,9 @@
 	}
 	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	w := &Writer{conn: c, bw: bw}
-	request, keep, err := s.read(c, br, w, limits)
+	share := &share{server: s}
+	defer share.release()
+	request, keep, err := s.read(c, br, w, limits, share)
 	if err != nil {
 		s.refuse(c, w, err)
 		return false
@@ -173,7 +220,7 @@
 }
 
 // read reads a whole request and reports whether the caller wants the connection to go on.
-func (s *Server) read(c net.Conn, br *bufio.Reader, w *Writer, limits site.Limits) (r *Request, keep bool, err error) {
+func (s *Server) read(c net.Conn, br *bufio.Reader, w *Writer, limits site.Limits, held *share) (r *Request, keep bool, err error) {
 	raw, err := readHeader(br, limits.HeaderBytes)
 	if err != nil {
 		return nil, false, err
@@ -191,7 +238,7 @@
 		}
 	}
 	_ = c.SetReadDeadline(arrived.Add(limits.IdleTimeout))
-	body, err := readBody(parsed, br, limits.BodyBytes)
+	body, err := readBody(parsed, br, limits.BodyBytes, held)
 	if err != nil {
 		return nil, false, err
 	}
@@ -228,7 +275,15 @@
 		return
 	}
 	w.closing = true
-	if w.Answer(bad.status, http.Header{"Content-Type": {"text/plain"}}, []byte(bad.reason+"\n")) == nil {
+	header := http.Header{}
+	if bad.status == http.StatusServiceUnavailable {
+		s.shed(HeldBytes)
+		if s.Overloaded != nil {
+			header = s.Overloaded()
+		}
+	}
+	header.Set("Content-Type", "text/plain")
+	if w.Answer(bad.status, header, []byte(bad.reason+"\n")) == nil {
 		linger(c)
 	}
 }
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -74,4 +74,6 @@
 	RepeatsSpent
 	// RepeatsGranted tells that requests to the service may be sent again.
 	RepeatsGranted
+	// GatewayOverloaded tells that connections or requests exceed what the process may use.
+	GatewayOverloaded
 )
--- /dev/null
+++ b/internal/process/gateway/budget.go
@@ -0,0 +1,37 @@
+package gateway
+
+// The memory of a gateway by part. What is not stated is not bounded by itself: the endpoints and the contents of KV stores grow
+// with the site, and the collector works harder from collected on.
+const (
+	// collectedShare is the part of the allowed memory from which the collector works harder; the rest is for stacks and for
+	// bytes in the kernel.
+	collectedShare = 0.6
+	// connectionShare and heldShare are the parts of the allowed memory for connections of callers and for bodies of requests.
+	connectionShare = 0.25
+	heldShare       = 0.2
+	// connectionBytes is what a connection takes: its buffers, the stacks of its goroutines, and the kernel's share. See
+	// BenchmarkConnections of package front.
+	connectionBytes = 32 << 10
+	// fileReserve is the number of descriptors that the platform keeps for files.
+	fileReserve = 200
+	// callerShare is the part of the other descriptors for connections of callers; the rest is for endpoints and stores.
+	callerShare = 0.6
+)
+
+// Budget is what a gateway may use.
+type Budget struct {
+	// CollectedBytes is the heap from which the collector works harder.
+	CollectedBytes int64
+	// Connections is the number of connections of callers.
+	Connections int
+	// HeldBytes bounds the bodies of the requests under way.
+	HeldBytes int64
+}
+
+// Budget divides what the process may use among its parts.
+func (s *Settings) Budget() Budget {
+	memory := float64(s.MemoryMegabytes) * (1 << 20)
+	descriptors := callerShare * float64(s.MaxDescriptors-fileReserve)
+	return Budget{CollectedBytes: int64(collectedShare * memory), HeldBytes: int64(heldShare * memory),
+		Connections: int(max(1, min(descriptors, connectionShare*memory/connectionBytes)))}
+}
--- /dev/null
+++ b/internal/process/gateway/budget_test.go
@@ -0,0 +1,24 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestBudget guards against parts that together exceed what the smallest and the largest machines of the users' sites allow.
+func TestBudget(t *testing.T) {
+	for name, s := range map[string]Settings{
+		"smallest": {MemoryMegabytes: 112, MaxDescriptors: 4100},
+		"largest":  {MemoryMegabytes: 536, MaxDescriptors: 8192},
+		"tiny":     {MemoryMegabytes: 16, MaxDescriptors: 256},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b, memory := s.Budget(), int64(s.MemoryMegabytes)<<20
+			is.True(b.Connections >= 1 && b.Connections <= s.MaxDescriptors-fileReserve)
+			is.True(int64(b.Connections)*connectionBytes+b.HeldBytes <= memory/2)
+			is.True(b.CollectedBytes < memory)
+		})
+	}
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -46,6 +46,7 @@
 	Metrics metrics.Registry
 
 	draining atomic.Bool
+	shedAt   atomic.Int64
 	abort    chan struct{}
 	aborted  sync.Once
 	once     sync.Once
@@ -59,6 +60,11 @@
 	// noticeTime is how long new connections are taken after readiness went off: the balancer asks once a second and takes a
 	// process out after two misses.
 	noticeTime = 2700 * time.Millisecond
+	// overloadPause is the shortest time after which a request that found no room is asked to come back: most requests end
+	// within it.
+	overloadPause = 500 * time.Millisecond
+	// shedPeriod is the time between two lines on what exceeds the budget.
+	shedPeriod = time.Second
 	// stopReserve is what is left of the stop time when the last requests are cut off.
 	stopReserve = 500 * time.Millisecond
 )
@@ -81,10 +87,25 @@
 				RepeatSpan: g.Settings.RepeatSpan}}
 		g.front = front.New(handler)
 		g.front.Limits = g.limits
+		budget := g.Settings.Budget()
+		g.front.MaxConnections, g.front.MaxHeldBytes = budget.Connections, budget.HeldBytes
+		g.front.Overloaded = func() http.Header { return g.Codec.Refusal("", overloadPause+rand.N(overloadPause)) }
+		g.front.Shed = g.shed
 		g.Registry.Changed = g.learn
 	})
 }
 
+// shed counts what exceeds the budget and tells the log now and then.
+func (g *Gateway) shed(what front.Excess) {
+	metrics.GetOrRegisterCounter("Shed."+what.String(), g.Metrics).Inc(1)
+	now := time.Now().UnixNano()
+	if last := g.shedAt.Load(); now-last >= int64(shedPeriod) && g.shedAt.CompareAndSwap(last, now) {
+		budget := g.Settings.Budget()
+		event.Info(g.Log, event.GatewayOverloaded, "what", what.String(), "connections", budget.Connections,
+			"heldBytes", budget.HeldBytes)
+	}
+}
+
 func (g *Gateway) limits() site.Limits {
 	if c := g.Registry.Current().Configuration; c != nil {
 		return c.Limits
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -26,6 +26,8 @@
 	Store netip.AddrPort
 	// MemoryMegabytes is what the process may use.
 	MemoryMegabytes int
+	// MaxDescriptors is the number of files and sockets that the process may have open.
+	MaxDescriptors int
 	// RepeatRatio, RepeatExtra and RepeatSpan bound the repeats to a service, for all gateways together.
 	RepeatRatio float64
 	RepeatExtra float64
@@ -67,6 +69,7 @@
 		LastPeerPort:    int(r.number("Gateway", "LastPeerPort", 1, 65535)),
 		Store:           r.addrPort("Store", "Address"),
 		MemoryMegabytes: int(r.number("Limits", "MemoryMegabytes", 16, 1<<20)),
+		MaxDescriptors:  int(r.number("Limits", "MaxDescriptors", 256, 1<<24)),
 		RepeatRatio:     r.number("Bounds", "RepeatRatio", 0, 10),
 		RepeatExtra:     r.number("Bounds", "RepeatExtra", 0, 1e6),
 		RepeatSpan:      r.duration("Bounds", "RepeatSpan"),
--- a/internal/process/gateway/settings_test.go
+++ b/internal/process/gateway/settings_test.go
@@ -24,6 +24,7 @@
 Address = 10.200.1.7:8744
 [Limits]
 MemoryMegabytes = 284
+MaxDescriptors = 4100
 [Bounds]
 RepeatRatio = 0.2
 RepeatExtra = 58
