--- a/internal/process/gateway/budget.go
+++ b/internal/process/gateway/budget.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "cmp"
+
 // The memory of a gateway by part. What is not stated is not bounded by itself: the endpoints and the contents of KV stores grow
 // with the site, and the collector works harder from collected on.
 const (
@@ -28,10 +30,16 @@
 	HeldBytes int64
 }
 
-// Budget divides what the process may use among its parts.
-func (s *Settings) Budget() Budget {
+// Budget divides what the process may use among its parts. What the settings do not bound has no bound, which is 0.
+func (s *Settings) Budget() (b Budget) {
 	memory := float64(s.MemoryMegabytes) * (1 << 20)
-	descriptors := callerShare * float64(s.MaxDescriptors-fileReserve)
-	return Budget{CollectedBytes: int64(collectedShare * memory), HeldBytes: int64(heldShare * memory),
-		Connections: int(max(1, min(descriptors, connectionShare*memory/connectionBytes)))}
+	b.CollectedBytes, b.HeldBytes = int64(collectedShare*memory), int64(heldShare*memory)
+	if memory > 0 {
+		b.Connections = int(max(1, connectionShare*memory/connectionBytes))
+	}
+	if s.MaxDescriptors > fileReserve {
+		callers := int(callerShare * float64(s.MaxDescriptors-fileReserve))
+		b.Connections = min(callers, cmp.Or(b.Connections, callers))
+	}
+	return b
 }
--- a/internal/process/gateway/budget_test.go
+++ b/internal/process/gateway/budget_test.go
@@ -22,3 +22,10 @@
 		})
 	}
 }
+
+// TestBudgetWithoutBounds guards against settings without bounds that leave a gateway with one connection.
+func TestBudgetWithoutBounds(t *testing.T) {
+	is := is.New(t)
+	is.Equal((&Settings{}).Budget(), Budget{})
+	is.Equal((&Settings{MaxDescriptors: 1200}).Budget(), Budget{Connections: 600})
+}
