Free parts of a replaced weight version by the word of all gateways

Change: a gateway gives a replaced version up once half of the endpoints have the new one, or 10 s after the naming, and tells the others with its loads (tiering.Floors). The gateway that frees does so 3 s after it has heard this from all; without their word the time alone decides, as before. A save that has not appeared may be made again after 1.5 s instead of 4 s.

--- a/internal/connection/kvstore/catalog.go
+++ b/internal/connection/kvstore/catalog.go
@@ -20,6 +20,8 @@
 // View is what is known of the site.
 type View interface {
 	Current() *site.Snapshot
+	// Others returns the names of the other gateways, false if they are not known.
+	Others() (names []string, ok bool)
 	// First reports whether this gateway comes first of all in the order of a name.
 	First(name string) bool
 	// Leaders returns the addresses of the first n gateways in the order of a name, and whether this one is among them.
@@ -35,7 +37,10 @@
 	Relays    Stores
 	RelayPort uint16
 	Log       logr.Logger
+	// Floors are the weight versions below which gateways use no parts. Default none known of others.
+	Floors *tiering.Floors
 
+	once   sync.Once
 	mu     sync.Mutex
 	stores map[string]*contents
 	list   []tiering.Store
@@ -100,10 +105,14 @@
 	callTime = 800 * time.Millisecond
 	// retryTime is the pause after a call that failed.
 	retryTime = 400 * time.Millisecond
-	// saveTime is how long a save may take before its part counts as not there.
-	saveTime = 4 * time.Second
+	// saveTime is how long a save may take before its part counts as not there, and may be saved again. Most appear within some
+	// hundred milliseconds.
+	saveTime = 1500 * time.Millisecond
 	// missingLimit is the number of saves that did not appear after which a store is listed again: each may be a lost event.
 	missingLimit = 12
+	// mostUpdated is the part of the endpoints with a new weight version from which its parts are worth more than those of the
+	// version before.
+	mostUpdated = 0.5
 	// upkeepPeriod is the time between two looks at what may be freed.
 	upkeepPeriod = 500 * time.Millisecond
 )
@@ -118,6 +127,7 @@
 	defer ticker.Stop()
 	for {
 		c.configure(ctx, &followers)
+		c.raiseFloors(c.View.Current())
 		c.upkeep(ctx)
 		select {
 		case <-ctx.Done():
@@ -302,3 +312,37 @@
 	defer c.mu.Unlock()
 	return c.list
 }
+
+func (c *Catalog) floors() *tiering.Floors {
+	c.once.Do(func() { c.Floors = cmp.Or(c.Floors, &tiering.Floors{}) })
+	return c.Floors
+}
+
+// Uses reports whether parts of a weight version may still be used.
+func (c *Catalog) Uses(model string, version uint64) bool { return c.floors().Uses(model, version) }
+
+// raiseFloors gives up versions that were replaced, once most endpoints have the new one or its time is over.
+func (c *Catalog) raiseFloors(view *site.Snapshot) {
+	now := bootclock.Now()
+	for model, named := range view.Versions {
+		if now-view.UnnamedAt[model] >= tiering.ReplacedTime || updatedShare(view, model, named) >= mostUpdated {
+			c.floors().Raise(model, named, now)
+		}
+	}
+}
+
+// updatedShare returns the part of the endpoints with a model that have a weight version, 0 if there are none.
+func updatedShare(view *site.Snapshot, model string, version uint64) float64 {
+	all, updated := 0, 0
+	for _, endpoints := range view.Endpoints {
+		for _, e := range endpoints {
+			if has, ok := e.Version(model); ok && e.State == site.Ready {
+				all++
+				if has >= version {
+					updated++
+				}
+			}
+		}
+	}
+	return float64(updated) / float64(max(1, all))
+}
--- a/internal/connection/kvstore/catalog_test.go
+++ b/internal/connection/kvstore/catalog_test.go
@@ -95,8 +95,14 @@
 	snapshot *site.Snapshot
 	first    bool
 	leaders  []netip.Addr
+	// others are the other gateways; nil if they are not known.
+	others []string
+	// floors is what the catalog knows at its start.
+	floors tiering.Floors
 }
 
+func (v *view) Others() ([]string, bool) { return v.others, v.others != nil }
+
 func (v *view) Current() *site.Snapshot { return v.snapshot }
 func (v *view) First(string) bool       { return v.first }
 
@@ -111,7 +117,7 @@
 			v.snapshot = &site.Snapshot{}
 		}
 		v.snapshot.Configuration = site.NewConfiguration(1, nil, []site.Service{service}, nil, site.Limits{})
-		c := &kvstore.Catalog{View: v, Stores: s, Log: logr.Discard()}
+		c := &kvstore.Catalog{View: v, Stores: s, Log: logr.Discard(), Floors: &v.floors}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- c.Run(ctx) }()
@@ -223,6 +229,50 @@
 	}
 }
 
+// TestRetiredByWord guards against parts of a replaced version that take the room of the new one although no gateway uses them,
+// and against freeing them while one that was not heard may use them.
+func TestRetiredByWord(t *testing.T) {
+	endpoint := func(version uint64) *site.Endpoint {
+		return &site.Endpoint{Service: "S", Models: []site.ModelVersion{{Model: "M", Version: version}}}
+	}
+	for name, c := range map[string]struct {
+		others   []string
+		told     uint64        // the floor that gateway "G2" tells
+		ago      time.Duration // since when, and since when this gateway has given it up if it has
+		versions []uint64
+		freed    int
+	}{
+		"all have given it up":          {[]string{"G2"}, 2, 10 * time.Second, []uint64{2, 2, 2, 2, 2}, 1},
+		"alone":                         {[]string{}, 0, 10 * time.Second, []uint64{2}, 1},
+		"a fetch may go on":             {[]string{"G2"}, 2, 0, []uint64{2, 2, 2, 2, 2}, 0},
+		"many endpoints still have it":  {[]string{"G2"}, 2, 10 * time.Second, []uint64{1, 1, 1, 2, 2}, 0},
+		"another gateway still uses it": {[]string{"G2"}, 1, 10 * time.Second, []uint64{2, 2, 2, 2, 2}, 0},
+		"one that was not heard":        {[]string{"G2", "G3"}, 2, 10 * time.Second, []uint64{2, 2, 2, 2, 2}, 0},
+		"the others are not known":      {nil, 2, 10 * time.Second, []uint64{2, 2, 2, 2, 2}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &store{epoch: 1, held: []kvstore.Held{held("a", 100)}}
+			v := &view{first: true, others: c.others, snapshot: &site.Snapshot{Versions: map[string]uint64{"M": 2},
+				NamedAt: map[string]time.Duration{"M": bootclock.Now()}, UnnamedAt: map[string]time.Duration{"M": bootclock.Now()},
+				Endpoints: map[string][]*site.Endpoint{}}}
+			for _, version := range c.versions {
+				v.snapshot.Endpoints["S"] = append(v.snapshot.Endpoints["S"], endpoint(version))
+			}
+			at := bootclock.Now() - c.ago
+			v.floors.Heard("G2", 1, map[string]uint64{"M": c.told}, at)
+			if c.versions[0] == 2 {
+				v.floors.Raise("M", 2, at)
+			}
+			run(t, s, v, func(catalog *kvstore.Catalog) {
+				is := is.New(t)
+				time.Sleep(2 * time.Second)
+				is.Equal(len(s.freedParts()), c.freed)
+				is.Equal(catalog.Uses("M", 1), c.versions[0] == 1)
+			})
+		})
+	}
+}
+
 // TestBrokenSave guards against a save that broke off and takes room for ever, and against freeing one that goes on: its
 // part may be whole, and be fetched, by the time it is freed.
 func TestBrokenSave(t *testing.T) {
--- a/internal/connection/kvstore/upkeep.go
+++ b/internal/connection/kvstore/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"primrosecourse/internal/event"
@@ -41,7 +42,14 @@
 
 // upkeep frees what is of no use in the stores for which this gateway is the first.
 func (c *Catalog) upkeep(ctx context.Context) {
-	for _, f := range c.retiredParts(c.View.Current()) {
+	others, known := c.View.Others()
+	if known {
+		c.floors().Keep(func(peer string) bool { return slices.Contains(others, peer) })
+	}
+	unused := func(model string, version uint64) bool {
+		return known && c.floors().Unused(model, version, others, bootclock.Now())
+	}
+	for _, f := range c.retiredParts(c.View.Current(), unused) {
 		c.free(ctx, f)
 	}
 }
@@ -99,7 +107,7 @@
 }
 
 // retiredParts lists the parts of weight versions that no gateway may use any more.
-func (c *Catalog) retiredParts(view *site.Snapshot) (list []freeing) {
+func (c *Catalog) retiredParts(view *site.Snapshot, unused func(model string, version uint64) bool) (list []freeing) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, n := range c.stores {
@@ -108,7 +116,7 @@
 		}
 		f := freeing{contents: n, epoch: n.epoch, reason: "weight version is not served", within: freeTime}
 		for key := range n.held {
-			if len(f.parts) < maxFreed && retired(view, key) {
+			if len(f.parts) < maxFreed && retired(view, key, unused) {
 				f.parts = append(f.parts, key)
 			}
 		}
@@ -119,14 +127,15 @@
 	return list
 }
 
-// retired reports whether a part may be freed since no gateway may use it.
-func retired(view *site.Snapshot, key Key) bool {
+// retired reports whether a part may be freed since no gateway may use it, by their word or by the time since it was replaced.
+func retired(view *site.Snapshot, key Key, unused func(model string, version uint64) bool) bool {
 	scope, ok := tiering.ParseScope(key.Scope)
 	if !ok {
 		return false
 	}
 	named, known := view.Versions[scope.Model]
-	return known && tiering.Retired(scope.Version, named, bootclock.Now()-view.NamedAt[scope.Model])
+	return known && (tiering.Retired(scope.Version, named, bootclock.Now()-view.NamedAt[scope.Model]) ||
+		unused(scope.Model, scope.Version))
 }
 
 // observeUnfinished records how far unfinished saves have come. The caller holds mu.
--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
 )
@@ -32,6 +33,12 @@
 	PeerLoads(now time.Time, peer string, loads []placement.Load)
 }
 
+// Floors are the weight versions below which gateways use no parts in KV stores; tiering.Floors is one.
+type Floors interface {
+	Own() map[string]uint64
+	Heard(peer string, incarnation uint64, floors map[string]uint64, now time.Duration)
+}
+
 // message is a datagram.
 type message struct {
 	Name        string
@@ -44,6 +51,8 @@
 	Pending   []int
 	// ColdMs is empty if no endpoint is cold.
 	ColdMs []int64 `msgpack:",omitempty"`
+	// Floors are the weight versions by model below which the sender uses no parts in KV stores.
+	Floors map[string]uint64 `msgpack:",omitempty"`
 }
 
 func newMessage(name string, incarnation, number uint64, loads []placement.Load) *message {
@@ -103,6 +112,8 @@
 	Domain string
 	Peers  Peers
 	Table  Table
+	// Floors takes the weight versions that gateways have given up; it may be nil.
+	Floors Floors
 	Log    logr.Logger
 
 	unreadable atomic.Int64
@@ -141,7 +152,11 @@
 		idle := len(loads) == 0
 		if len(peers) > 0 && (!idle || !quiet || time.Since(sent) >= idleInterval) {
 			number++
-			e.tell(conn, peers, newMessage(e.Name, e.Incarnation, number, loads))
+			m := newMessage(e.Name, e.Incarnation, number, loads)
+			if e.Floors != nil {
+				m.Floors = e.Floors.Own()
+			}
+			e.tell(conn, peers, m)
 			sent, quiet = time.Now(), idle
 		}
 		select {
@@ -209,5 +224,8 @@
 	e.mu.Unlock()
 	if !overtaken {
 		e.Table.PeerLoads(now, m.Name, loads)
+		if e.Floors != nil {
+			e.Floors.Heard(m.Name, m.Incarnation, m.Floors, bootclock.Now())
+		}
 	}
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -165,7 +165,8 @@
 	run(g.crashes.Run)
 	run(g.Tiers.Run)
 	exchange := &loads.Exchange{Name: g.Settings.Name, Incarnation: rand.Uint64(), Address: g.Settings.LoadAddress(),
-		Domain: g.Settings.FailureDomain, Peers: g.Registry, Table: g.table, Log: g.Log}
+		Domain: g.Settings.FailureDomain, Peers: g.Registry, Table: g.table,
+		Floors: g.Tiers.Floors, Log: g.Log}
 	run(exchange.Run)
 	for _, p := range g.Parts {
 		run(p.Run)
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -38,6 +38,8 @@
 type Tiers interface {
 	List() []tiering.Store
 	Scope(scope string) *kvstore.Scoped
+	// Uses reports whether parts of a weight version may still be used.
+	Uses(model string, version uint64) bool
 	// Clock returns the clock of the servers, false if it is not known.
 	Clock() (clock time.Duration, ok bool)
 }
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -195,7 +195,8 @@
 		return nil
 	}
 	namedFor := bootclock.Now() - q.view.UnnamedAt[q.meta.Model]
-	if !tiering.MayUse(version, q.view.Versions[q.meta.Model], q.h.View.VersionsAge(), namedFor) {
+	if !tiering.MayUse(version, q.view.Versions[q.meta.Model], q.h.View.VersionsAge(), namedFor) ||
+		!q.h.Tiers.Uses(q.meta.Model, version) {
 		return nil
 	}
 	return tiering.Plan(q.h.Tiers.List(), q.shared(), q.h.Tiers.Scope(q.scope(version).String()))
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -69,6 +69,8 @@
 	// missing holds when an endpoint that disappeared after an outage is dropped.
 	missing map[string]time.Time
 	members map[string]member
+	// membersListed is when the gateways were last listed, zero if never.
+	membersListed time.Time
 	// membersTrouble is when a list of the gateways last failed.
 	membersTrouble time.Time
 	peers          atomic.Pointer[[]site.Gateway]
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -122,6 +122,7 @@
 func (r *Registry) applyMembers(changes []Change[json.RawMessage], now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.membersListed = now
 	listed := map[string]bool{}
 	for _, c := range changes {
 		listed[c.Name] = true
@@ -166,6 +167,22 @@
 	return nil
 }
 
+// Others returns the names of the other gateways, false if they were not listed of late.
+func (r *Registry) Others() (names []string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if r.membersListed.IsZero() || now.Sub(r.membersListed) > 3*membersPeriod {
+		return nil, false
+	}
+	for name, m := range r.members {
+		if name != r.Name && m.counts(now, r.membersTrouble) {
+			names = append(names, name)
+		}
+	}
+	return names, true
+}
+
 // First reports whether this gateway comes first of all in the order of a name, which differs from name to name.
 func (r *Registry) First(name string) bool { return r.Rank(name) == 0 }
 
