Treat a version found at the start as named long ago; one set of floors

And a catalog without floors gave the exchange of loads a nil of a type, which is not nil.

Change: the time lies an hour back. The gateway makes the floors if nobody else did. The end of a request in the figures is called its ending, since its outcome is something else.

Test: TestVersionFoundAtStart, fails with zero.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -35,7 +35,6 @@
 	"primrosecourse/internal/process/logsink"
 	"primrosecourse/internal/version/registry"
 	"primrosecourse/internal/version/weights"
-	"primrosecourse/pkg/tiering"
 	"primrosecourse/platform"
 )
 
@@ -101,8 +100,7 @@
 		LeaseTime: settings.LeaseTime}
 	g := &gateway.Gateway{Settings: settings, Registry: r, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Log: log,
 		Tiers: &kvstore.Catalog{View: r, Stores: platform.NewCacheStores(), Log: log,
-			Relays: &kvstore.Relays{Calls: call.New(call.Settings{IdleConnections: 2})}, RelayPort: settings.RelayAddress().Port(),
-			Floors: &tiering.Floors{}},
+			Relays: &kvstore.Relays{Calls: call.New(call.Settings{IdleConnections: 2})}, RelayPort: settings.RelayAddress().Port()},
 		Metrics: metrics.NewRegistry(), Parts: []gateway.Part{rollout}}
 	reloadEnded := make(chan struct{})
 	go func() {
--- a/internal/connection/kvstore/catalog.go
+++ b/internal/connection/kvstore/catalog.go
@@ -37,10 +37,9 @@
 	Relays    Stores
 	RelayPort uint16
 	Log       logr.Logger
-	// Floors are the weight versions below which gateways use no parts. Default none known of others.
+	// Floors are the weight versions below which gateways use no parts. It is not nil.
 	Floors *tiering.Floors
 
-	once   sync.Once
 	mu     sync.Mutex
 	stores map[string]*contents
 	list   []tiering.Store
@@ -313,20 +312,15 @@
 	return c.list
 }
 
-func (c *Catalog) floors() *tiering.Floors {
-	c.once.Do(func() { c.Floors = cmp.Or(c.Floors, &tiering.Floors{}) })
-	return c.Floors
-}
-
 // Uses reports whether parts of a weight version may still be used.
-func (c *Catalog) Uses(model string, version uint64) bool { return c.floors().Uses(model, version) }
+func (c *Catalog) Uses(model string, version uint64) bool { return c.Floors.Uses(model, version) }
 
 // raiseFloors gives up versions that were replaced, once most endpoints have the new one or its time is over.
 func (c *Catalog) raiseFloors(view *site.Snapshot) {
 	now := bootclock.Now()
 	for model, named := range view.Versions {
 		if now-view.UnnamedAt[model] >= tiering.ReplacedTime || updatedShare(view, model, named) >= mostUpdated {
-			c.floors().Raise(model, named, now)
+			c.Floors.Raise(model, named, now)
 		}
 	}
 }
--- a/internal/connection/kvstore/catalog_test.go
+++ b/internal/connection/kvstore/catalog_test.go
@@ -302,12 +302,12 @@
 	s := &store{epoch: 1, held: []kvstore.Held{held("a", 100)}, unfinished: []kvstore.Unfinished{{Reserved: 50}}}
 	service := site.Service{Name: "K", Store: &site.CacheStore{Address: "a", Tokens: 1000}}
 	snapshot := &site.Snapshot{Configuration: site.NewConfiguration(1, nil, []site.Service{service}, nil, site.Limits{})}
-	leader := &kvstore.Catalog{View: &view{snapshot: snapshot}, Stores: s, Log: logr.Discard()}
+	leader := &kvstore.Catalog{View: &view{snapshot: snapshot}, Stores: s, Log: logr.Discard(), Floors: &tiering.Floors{}}
 	relay := httptest.NewServer(leader)
 	defer relay.Close()
 	address := netip.MustParseAddrPort(relay.Listener.Addr().String())
 	follower := &kvstore.Catalog{View: &view{snapshot: snapshot, leaders: []netip.Addr{address.Addr()}}, Stores: &store{down: true},
-		Relays: &kvstore.Relays{Calls: call.New(call.Settings{IdleConnections: 2})}, RelayPort: address.Port(), Log: logr.Discard()}
+		Relays: &kvstore.Relays{Calls: call.New(call.Settings{IdleConnections: 2})}, RelayPort: address.Port(), Log: logr.Discard(), Floors: &tiering.Floors{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 2)
 	for _, c := range []*kvstore.Catalog{leader, follower} {
--- a/internal/connection/kvstore/upkeep.go
+++ b/internal/connection/kvstore/upkeep.go
@@ -44,10 +44,10 @@
 func (c *Catalog) upkeep(ctx context.Context) {
 	others, known := c.View.Others()
 	if known {
-		c.floors().Keep(func(peer string) bool { return slices.Contains(others, peer) })
+		c.Floors.Keep(func(peer string) bool { return slices.Contains(others, peer) })
 	}
 	unused := func(model string, version uint64) bool {
-		return known && c.floors().Unused(model, version, others, bootclock.Now())
+		return known && c.Floors.Unused(model, version, others, bootclock.Now())
 	}
 	for _, f := range c.retiredParts(c.View.Current(), unused) {
 		c.free(ctx, f)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"primrosecourse/internal/version/registry"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/tiering"
 )
 
 // Part is a part of the process that runs beside the requests.
@@ -74,6 +75,9 @@
 		g.abort = make(chan struct{})
 		g.table = placement.New()
 		g.pool = endpoint.New()
+		if g.Tiers.Floors == nil {
+			g.Tiers.Floors = &tiering.Floors{}
+		}
 		if g.Metrics == nil {
 			g.Metrics = metrics.NewRegistry()
 		}
--- a/internal/request/forward/figures.go
+++ b/internal/request/forward/figures.go
@@ -17,33 +17,33 @@
 // histogramAlpha makes values of the last five minutes count, as the library's documentation has it.
 const histogramAlpha = 0.015
 
-//go:generate go tool -modfile=../../../tools/go.mod stringer -type=outcome -trimprefix=outcome -output=outcome_string.go
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=ending -trimprefix=end -output=ending_string.go
 
-// outcome tells how a request ended for its caller.
-type outcome uint8
+// ending tells how a request ended for its caller.
+type ending uint8
 
 const (
-	// outcomeAnswered means that the caller has an endpoint's answer.
-	outcomeAnswered outcome = iota
-	// outcomeRefused means that the request was refused and has not run.
-	outcomeRefused
-	// outcomeFailed means that the caller was told that it may have run.
-	outcomeFailed
-	// outcomeBrokenOff means that the caller has no whole answer: it left, or the answer was cut.
-	outcomeBrokenOff
+	// endAnswered means that the caller has an endpoint's answer.
+	endAnswered ending = iota
+	// endRefused means that the request was refused and has not run.
+	endRefused
+	// endFailed means that the caller was told that it may have run.
+	endFailed
+	// endBrokenOff means that the caller has no whole answer: it left, or the answer was cut.
+	endBrokenOff
 )
 
-// ended returns how the request ended for its caller.
-func (q *request) ended() outcome {
+// ending returns how the request ended for its caller.
+func (q *request) ending() ending {
 	switch {
 	case q.status == 0 || (q.reason != "" && !q.own):
-		return outcomeBrokenOff
+		return endBrokenOff
 	case !q.own:
-		return outcomeAnswered
+		return endAnswered
 	case q.ran == 0:
-		return outcomeRefused
+		return endRefused
 	}
-	return outcomeFailed
+	return endFailed
 }
 
 // kindOf names the kind of a route: what may be repeated, and whether it streams.
@@ -73,7 +73,7 @@
 // figures counts the request once it has ended.
 func (q *request) figures(took time.Duration) {
 	q.h.count(q.series("Requests", strconv.Itoa(q.status)))
-	q.h.took(q.series("Took", q.ended().String()), took)
+	q.h.took(q.series("Took", q.ending().String()), took)
 	if q.reason != "" {
 		q.h.count("Reasons." + q.reason)
 	}
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -37,6 +37,8 @@
 	// which a leaving endpoint must get no more work.
 	endpointPace = 300 * time.Millisecond
 	sharedPace   = 150 * time.Millisecond
+	// longAgo is longer than any time for which a weight version that was replaced is used.
+	longAgo = time.Hour
 	// versionsWait is the same for weight versions, whose view must be young for KV stores to be used.
 	versionsWait = 2500 * time.Millisecond
 )
@@ -290,6 +292,10 @@
 		// The call that brought the version is not counted as contact yet.
 		versions[c.Value.Model], named[c.Value.Model] = c.Value.Version, bootclock.Now()
 		unnamed[c.Value.Model] = r.versions.lastContact()
+		if unnamed[c.Value.Model] == 0 {
+			// It was there when the store was first read and may have been named at any time before.
+			unnamed[c.Value.Model] = -longAgo
+		}
 		r.next.Versions, r.next.NamedAt, r.next.UnnamedAt = versions, named, unnamed
 		event.Info(r.Log, event.WeightVersionNamed, "model", c.Value.Model, "version", c.Value.Version, "revision", c.Revision)
 		r.publish()
--- a/internal/version/registry/registry_test.go
+++ b/internal/version/registry/registry_test.go
@@ -16,6 +16,7 @@
 	"primrosecourse/internal/process/platform"
 	"primrosecourse/internal/version/registry"
 	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/tiering"
 )
 
 // source plays one kind of object.
@@ -459,6 +460,28 @@
 	})
 }
 
+// TestVersionFoundAtStart guards against a process that, just started, uses what others have long given up: it cannot know when a
+// version was named that it finds.
+func TestVersionFoundAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		versions := newSource[site.ModelVersion]()
+		versions.put("M", site.ModelVersion{Model: "M", Version: 2}, nil)
+		r := &registry.Registry{Name: "G1", Configurations: newSource[*site.Configuration](), Endpoints: newSource[*site.Endpoint](),
+			Evacuations: newSource[struct{}](), Versions: versions, Shared: shared{newSource[json.RawMessage]()},
+			Members: shared{newSource[json.RawMessage]()}, Log: logr.Discard()}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- r.Run(ctx) }()
+		time.Sleep(time.Second)
+		now := r.Current()
+		is.Equal(now.Versions["M"], uint64(2))
+		is.True(!tiering.MayUse(1, 2, 0, 0-now.UnnamedAt["M"])) // even on a machine that has just started
+		cancel()
+		is.NoErr(<-ended)
+	})
+}
+
 // TestGatewaysAreCounted guards against limits that are shared with gateways that are gone, or not with those that are there.
 func TestGatewaysAreCounted(t *testing.T) {
 	play(t, func(t *testing.T, w *world) {
