--- a/internal/connection/front/doc.go
+++ b/internal/connection/front/doc.go
@@ -7,6 +7,9 @@
 //
 // While a request is handled, the connection is watched: when the caller leaves, the request's context is cancelled.
 //
+// Connections and the bytes of bodies may be bounded. What exceeds a bound is turned away at once: a connection by closing it
+// unread, a request by a refusal before it is handled.
+//
 // The package does not route, and it knows no header except those that frame messages.
 //
 // # Usage
--- a/pkg/tiering/doc.go
+++ b/pkg/tiering/doc.go
@@ -6,9 +6,10 @@
 // it are at hand, so that nothing is fetched after a part that must be read.
 //
 // Stores that never drop anything by themselves keep parts of weight versions that are no longer served. Retired tells when
-// such parts may be freed: when no gateway, however old its view, may still let an engine fetch them.
+// such parts may be freed by the time alone: when no gateway, however old its view, may still let an engine fetch them. Floors
+// tells it sooner: when all gateways have said that they gave the version up, and the fetches that they began before are over.
 //
-// The package does no input or output and reads no clock.
+// The package does no input or output and reads no clock; times are passed in.
 //
 // # Usage
 //
