Free replaced parts when versions follow each other quickly

Three faults: - A gateway gave a version up once half of the endpoints had the named one. With version 3 named before half had loaded 2, nobody gave up 1. Now the version that half of the endpoints have at least counts. - A later floor replaced the time since which the earlier one held, so that parts of version 1 waited for the floor of 3 to settle. The last floors are remembered. - One gateway cut off from the platform's store did not learn of versions and kept its floor. It adopts the word of the others once its own view is too old to use parts. And calls to free were refused: a store tells its clock as of the arrival of a question, up to 1 s ago when it was held, and the deadline of the call was over.

Ruled out: adopting floors at once.

New log line WeightVersionGivenUp.

--- a/internal/connection/kvstore/catalog.go
+++ b/internal/connection/kvstore/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -24,6 +25,8 @@
 	Others() (names []string, ok bool)
 	// First reports whether this gateway comes first of all in the order of a name.
 	First(name string) bool
+	// VersionsAge returns how long ago the named weight versions were confirmed.
+	VersionsAge() time.Duration
 	// Leaders returns the addresses of the first n gateways in the order of a name, and whether this one is among them.
 	Leaders(name string, n int) (addresses []netip.Addr, self bool)
 }
@@ -44,9 +47,7 @@
 	stores map[string]*contents
 	list   []tiering.Store
 	of     *site.Configuration
-	// clockOffset is the servers' clock less this machine's time since its start.
-	clockOffset time.Duration
-	hasClock    bool
+	clock  serverClock
 }
 
 // contents is what is known of one store.
@@ -294,7 +295,7 @@
 
 func (c *Catalog) setClock(clock time.Duration) {
 	if clock > 0 {
-		c.clockOffset, c.hasClock = clock-bootclock.Now(), true
+		c.clock.observe(clock, bootclock.Now())
 	}
 }
 
@@ -302,7 +303,7 @@
 func (c *Catalog) Clock() (clock time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return bootclock.Now() + c.clockOffset, c.hasClock
+	return c.clock.now(bootclock.Now()), c.clock.known
 }
 
 // List returns the stores of the configuration in force. The result must not be changed.
@@ -315,28 +316,37 @@
 // Uses reports whether parts of a weight version may still be used.
 func (c *Catalog) Uses(model string, version uint64) bool { return c.Floors.Uses(model, version) }
 
-// raiseFloors gives up versions that were replaced, once most endpoints have the new one or its time is over.
+// raiseFloors gives up versions that were replaced, once most endpoints have a newer one or the time of the named one is over.
 func (c *Catalog) raiseFloors(view *site.Snapshot) {
 	now := bootclock.Now()
+	if c.View.VersionsAge() >= tiering.ViewTime && c.Floors.Adopt(now) {
+		event.Info(c.Log, event.WeightVersionGivenUp, "floors", c.Floors.Own(), "reason", "named versions are not known, other gateways' word")
+	}
 	for model, named := range view.Versions {
-		if now-view.UnnamedAt[model] >= tiering.ReplacedTime || updatedShare(view, model, named) >= mostUpdated {
-			c.Floors.Raise(model, named, now)
+		floor, reason := min(named, mostServed(view, model)), "most endpoints have newer ones"
+		if now-view.UnnamedAt[model] >= tiering.ReplacedTime {
+			floor, reason = named, "it was replaced a while ago"
+		}
+		if floor > 0 && c.Floors.Raise(model, floor, now) {
+			event.Info(c.Log, event.WeightVersionGivenUp, "model", model, "below", floor, "named", named, "reason", reason)
 		}
 	}
 }
 
-// updatedShare returns the part of the endpoints with a model that have a weight version, 0 if there are none.
-func updatedShare(view *site.Snapshot, model string, version uint64) float64 {
-	all, updated := 0, 0
+// mostServed returns the highest weight version that most endpoints with a model have at least, 0 if there are none. It need not
+// be the named one: versions may be named faster than endpoints load them.
+func mostServed(view *site.Snapshot, model string) uint64 {
+	var versions []uint64
 	for _, endpoints := range view.Endpoints {
 		for _, e := range endpoints {
 			if has, ok := e.Version(model); ok && e.State == site.Ready {
-				all++
-				if has >= version {
-					updated++
-				}
+				versions = append(versions, has)
 			}
 		}
 	}
-	return float64(updated) / float64(max(1, all))
+	if len(versions) == 0 {
+		return 0
+	}
+	slices.Sort(versions)
+	return versions[len(versions)-int(math.Ceil(mostUpdated*float64(len(versions))))]
 }
--- a/internal/connection/kvstore/catalog_test.go
+++ b/internal/connection/kvstore/catalog_test.go
@@ -98,7 +98,8 @@
 	// others are the other gateways; nil if they are not known.
 	others []string
 	// floors is what the catalog knows at its start.
-	floors tiering.Floors
+	floors      tiering.Floors
+	versionsAge time.Duration
 }
 
 func (v *view) Others() ([]string, bool) { return v.others, v.others != nil }
@@ -106,6 +107,8 @@
 func (v *view) Current() *site.Snapshot { return v.snapshot }
 func (v *view) First(string) bool       { return v.first }
 
+func (v *view) VersionsAge() time.Duration { return v.versionsAge }
+
 func (v *view) Leaders(string, int) ([]netip.Addr, bool) { return v.leaders, len(v.leaders) == 0 }
 
 // run plays a catalog of one store on a virtual clock.
@@ -273,6 +276,40 @@
 	}
 }
 
+// TestGivenUp guards against versions that are never given up since the next one is named before most endpoints have loaded the
+// last, and against a gateway that does not learn of versions and keeps the others from freeing parts.
+func TestGivenUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions    []uint64 // of the endpoints, while 4 is named
+		versionsAge time.Duration
+		floor       uint64
+	}{
+		"all have the old one":          {[]uint64{1, 1, 1, 1}, 0, 1},
+		"few have a newer one":          {[]uint64{1, 1, 1, 2}, 0, 1},
+		"half have newer ones":          {[]uint64{1, 2, 1, 3}, 0, 2},
+		"most have the one before":      {[]uint64{1, 3, 3, 4}, 0, 3},
+		"all have the named one":        {[]uint64{4, 4}, 0, 4},
+		"none is listed":                {nil, 0, 0},
+		"named versions are not known":  {[]uint64{1, 1, 1, 1}, tiering.ViewTime, 3},
+		"they are known of a while ago": {[]uint64{1, 1, 1, 1}, tiering.ViewTime / 2, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := &view{versionsAge: c.versionsAge, snapshot: &site.Snapshot{Versions: map[string]uint64{"M": 4},
+				NamedAt: map[string]time.Duration{"M": bootclock.Now()}, UnnamedAt: map[string]time.Duration{"M": bootclock.Now()},
+				Endpoints: map[string][]*site.Endpoint{}}}
+			for _, version := range c.versions {
+				v.snapshot.Endpoints["S"] = append(v.snapshot.Endpoints["S"],
+					&site.Endpoint{Service: "S", Models: []site.ModelVersion{{Model: "M", Version: version}}})
+			}
+			v.floors.Heard("G2", 1, map[string]uint64{"M": 3}, bootclock.Now())
+			run(t, &store{epoch: 1}, v, func(catalog *kvstore.Catalog) {
+				time.Sleep(2 * time.Second)
+				is.New(t).Equal(catalog.Floors.Own()["M"], c.floor)
+			})
+		})
+	}
+}
+
 // TestBrokenSave guards against a save that broke off and takes room for ever, and against freeing one that goes on: its
 // part may be whole, and be fetched, by the time it is freed.
 func TestBrokenSave(t *testing.T) {
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -76,4 +76,10 @@
 	RepeatsGranted
 	// GatewayOverloaded tells that connections or requests exceed what the process may use.
 	GatewayOverloaded
+	// EngineCacheFollowed tells that the events of an engine's cache are read anew.
+	EngineCacheFollowed
+	// EngineCacheLost tells that it is not known what an engine keeps.
+	EngineCacheLost
+	// WeightVersionGivenUp tells that no parts of older weight versions are used any more.
+	WeightVersionGivenUp
 )
--- a/pkg/tiering/floors.go
+++ b/pkg/tiering/floors.go
@@ -12,7 +12,7 @@
 // Times are counted from the start of the machine. Floors is safe for concurrent use.
 type Floors struct {
 	mu    sync.Mutex
-	own   map[string]floor
+	own   map[string]raises
 	peers map[string]*peerFloors
 }
 
@@ -22,22 +22,71 @@
 	since   time.Duration
 }
 
+// raises are the last floors of one model, rising.
+type raises []floor
+
+// maxRaises bounds the floors that are remembered. Parts of a version below the oldest one are freed later than they might be.
+const maxRaises = 8
+
+func (r raises) version() uint64 {
+	if len(r) == 0 {
+		return 0
+	}
+	return r[len(r)-1].version
+}
+
+// add returns the floors with a higher one.
+func (r raises) add(version uint64, now time.Duration) raises {
+	r = append(r, floor{version: version, since: now})
+	return r[max(0, len(r)-maxRaises):]
+}
+
+// settled reports whether a version has been below the floor for so long that fetches begun before are over.
+func (r raises) settled(version uint64, now time.Duration) bool {
+	for _, f := range r {
+		if f.version > version {
+			return now-f.since >= TransferTime+retireMargin
+		}
+	}
+	return false
+}
+
 // peerFloors is the word of one incarnation of another gateway.
 type peerFloors struct {
 	incarnation uint64
-	floors      map[string]floor
+	floors      map[string]raises
 }
 
-// Raise makes version the own floor of a model, unless that is higher.
-func (f *Floors) Raise(model string, version uint64, now time.Duration) {
+// Raise makes version the own floor of a model and reports whether it was lower.
+func (f *Floors) Raise(model string, version uint64, now time.Duration) (raised bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.raise(model, version, now)
+}
+
+// raise is Raise for callers that hold mu.
+func (f *Floors) raise(model string, version uint64, now time.Duration) (raised bool) {
 	if f.own == nil {
-		f.own = map[string]floor{}
+		f.own = map[string]raises{}
 	}
-	if f.own[model].version < version {
-		f.own[model] = floor{version: version, since: now}
+	if f.own[model].version() >= version {
+		return false
+	}
+	f.own[model] = f.own[model].add(version, now)
+	return true
+}
+
+// Adopt raises the own floors to the highest ones of the others and reports whether any was lower. A gateway that does not learn of new versions itself, and so uses no
+// parts, holds up nobody by it.
+func (f *Floors) Adopt(now time.Duration) (raised bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		for model, o := range p.floors {
+			raised = f.raise(model, o.version(), now) || raised
+		}
 	}
+	return raised
 }
 
 // Own returns the own floors, which are what other gateways are told.
@@ -46,7 +95,7 @@
 	defer f.mu.Unlock()
 	own := make(map[string]uint64, len(f.own))
 	for model, o := range f.own {
-		own[model] = o.version
+		own[model] = o.version()
 	}
 	return own
 }
@@ -55,7 +104,7 @@
 func (f *Floors) Uses(model string, version uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return version >= f.own[model].version
+	return version >= f.own[model].version()
 }
 
 // Heard takes the word of another gateway. A gateway that started again has no floors but those that it tells now.
@@ -67,12 +116,12 @@
 	}
 	p := f.peers[peer]
 	if p == nil || p.incarnation != incarnation {
-		p = &peerFloors{incarnation: incarnation, floors: map[string]floor{}}
+		p = &peerFloors{incarnation: incarnation, floors: map[string]raises{}}
 		f.peers[peer] = p
 	}
 	for model, version := range floors {
-		if p.floors[model].version < version {
-			p.floors[model] = floor{version: version, since: now}
+		if p.floors[model].version() < version {
+			p.floors[model] = p.floors[model].add(version, now)
 		}
 	}
 }
@@ -89,13 +138,12 @@
 func (f *Floors) Unused(model string, version uint64, others []string, now time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	settled := func(o floor) bool { return o.version > version && now-o.since >= TransferTime+retireMargin }
-	if !settled(f.own[model]) {
+	if !f.own[model].settled(version, now) {
 		return false
 	}
 	for _, other := range others {
 		p := f.peers[other]
-		if p == nil || !settled(p.floors[model]) {
+		if p == nil || !p.floors[model].settled(version, now) {
 			return false
 		}
 	}
--- a/pkg/tiering/floors_test.go
+++ b/pkg/tiering/floors_test.go
@@ -67,6 +67,35 @@
 	})
 }
 
+// TestAdopt guards against one gateway that is cut off from the platform's store keeping all others from freeing parts.
+func TestAdopt(t *testing.T) {
+	is := is.New(t)
+	cutOff := &tiering.Floors{}
+	cutOff.Raise("M", 1, 0)
+	cutOff.Heard("a", 1, map[string]uint64{"M": 2, "N": 7}, time.Second)
+	cutOff.Heard("b", 1, map[string]uint64{"M": 1}, time.Second)
+	is.True(cutOff.Uses("M", 1))
+	cutOff.Adopt(2 * time.Second)
+	is.True(!cutOff.Uses("M", 1) && cutOff.Uses("M", 2) && !cutOff.Uses("N", 6))
+	is.Equal(cutOff.Own(), map[string]uint64{"M": 2, "N": 7})
+	is.True(!cutOff.Unused("M", 1, []string{"a"}, 2*time.Second+tiering.TransferTime)) // a fetch that it began may go on
+	is.True(cutOff.Unused("M", 1, []string{"a"}, time.Minute))
+}
+
+// TestUnusedOfOlderVersion guards against parts of a version given up long ago that are kept since a later one was given up just now.
+func TestUnusedOfOlderVersion(t *testing.T) {
+	is := is.New(t)
+	f := &tiering.Floors{}
+	f.Raise("M", 2, 0)
+	f.Heard("a", 1, map[string]uint64{"M": 2}, 0)
+	f.Raise("M", 3, time.Minute)
+	f.Heard("a", 1, map[string]uint64{"M": 4}, time.Minute)
+	is.True(f.Unused("M", 1, []string{"a"}, time.Minute))
+	is.True(!f.Unused("M", 2, []string{"a"}, time.Minute))
+	is.True(f.Unused("M", 2, []string{"a"}, 2*time.Minute))
+	is.True(!f.Unused("M", 3, []string{"a"}, 2*time.Minute))
+}
+
 // TestUnused guards against parts that are kept although nobody uses them, and against counting on a gateway that has said
 // nothing.
 func TestUnused(t *testing.T) {
@@ -74,7 +103,7 @@
 	f := &tiering.Floors{}
 	f.Raise("M", 2, 0)
 	f.Heard("a", 1, map[string]uint64{"M": 2}, time.Second)
-	is.True(!f.Unused("M", 1, []string{"a"}, 3*time.Second))
+	is.True(!f.Unused("M", 1, []string{"a"}, time.Second+tiering.TransferTime)) // a fetch that a began may go on
 	is.True(f.Unused("M", 1, []string{"a"}, 5*time.Second))
 	is.True(!f.Unused("M", 2, []string{"a"}, time.Hour))
 	is.True(!f.Unused("M", 1, []string{"a", "b"}, time.Hour)) // b has not been heard
