--- a/internal/connection/kvstore/catalog.go
+++ b/internal/connection/kvstore/catalog.go
@@ -42,12 +42,17 @@
 	Log       logr.Logger
 	// Floors are the weight versions below which gateways use no parts. It is not nil.
 	Floors *tiering.Floors
+	// MaxParts bounds the parts that are remembered, of all stores together. Further ones take up room and are not fetched. 0 for no
+	// bound.
+	MaxParts int
 
 	mu     sync.Mutex
 	stores map[string]*contents
 	list   []tiering.Store
 	of     *site.Configuration
 	clock  serverClock
+	// parts is the number of parts that are remembered.
+	parts int
 }
 
 // contents is what is known of one store.
@@ -60,6 +65,8 @@
 	epoch   uint64
 	held    map[Key]int
 	used    int
+	// leftOut counts parts that are not remembered.
+	leftOut int
 	saving  map[Key]save
 	// missing counts saves that did not appear since the last listing at listedAt.
 	missing  int
@@ -164,6 +171,7 @@
 			continue
 		} else if known != nil {
 			known.stop()
+			c.parts -= len(known.held)
 		}
 		follow, stop := context.WithCancel(ctx)
 		n := &contents{store: store, readers: s.Store.MaxReaders, stop: stop, held: map[Key]int{}, saving: map[Key]save{}}
@@ -173,6 +181,7 @@
 	for name, n := range c.stores {
 		if !wanted[name] {
 			n.stop()
+			c.parts -= len(n.held)
 			delete(c.stores, name)
 		}
 	}
@@ -222,22 +231,21 @@
 	if l.Epoch != n.epoch {
 		n.stuck = nil
 	}
-	n.epoch, n.known, n.held, n.used = l.Epoch, true, make(map[Key]int, len(l.Held)), 0
+	c.parts -= len(n.held)
+	n.epoch, n.known, n.held, n.used, n.leftOut = l.Epoch, true, map[Key]int{}, 0, 0
 	n.missing, n.listedAt, n.direct = 0, now, from.direct
 	n.relay.reset()
 	if from.direct {
 		n.observeUnfinished(l.Unfinished, now)
 	}
 	for _, h := range l.Held {
-		n.held[h.Key] = h.Tokens
-		n.used += h.Tokens
-		delete(n.saving, h.Key)
+		c.remember(n, h)
 	}
 	for _, u := range l.Unfinished {
 		n.used += u.Reserved
 	}
 	event.Info(c.Log, event.CacheStoreListed, "store", n.store.Name, "epoch", l.Epoch, "parts", len(l.Held),
-		"unfinished", len(l.Unfinished), "tokens", n.used,
+		"leftOut", n.leftOut, "unfinished", len(l.Unfinished), "tokens", n.used,
 		"from", from.address)
 	return l.Next, nil
 }
@@ -259,12 +267,8 @@
 		return since, false, nil
 	}
 	for _, change := range changes.Changes {
-		n.used -= n.held[change.Key]
-		delete(n.held, change.Key)
-		if !change.Gone {
-			n.held[change.Key] = change.Tokens
-			n.used += change.Tokens
-			delete(n.saving, change.Key)
+		if c.forget(n, change.Key); !change.Gone {
+			c.remember(n, change.Held)
 		}
 	}
 	n.relay.add(changes.Changes)
@@ -273,6 +277,32 @@
 	return changes.Next, !n.wantsListing(now), nil
 }
 
+// remember records a part that a store holds. The caller holds mu.
+func (c *Catalog) remember(n *contents, h Held) {
+	n.used += h.Tokens
+	delete(n.saving, h.Key)
+	if c.MaxParts > 0 && c.parts >= c.MaxParts {
+		n.leftOut++
+		return
+	}
+	n.held[h.Key] = h.Tokens
+	c.parts++
+}
+
+// forget drops a part. How much room one that was left out gave back only a listing shows. The caller holds mu.
+func (c *Catalog) forget(n *contents, key Key) {
+	tokens, held := n.held[key]
+	if !held {
+		if n.leftOut > 0 {
+			n.missing++
+		}
+		return
+	}
+	n.used -= tokens
+	delete(n.held, key)
+	c.parts--
+}
+
 // expireSaves gives up saves that did not appear.
 func (n *contents) expireSaves(now time.Time) {
 	for key, s := range n.saving {
--- a/internal/connection/kvstore/catalog_test.go
+++ b/internal/connection/kvstore/catalog_test.go
@@ -113,6 +113,12 @@
 
 // run plays a catalog of one store on a virtual clock.
 func run(t *testing.T, s *store, v *view, play func(c *kvstore.Catalog)) {
+	t.Helper()
+	runWith(t, s, v, func(*kvstore.Catalog) {}, play)
+}
+
+// runWith is run with settings of the catalog.
+func runWith(t *testing.T, s *store, v *view, set, play func(c *kvstore.Catalog)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		service := site.Service{Name: "K", Store: &site.CacheStore{Address: "a", Tokens: 1000}}
@@ -121,6 +127,7 @@
 		}
 		v.snapshot.Configuration = site.NewConfiguration(1, nil, []site.Service{service}, nil, site.Limits{})
 		c := &kvstore.Catalog{View: v, Stores: s, Log: logr.Discard(), Floors: &v.floors}
+		set(c)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- c.Run(ctx) }()
@@ -160,6 +167,38 @@
 	})
 }
 
+// TestMaxParts guards against stores whose contents take up more memory than a gateway has, and against fetches of parts that were
+// left out or saves for which there is no room.
+func TestMaxParts(t *testing.T) {
+	s := &store{epoch: 1, held: []kvstore.Held{held("a", 100), held("b", 100), held("c", 100)}}
+	runWith(t, s, &view{}, func(c *kvstore.Catalog) { c.MaxParts = 2 }, func(c *kvstore.Catalog) {
+		is := is.New(t)
+		count := func(names ...string) (n int) {
+			for _, name := range names {
+				if c.Scope(shared).Holds("K", part(name, 100)) {
+					n++
+				}
+			}
+			return n
+		}
+		time.Sleep(time.Second)
+		is.Equal(count("a", "b", "c"), 2)
+		is.Equal(c.Scope(shared).Room("K"), 1000-300)
+		s.set(func() {
+			s.changes = nil
+			for _, name := range []string{"a", "b", "c"} {
+				gone := kvstore.Change{Held: held(name, 0), Gone: true}
+				s.changes = append(s.changes, gone)
+			}
+			s.held = []kvstore.Held{held("d", 100)}
+			s.changes = append(s.changes, kvstore.Change{Held: held("d", 100)})
+		})
+		time.Sleep(20 * time.Second)
+		is.Equal(count("d"), 1)
+		is.Equal(c.Scope(shared).Room("K"), 900) // a listing showed the room of the one that was left out
+	})
+}
+
 // TestRestartedStore guards against fetching what a store held before it restarted, and events of another epoch.
 func TestRestartedStore(t *testing.T) {
 	s := &store{epoch: 1, held: []kvstore.Held{held("a", 100)}}
--- a/internal/connection/kvstore/upkeep.go
+++ b/internal/connection/kvstore/upkeep.go
@@ -100,8 +100,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, key := range f.parts {
-		f.contents.used -= f.contents.held[key]
-		delete(f.contents.held, key)
+		c.forget(f.contents, key)
 		delete(f.contents.stuck, key)
 	}
 }
--- a/internal/process/gateway/budget.go
+++ b/internal/process/gateway/budget.go
@@ -2,8 +2,8 @@
 
 import "cmp"
 
-// The memory of a gateway by part. What is not stated is not bounded by itself: the endpoints and the contents of KV stores grow
-// with the site, and the collector works harder from collected on.
+// The memory of a gateway by part. Endpoints are not bounded, since each takes requests: ten thousand take up 20 MB, see
+// BenchmarkEndpoints. From collected on the collector works harder.
 const (
 	// collectedShare is the part of the allowed memory from which the collector works harder; the rest is for stacks and for
 	// bytes in the kernel.
@@ -11,6 +11,10 @@
 	// connectionShare and heldShare are the parts of the allowed memory for connections of callers and for bodies of requests.
 	connectionShare = 0.25
 	heldShare       = 0.2
+	// partShare is the part of the allowed memory for what KV stores hold, and partBytes what one part takes, with the growth of the
+	// maps that hold them. See BenchmarkKnownParts of package kvstore.
+	partShare = 0.1
+	partBytes = 200
 	// connectionBytes is what a connection takes: its buffers, the stacks of its goroutines, and the kernel's share. See
 	// BenchmarkConnections of package front.
 	connectionBytes = 32 << 10
@@ -28,6 +32,8 @@
 	Connections int
 	// HeldBytes bounds the bodies of the requests under way.
 	HeldBytes int64
+	// Parts bounds the parts in KV stores that are remembered.
+	Parts int
 }
 
 // Budget divides what the process may use among its parts. What the settings do not bound has no bound, which is 0.
@@ -36,6 +42,7 @@
 	b.CollectedBytes, b.HeldBytes = int64(collectedShare*memory), int64(heldShare*memory)
 	if memory > 0 {
 		b.Connections = int(max(1, connectionShare*memory/connectionBytes))
+		b.Parts = int(max(1, partShare*memory/partBytes))
 	}
 	if s.MaxDescriptors > fileReserve {
 		callers := int(callerShare * float64(s.MaxDescriptors-fileReserve))
--- a/internal/process/gateway/budget_test.go
+++ b/internal/process/gateway/budget_test.go
@@ -18,6 +18,7 @@
 			b, memory := s.Budget(), int64(s.MemoryMegabytes)<<20
 			is.True(b.Connections >= 1 && b.Connections <= s.MaxDescriptors-fileReserve)
 			is.True(int64(b.Connections)*connectionBytes+b.HeldBytes <= memory/2)
+			is.True(b.Parts >= 1 && int64(b.Connections)*connectionBytes+b.HeldBytes+int64(b.Parts)*partBytes <= b.CollectedBytes)
 			is.True(b.CollectedBytes < memory)
 		})
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -92,6 +92,7 @@
 		g.front = front.New(handler)
 		g.front.Limits = g.limits
 		budget := g.Settings.Budget()
+		g.Tiers.MaxParts = budget.Parts
 		g.front.MaxConnections, g.front.MaxHeldBytes = budget.Connections, budget.HeldBytes
 		g.front.Overloaded = func() http.Header { return g.Codec.Refusal("", overloadPause+rand.N(overloadPause)) }
 		g.front.Shed = g.shed
