Tell at once of long prompts and of what engines keep

A gateway among 21 hears of all loads every 200 ms, and a long prompt is read in 300 ms. And what a prompt added to the load was a guess: its home was taken to keep nine tenths of its shared part, while engines keep about six such parts each, and none after new weights.

Change: - placement.UrgentLoads: prompts of 2,048 unread tokens and more are told to the others when they are sent and when they have been read, by a datagram on those endpoints only, at most one in 5 ms. - internal/connection/enginecache: of all gateways the first in an engine's order follows its events, at most five questions a second, and tells the others which long parts it keeps, with its word on loads. Engines are never listed. A prompt goes by that word; without it the ring counts as before. - A fetch is given up after 1 s instead of 2 s, since the longest prompts are read in less, so that replaced parts can be freed a second sooner.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -98,10 +98,11 @@
 	orders.Time, orders.ThawTime, orders.Log = settings.LeaseTime, settings.ThawTime, log
 	rollout := &weights.Rollout{Name: settings.Name, View: r, Lease: orders, Engines: platform.NewServers(), Log: log,
 		LeaseTime: settings.LeaseTime}
+	cacheStores := platform.NewCacheStores()
 	g := &gateway.Gateway{Settings: settings, Registry: r, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Log: log,
-		Tiers: &kvstore.Catalog{View: r, Stores: platform.NewCacheStores(), Log: log,
+		Tiers: &kvstore.Catalog{View: r, Stores: cacheStores, Log: log,
 			Relays: &kvstore.Relays{Calls: call.New(call.Settings{IdleConnections: 2})}, RelayPort: settings.RelayAddress().Port()},
-		Metrics: metrics.NewRegistry(), Parts: []gateway.Part{rollout}}
+		EngineEvents: cacheStores, Metrics: metrics.NewRegistry(), Parts: []gateway.Part{rollout}}
 	reloadEnded := make(chan struct{})
 	go func() {
 		defer close(reloadEnded)
--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -31,6 +31,15 @@
 	Loads(now time.Time, limit int) []placement.Load
 	// PeerLoads replaces what is known of another process.
 	PeerLoads(now time.Time, peer string, loads []placement.Load)
+	// Urgent is readable while UrgentLoads has something new to tell: what this process has under way at some endpoints.
+	Urgent() <-chan struct{}
+	UrgentLoads(now time.Time) []placement.Load
+	// PeerUrgentLoads takes the word of another process on some endpoints.
+	PeerUrgentLoads(now time.Time, peer string, loads []placement.Load)
+	// Kept returns what the endpoints that this process follows keep, at most limit parts.
+	Kept(now time.Time, limit int) []placement.Kept
+	// PeerKept takes the word of another process on the endpoints that it follows.
+	PeerKept(now time.Time, kept []placement.Kept)
 }
 
 // Floors are the weight versions below which gateways use no parts in KV stores; tiering.Floors is one.
@@ -45,6 +54,8 @@
 	Incarnation uint64
 	// Number rises with each message of an incarnation.
 	Number uint64
+	// Some tells that the lists are of some endpoints only, of which others must know at once.
+	Some bool `msgpack:",omitempty"`
 	// The lists have the same length. They are apart since the names of fields would be most of a list of loads.
 	Endpoints []string
 	InFlight  []int
@@ -53,6 +64,43 @@
 	ColdMs []int64 `msgpack:",omitempty"`
 	// Floors are the weight versions by model below which the sender uses no parts in KV stores.
 	Floors map[string]uint64 `msgpack:",omitempty"`
+	// Kept are the long parts that the endpoints that the sender follows keep, by endpoint.
+	Kept map[string]keptParts `msgpack:",omitempty"`
+}
+
+// keptParts are the parts that one endpoint keeps, as two lists of the same length.
+type keptParts struct {
+	Keys   []uint64
+	Tokens []int
+}
+
+// keep adds what endpoints keep.
+func (m *message) keep(list []placement.Kept) {
+	if len(list) > 0 {
+		m.Kept = make(map[string]keptParts, len(list))
+	}
+	for _, k := range list {
+		parts := keptParts{Keys: make([]uint64, len(k.Parts)), Tokens: make([]int, len(k.Parts))}
+		for i, p := range k.Parts {
+			parts.Keys[i], parts.Tokens[i] = p.Key, p.Tokens
+		}
+		m.Kept[k.Endpoint] = parts
+	}
+}
+
+// kept returns what endpoints keep, false if lists do not fit together.
+func (m *message) kept() (list []placement.Kept, ok bool) {
+	for id, parts := range m.Kept {
+		if len(parts.Keys) != len(parts.Tokens) {
+			return nil, false
+		}
+		k := placement.Kept{Endpoint: id}
+		for i, key := range parts.Keys {
+			k.Parts = append(k.Parts, placement.Part{Key: key, Tokens: parts.Tokens[i]})
+		}
+		list = append(list, k)
+	}
+	return list, true
 }
 
 func newMessage(name string, incarnation, number uint64, loads []placement.Load) *message {
@@ -95,10 +143,14 @@
 	// maxPeers is the number of others up to which all are told: at the interval for that number, a word is renewed just
 	// before it counts for nothing.
 	maxPeers = 100
+	// urgentInterval is the least time between two messages on some endpoints.
+	urgentInterval = 5 * time.Millisecond
 	// idleInterval is the time between two messages when nothing has changed.
 	idleInterval = 500 * time.Millisecond
 	// maxLoads bounds the endpoints of a message, so that it fits into one packet.
 	maxLoads = 40
+	// maxKept bounds the parts of a message for the same reason. A key and a length take up 12 bytes.
+	maxKept = 60
 	// maxMessage bounds a datagram that is read.
 	maxMessage = 4096
 )
@@ -156,13 +208,37 @@
 			if e.Floors != nil {
 				m.Floors = e.Floors.Own()
 			}
+			m.keep(e.Table.Kept(time.Now(), maxKept))
 			e.tell(conn, peers, m)
 			sent, quiet = time.Now(), idle
 		}
+		number = e.sendUrgent(ctx, conn, peers, number, interval)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// sendUrgent tells the peers of endpoints whose load changes by much, until d is over or ctx is done. number is that of the last message;
+// the result is the new one.
+func (e *Exchange) sendUrgent(ctx context.Context, conn *net.UDPConn, peers []site.Gateway, number uint64, d time.Duration) uint64 {
+	over := time.After(d)
+	urgent := e.Table.Urgent()
+	var pause <-chan time.Time
+	for {
 		select {
 		case <-ctx.Done():
-			return
-		case <-time.After(interval):
+			return number
+		case <-over:
+			return number
+		case <-pause:
+			urgent = e.Table.Urgent()
+		case <-urgent:
+			number++
+			m := newMessage(e.Name, e.Incarnation, number, e.Table.UrgentLoads(time.Now()))
+			m.Some = true
+			e.tell(conn, peers, m)
+			urgent, pause = nil, time.After(urgentInterval)
 		}
 	}
 }
@@ -211,7 +287,8 @@
 	var m message
 	err := msgpack.Unmarshal(b, &m)
 	loads, ok := m.loads()
-	if err != nil || !ok || m.Name == "" || m.Name == e.Name {
+	kept, keptOk := m.kept()
+	if err != nil || !ok || !keptOk || m.Name == "" || m.Name == e.Name {
 		e.unreadable.Add(1)
 		return
 	}
@@ -222,8 +299,13 @@
 		e.seen[m.Name] = message{Incarnation: m.Incarnation, Number: m.Number}
 	}
 	e.mu.Unlock()
-	if !overtaken {
+	switch {
+	case overtaken:
+	case m.Some:
+		e.Table.PeerUrgentLoads(now, m.Name, loads)
+	default:
 		e.Table.PeerLoads(now, m.Name, loads)
+		e.Table.PeerKept(now, kept)
 		if e.Floors != nil {
 			e.Floors.Heard(m.Name, m.Incarnation, m.Floors, bootclock.Now())
 		}
--- a/internal/connection/loads/exchange_test.go
+++ b/internal/connection/loads/exchange_test.go
@@ -21,6 +21,32 @@
 	mu    sync.Mutex
 	own   []placement.Load
 	peers map[string][]placement.Load
+	kept  []placement.Kept
+	heard []placement.Kept
+	// urgent is what must be told at once, once urgency was written to.
+	urgent  []placement.Load
+	urgency chan struct{}
+}
+
+func (t *table) Urgent() <-chan struct{} { return t.urgency }
+
+func (t *table) UrgentLoads(time.Time) []placement.Load { return t.urgent }
+
+func (t *table) PeerUrgentLoads(_ time.Time, peer string, loads []placement.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.peers == nil {
+		t.peers = map[string][]placement.Load{}
+	}
+	t.peers[peer] = append(t.peers[peer], loads...)
+}
+
+func (t *table) Kept(time.Time, int) []placement.Kept { return t.kept }
+
+func (t *table) PeerKept(_ time.Time, kept []placement.Kept) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard = kept
 }
 
 func (t *table) Loads(_ time.Time, limit int) []placement.Load {
@@ -69,6 +95,7 @@
 	is := is.New(t)
 	a, b := address(t), address(t)
 	tableA, tableB := &table{own: []placement.Load{{Endpoint: "e1", InFlight: 2, Pending: 500, Cold: 3 * time.Second}}}, &table{}
+	tableA.kept = []placement.Kept{{Endpoint: "e1", Parts: []placement.Part{{Key: 1 << 63, Tokens: 2000}, {Key: 7, Tokens: 1500}}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 2)
 	for _, e := range []*Exchange{{Name: "A", Address: a, Peers: peers{b}, Table: tableA, Log: logr.Discard()},
@@ -89,12 +116,53 @@
 	}
 	wait(1)
 	is.Equal(tableB.of("A")[0], placement.Load{Endpoint: "e1", InFlight: 2, Pending: 500, Cold: 3 * time.Second})
+	tableB.mu.Lock()
+	is.Equal(tableB.heard, tableA.kept)
+	tableB.mu.Unlock()
 	tableA.mu.Lock()
 	tableA.own = nil
 	tableA.mu.Unlock()
 	wait(0)
 }
 
+// TestToldAtOnce guards against a change that must be known at once and waits for the next word on all loads, and against a datagram
+// for each of many changes.
+func TestToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	a, b := address(t), address(t)
+	tableA, tableB := &table{urgency: make(chan struct{}), urgent: []placement.Load{{Endpoint: "e1", InFlight: 1, Pending: 9000}}}, &table{}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	many := peers{b}
+	for len(many) < 100 { // so that all loads are told once in a second
+		many = append(many, netip.MustParseAddrPort("127.0.0.1:9"))
+	}
+	for _, e := range []*Exchange{{Name: "A", Address: a, Peers: many, Table: tableA, Log: logr.Discard()},
+		{Name: "B", Address: b, Peers: peers{}, Table: tableB, Log: logr.Discard()}} {
+		go func() { ended <- e.Run(ctx) }()
+	}
+	defer func() {
+		cancel()
+		is.NoErr(<-ended)
+		is.NoErr(<-ended)
+	}()
+	told := 0
+	for deadline := time.Now().Add(500 * time.Millisecond); time.Now().Before(deadline); {
+		select {
+		case tableA.urgency <- struct{}{}:
+			told++
+		case <-time.After(time.Millisecond):
+		}
+	}
+	is.True(told > 0 && told <= 101) // one in urgentInterval
+	for deadline := time.Now().Add(3 * time.Second); len(tableB.of("A")) == 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("B knows nothing of A")
+		}
+	}
+	is.Equal(tableB.of("A")[0], tableA.urgent[0])
+}
+
 // TestOvertakenAndUnreadable guards against going back to an older state, and against a datagram that stops the exchange.
 func TestOvertakenAndUnreadable(t *testing.T) {
 	is := is.New(t)
@@ -116,7 +184,8 @@
 	take(&message{Name: "A", Number: 9}) // its own
 	take(&message{Name: "B", Incarnation: 2, Number: 2, Endpoints: []string{"e1"}})
 	take(&message{Name: "B", Incarnation: 2, Number: 3, Endpoints: []string{"e1"}, InFlight: []int{1}, Pending: []int{1}, ColdMs: []int64{1, 2}})
-	is.Equal(e.Unreadable(), int64(7))
+	take(&message{Name: "B", Incarnation: 2, Number: 4, Kept: map[string]keptParts{"e1": {Keys: []uint64{1}}}})
+	is.Equal(e.Unreadable(), int64(8))
 }
 
 // TestAudience guards against messages to so many gateways that none of them hears from the others in time, and against a
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"primrosecourse/internal/connection/endpoint"
+	"primrosecourse/internal/connection/enginecache"
 	"primrosecourse/internal/connection/front"
 	"primrosecourse/internal/connection/kvstore"
 	"primrosecourse/internal/connection/loads"
@@ -39,6 +40,8 @@
 	Codec    forward.Codec
 	// Tiers are the KV stores. They are run with the other parts.
 	Tiers *kvstore.Catalog
+	// EngineEvents reads what engines keep; it may be nil.
+	EngineEvents enginecache.Events
 	// ReadyPath is the path at which the balancer asks for readiness.
 	ReadyPath string
 	// Parts are run beside the gateway's own parts until requests have been finished.
@@ -169,6 +172,10 @@
 	run(g.pool.Run)
 	run(g.crashes.Run)
 	run(g.Tiers.Run)
+	if g.EngineEvents != nil {
+		follower := &enginecache.Follower{View: g.Registry, Events: g.EngineEvents, Table: g.table, Log: g.Log}
+		run(follower.Run)
+	}
 	exchange := &loads.Exchange{Name: g.Settings.Name, Incarnation: rand.Uint64(), Address: g.Settings.LoadAddress(),
 		Domain: g.Settings.FailureDomain, Peers: g.Registry, Table: g.table,
 		Floors: g.Tiers.Floors, Log: g.Log}
--- /dev/null
+++ b/internal/process/gateway/memory_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"primrosecourse/pkg/placement"
+	"primrosecourse/pkg/ring"
+	"primrosecourse/pkg/site"
+)
+
+// heap returns the bytes in use after a collection.
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkEndpoints measures the heap that an endpoint takes up: what is listed, what is known of it, its places on the ring and six
+// long parts that it keeps. Its connections are not in it.
+func BenchmarkEndpoints(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				before, now := heap(), time.Now()
+				list := make([]*site.Endpoint, 0, n)
+				members := make([]ring.Endpoint, 0, n)
+				for i := range n {
+					id := fmt.Sprintf("i-%010x", i)
+					list = append(list, &site.Endpoint{ID: id, Service: "scribe-pool", FailureDomain: fmt.Sprint("zone", i%3),
+						Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 8083), Born: now,
+						Models: []site.ModelVersion{{Model: "daka510000", Version: 1}}})
+					members = append(members, ring.Endpoint{Name: id, FailureDomain: list[i].FailureDomain})
+				}
+				table := placement.New()
+				table.Learn(now, &site.Service{Name: "scribe-pool", ColdRate: 33}, list)
+				for _, e := range list {
+					parts := make([]placement.Part, 6)
+					for i := range parts {
+						parts[i] = placement.Part{Key: uint64(i), Tokens: 12800}
+					}
+					table.PeerKept(now, []placement.Kept{{Endpoint: e.ID, Parts: parts}})
+				}
+				places := ring.New(nil, members)
+				b.ReportMetric(float64(heap()-before)/float64(n), "B/endpoint")
+				runtime.KeepAlive(list)
+				runtime.KeepAlive(table)
+				runtime.KeepAlive(places)
+			}
+		})
+	}
+}
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -139,6 +139,7 @@
 				ask.Stored += shared[i].Tokens
 			}
 		}
+		ask.Parts = q.partsAt()
 		ask.FetchTime = tiering.FetchTime(shared, actions, service.Engine.TokenBytes)
 		for _, i := range r.ring.Append(nil, q.key(), now, 2) {
 			ask.Homes = append(ask.Homes, r.ring.Endpoint(i).Name)
@@ -148,6 +149,23 @@
 	return choice, ask, refusal
 }
 
+// partsAt returns the shared parts as an endpoint with some weight version keeps them.
+func (q *request) partsAt() func(e *site.Endpoint) []placement.Part {
+	byVersion := map[uint64][]placement.Part{}
+	return func(e *site.Endpoint) []placement.Part {
+		version, _ := e.Version(q.meta.Model)
+		parts, ok := byVersion[version]
+		if !ok {
+			scope := q.scope(version).String()
+			for _, p := range q.shared() {
+				parts = append(parts, placement.Part{Key: placement.PartKey(scope, p.ID), Tokens: p.Tokens})
+			}
+			byVersion[version] = parts
+		}
+		return parts
+	}
+}
+
 // served returns the weight version that most requests for the model begin on: the named one, or that of the endpoints if
 // none was named yet; 0 if it is not known.
 func (q *request) served(endpoints []*site.Endpoint) uint64 {
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -13,6 +13,8 @@
 const (
 	// Home means that the endpoint probably holds the first parts of the prompt.
 	Home Reason = iota
+	// Holder means that the endpoint is known to keep the first parts of the prompt.
+	Holder
 	// Spill means that waiting at the home would take longer than reading the whole prompt.
 	Spill
 	// LeastLoad means that the request has no home.
@@ -32,6 +34,9 @@
 	Service string
 	// Homes are the endpoints that probably hold the first parts of the prompt, the first one most likely.
 	Homes []string
+	// Parts returns the parts that the prompt shares with others, as an endpoint would keep them. Nil if there are none. The result is
+	// not changed.
+	Parts func(e *site.Endpoint) []Part
 	// Tokens is the length of the prompt, Shared what of it may be cached.
 	Tokens int
 	Shared int
@@ -120,7 +125,8 @@
 		if contains(a.Tried, e.ID) {
 			continue
 		}
-		if drawn < 1 && !contains(a.Homes, e.ID) && t.Random() > drawn {
+		here := t.expect(now, a, e, s)
+		if drawn < 1 && !here.candidate && t.Random() > drawn {
 			skipped = true
 			continue
 		}
@@ -136,7 +142,7 @@
 			}
 		}
 		considered++
-		cost, choice := t.cost(now, a, e, s, meanErrors)
+		cost, choice := t.cost(now, a, e, s, here, meanErrors)
 		if cost < bestCost {
 			best, bestCost = choice, cost
 		}
@@ -174,25 +180,50 @@
 	return sum / float64(len(candidates))
 }
 
-// cost returns the expected time to the first piece at an endpoint, with penalties.
-func (t *Table) cost(now time.Time, a *Ask, e *site.Endpoint, s *state, meanErrors float64) (time.Duration, Choice) {
-	perSecond := t.rate(a.Service).perSecond
-	reason := LeastLoad
+// expected is what of a prompt an endpoint probably keeps.
+type expected struct {
+	reason Reason
+	// here is the part of the shared tokens that is kept, missing the number of those that must be read.
+	here    float64
+	missing int
+	// candidate tells that the endpoint is considered without being drawn.
+	candidate bool
+}
+
+// expect returns what an endpoint keeps of the prompt, by the word on it or else by its place among the homes.
+func (t *Table) expect(now time.Time, a *Ask, e *site.Endpoint, s *state) (x expected) {
+	x.reason = LeastLoad
 	if len(a.Homes) > 0 {
-		reason = Spill
+		x.reason = Spill
 	}
-	here := 0.0 // the part of the shared tokens that is expected in the endpoint's memory
 	for i, home := range a.Homes {
 		if home == e.ID {
-			reason = Home
-			here = homeShares[min(i, len(homeShares)-1)]
+			x.reason, x.candidate = Home, true
+			x.here = homeShares[min(i, len(homeShares)-1)]
 		}
 	}
-	missing := (1 - here) * float64(a.Shared-a.Stored)
-	unread := a.Tokens - a.Shared + int(missing)
+	x.missing = int((1 - x.here) * float64(a.Shared-a.Stored))
+	if a.Parts == nil || a.Shared <= 0 {
+		return x
+	}
+	if tokens, known := s.keeps(now, a.Parts(e)); known {
+		x.here = float64(tokens) / float64(a.Shared)
+		x.missing = a.Shared - max(tokens, a.Stored)
+		if tokens > 0 {
+			x.reason, x.candidate = Holder, true
+		}
+	}
+	return x
+}
+
+// cost returns the expected time to the first piece at an endpoint, with penalties.
+func (t *Table) cost(now time.Time, a *Ask, e *site.Endpoint, s *state, x expected, meanErrors float64) (time.Duration, Choice) {
+	perSecond := t.rate(a.Service).perSecond
+	reason := x.reason
+	unread := a.Tokens - a.Shared + x.missing
 	inFlight, pending, known := t.others(now, e.ID)
 	wait := time.Duration((s.pending + pending) / perSecond * float64(time.Second))
-	cost := wait + time.Duration(float64(unread)/perSecond*float64(time.Second)) + time.Duration((1-here)*float64(a.FetchTime))
+	cost := wait + time.Duration(float64(unread)/perSecond*float64(time.Second)) + time.Duration((1-x.here)*float64(a.FetchTime))
 	perRun := plainRunCost
 	if a.Tokens > 0 {
 		perRun = runCost
--- a/pkg/placement/enum_string.go
+++ b/pkg/placement/enum_string.go
@@ -34,17 +34,18 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Home-0]
-	_ = x[Spill-1]
-	_ = x[LeastLoad-2]
-	_ = x[Probe-3]
-	_ = x[NoEndpoint-4]
-	_ = x[AllCold-5]
-	_ = x[TooLate-6]
+	_ = x[Holder-1]
+	_ = x[Spill-2]
+	_ = x[LeastLoad-3]
+	_ = x[Probe-4]
+	_ = x[NoEndpoint-5]
+	_ = x[AllCold-6]
+	_ = x[TooLate-7]
 }
 
-const _Reason_name = "HomeSpillLeastLoadProbeNoEndpointAllColdTooLate"
+const _Reason_name = "HomeHolderSpillLeastLoadProbeNoEndpointAllColdTooLate"
 
-var _Reason_index = [...]uint8{0, 4, 9, 18, 23, 33, 40, 47}
+var _Reason_index = [...]uint8{0, 4, 10, 15, 24, 29, 39, 46, 53}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/placement/load_test.go
+++ b/pkg/placement/load_test.go
@@ -19,22 +19,32 @@
 	shortPerSecond    float64
 	// exchange is the time after which gateways know of each other's loads; 0 for never.
 	exchange time.Duration
+	// unread tells that nobody keeps the shared parts of long prompts, as after new weights.
+	unread bool
+	// urgent tells that they know of long prompts at once.
+	urgent bool
 }
 
 // result is what callers got.
 type result struct {
 	served, late, refused int
 	first                 []time.Duration
+	// short are the times of short prompts.
+	short []time.Duration
 }
 
-func (r *result) quantile(q float64) time.Duration {
-	slices.Sort(r.first)
-	return r.first[int(q*float64(len(r.first)-1))]
+func (r *result) quantile(q float64) time.Duration { return quantile(r.first, q) }
+
+func quantile(list []time.Duration, q float64) time.Duration {
+	slices.Sort(list)
+	return list[int(q*float64(len(list)-1))]
 }
 
 const (
 	engineRate = 56600.0 // tokens a second
 	longTarget = 600 * time.Millisecond
+	// shortTarget is the time within which callers expect the first piece of a short prompt.
+	shortTarget = 400 * time.Millisecond
 )
 
 // pending is a prompt on its way.
@@ -88,6 +98,22 @@
 				}
 			}
 		}
+		for i, from := range tables {
+			if !c.urgent {
+				break
+			}
+			select {
+			case <-from.Urgent():
+			default:
+				continue
+			}
+			loads := from.UrgentLoads(now)
+			for j, to := range tables {
+				if i != j {
+					to.PeerUrgentLoads(now, fmt.Sprint(i), loads)
+				}
+			}
+		}
 		g := random.IntN(c.gateways)
 		ask := &placement.Ask{Service: "S", Tokens: 380, Gateways: c.gateways, Left: 8 * time.Second}
 		isLong := random.Float64() < c.longPerSecond/(c.longPerSecond+c.shortPerSecond)
@@ -95,6 +121,9 @@
 			home := random.IntN(c.engines)
 			ask.Tokens, ask.Shared, ask.Stored, ask.FetchTime = 17000, 12800, 12800, 40*time.Millisecond
 			ask.Homes = []string{list[home].ID, list[(home+1)%c.engines].ID}
+			if c.unread {
+				ask.Shared, ask.Stored, ask.FetchTime, ask.Homes = 0, 0, 0, nil
+			}
 		}
 		choice, refusal := tables[g].Choose(now, ask, list)
 		if refusal != nil {
@@ -118,6 +147,8 @@
 			if took > longTarget {
 				r.late++
 			}
+		} else {
+			r.short = append(r.short, read.Sub(now))
 		}
 	}
 	return r
@@ -150,6 +181,34 @@
 	}
 }
 
+// TestLongPromptsAreToldAtOnce plays the load of a larger site after new weights, where gateways hear of all loads only five times a
+// second.
+// It guards against short prompts that wait behind long ones which other gateways have just sent, while engines are idle.
+func TestLongPromptsAreToldAtOnce(t *testing.T) {
+	const seed = 5
+	c := loadCase{gateways: 21, engines: 38, longPerSecond: 59, shortPerSecond: 610, unread: true,
+		exchange: 200 * time.Millisecond}
+	later := play(c, seed, 20*time.Second)
+	c.urgent = true
+	told := play(c, seed, 20*time.Second)
+	late := func(r result) (n int) {
+		for _, took := range r.short {
+			if took > shortTarget {
+				n++
+			}
+		}
+		return n
+	}
+	t.Logf("seed %d: late %d long and %d short prompts, p99 of short ones %v; told at once %d, %d and %v", seed, later.late, late(later),
+		quantile(later.short, 0.99), told.late, late(told), quantile(told.short, 0.99))
+	if told.late*2 > later.late || late(told)*2 > late(later) {
+		t.Errorf("seed %d: telling at once saves less than half of the late prompts", seed)
+	}
+	if p99 := quantile(told.short, 0.99); p99 > shortTarget {
+		t.Errorf("seed %d: 99 in 100 short prompts begin within %v, target %v", seed, p99, shortTarget)
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{12, 54, 1000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/pkg/placement/peers.go
+++ b/pkg/placement/peers.go
@@ -25,15 +25,50 @@
 	loads map[string]Load
 }
 
+// urgentTokens is the number of unread tokens whose coming or going other processes are told of at once: a prompt that long takes up an
+// engine for about as long as the time between two words on all loads.
+const urgentTokens = 2048
+
+// changed notes that the load of an endpoint changed by unread tokens. The caller holds mu.
+func (t *Table) changed(endpoint string, unread int) {
+	if unread < urgentTokens {
+		return
+	}
+	t.urgent[endpoint] = true
+	select {
+	case t.urgency <- struct{}{}:
+	default:
+	}
+}
+
+// Urgent is readable while UrgentLoads has something new to tell.
+func (t *Table) Urgent() <-chan struct{} { return t.urgency }
+
+// UrgentLoads returns what this process has under way at the endpoints whose load changed by much since the last call.
+func (t *Table) UrgentLoads(now time.Time) (list []Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.urgent {
+		if s := t.states[id]; s != nil {
+			list = append(list, s.load(now, id))
+		}
+	}
+	clear(t.urgent)
+	return list
+}
+
+func (s *state) load(now time.Time, id string) Load {
+	return Load{Endpoint: id, InFlight: s.inFlight, Pending: int(s.pending), Cold: max(0, s.toldCold.Sub(now))}
+}
+
 // Loads returns what this process has under way and which endpoints told it that they are cold: those first, then the ones with
 // most under way, at most limit.
 func (t *Table) Loads(now time.Time, limit int) (list []Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, s := range t.states {
-		cold := max(0, s.toldCold.Sub(now))
-		if s.inFlight > 0 || s.pending > 0 || cold > 0 {
-			list = append(list, Load{Endpoint: id, InFlight: s.inFlight, Pending: int(s.pending), Cold: cold})
+		if l := s.load(now, id); l.InFlight > 0 || l.Pending > 0 || l.Cold > 0 {
+			list = append(list, l)
 		}
 	}
 	slices.SortFunc(list, func(a, b Load) int {
@@ -52,17 +87,37 @@
 		byEndpoint[l.Endpoint] = l
 	}
 	t.peers[peer] = peerLoads{at: now, loads: byEndpoint}
+	t.heardCold(now, loads)
+	for name, p := range t.peers {
+		if now.Sub(p.at) > 10*peerAge {
+			delete(t.peers, name)
+		}
+	}
+}
+
+// PeerUrgentLoads takes the word of another process on some endpoints. What it told of others stays.
+func (t *Table) PeerUrgentLoads(now time.Time, peer string, loads []Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, known := t.peers[peer]
+	if !known || now.Sub(p.at) > peerAge {
+		p = peerLoads{at: now, loads: make(map[string]Load, len(loads))}
+	}
+	for _, l := range loads {
+		p.loads[l.Endpoint] = l
+	}
+	t.peers[peer] = p
+	t.heardCold(now, loads)
+}
+
+// heardCold takes the word of another process on cold endpoints. The caller holds mu.
+func (t *Table) heardCold(now time.Time, loads []Load) {
 	for _, l := range loads {
 		// A process that is cut off from the platform's store learns of cold endpoints in this way only.
 		if s := t.states[l.Endpoint]; s != nil && l.Cold > 0 {
 			s.cold.Cold(now, l.Cold)
 		}
 	}
-	for name, p := range t.peers {
-		if now.Sub(p.at) > 10*peerAge {
-			delete(t.peers, name)
-		}
-	}
 }
 
 // others returns what the other processes have under way at an endpoint. The caller holds mu.
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -73,6 +73,7 @@
 	cold      warmup.Rate
 	// toldCold is until when the endpoint is cold by its own word, which is what other processes are told.
 	toldCold time.Time
+	kept     kept
 }
 
 // Table holds what is known of endpoints.
@@ -83,13 +84,17 @@
 	readRate map[string]*rate
 	// peers holds the word of other processes.
 	peers map[string]peerLoads
+	// urgent are the endpoints of which other processes are to be told at once; urgency is readable while there are some.
+	urgent  map[string]bool
+	urgency chan struct{}
 	// Random returns a number from 0 to 1. Default math/rand/v2. Set before the first call.
 	Random func() float64
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{states: map[string]*state{}, readRate: map[string]*rate{}, peers: map[string]peerLoads{}, Random: rand.Float64}
+	return &Table{states: map[string]*state{}, readRate: map[string]*rate{}, peers: map[string]peerLoads{},
+		urgent: map[string]bool{}, urgency: make(chan struct{}, 1), Random: rand.Float64}
 }
 
 func (t *Table) state(e *site.Endpoint) *state {
@@ -160,6 +165,7 @@
 	s := t.state(e)
 	s.inFlight++
 	s.pending += float64(unread)
+	t.changed(e.ID, unread)
 	s.cold.Sent(now, a.Gateways)
 	if s.suspect {
 		s.probing = true
@@ -172,6 +178,7 @@
 	defer t.mu.Unlock()
 	s := t.state(e)
 	s.pending = max(0, s.pending-float64(unread))
+	t.changed(e.ID, unread)
 	t.rate(e.Service).observe(unread, took)
 }
 
@@ -183,6 +190,7 @@
 	s := t.state(e)
 	s.inFlight = max(0, s.inFlight-1)
 	s.pending = max(0, s.pending-float64(unread))
+	t.changed(e.ID, unread)
 	s.probing = false
 	switch o {
 	case Answered:
--- a/pkg/tiering/plan.go
+++ b/pkg/tiering/plan.go
@@ -133,8 +133,8 @@
 	// ReplacedTime is how long parts of a version that was replaced are used: the time within which all engines must have the new
 	// one on the users' smaller sites. An engine that waits for its order would read them again otherwise.
 	ReplacedTime = 10 * time.Second
-	// TransferTime bounds a fetch from its request on.
-	TransferTime = 2 * time.Second
+	// TransferTime bounds a fetch from its request on. Engines read the longest prompts in less.
+	TransferTime = time.Second
 	// retireMargin covers the ways of messages.
 	retireMargin = time.Second
 )
