Prove what the new guards guard

TestHolderIsConsidered passed with a holder that is not drawn, since a draw of none makes all endpoints considered; it draws one now and fails then.

--- a/pkg/placement/kept_test.go
+++ b/pkg/placement/kept_test.go
@@ -58,7 +58,13 @@
 	part := placement.Part{Key: 7, Tokens: 12800}
 	list := endpoints(200)
 	table := newTable(nil, list, now)
-	table.Random = func() float64 { return 0.99 } // draws none
+	draws := 0
+	table.Random = func() float64 { // draws the first endpoint only
+		if draws++; draws == 1 {
+			return 0
+		}
+		return 0.99
+	}
 	for _, e := range list {
 		table.Keeps(now, e.ID, nil)
 	}
