Use parts of a replaced version until most endpoints have a newer one

A gateway gave a version up once half of the endpoints had a newer one. Parts of the old version are nearly all in the stores then, and half of the prompts still begin on it, while few parts of the new one are asked for twice before the other endpoints follow. Now it does so at four in five.

TestGivenUp plays the new share.

--- a/internal/connection/kvstore/catalog.go
+++ b/internal/connection/kvstore/catalog.go
@@ -118,8 +118,8 @@
 	// missingLimit is the number of saves that did not appear after which a store is listed again: each may be a lost event.
 	missingLimit = 12
 	// mostUpdated is the part of the endpoints with a new weight version from which its parts are worth more than those of the
-	// version before.
-	mostUpdated = 0.5
+	// version before: nearly all of the old ones are there, while few of the new ones are asked for again before the rest follow.
+	mostUpdated = 0.8
 	// upkeepPeriod is the time between two looks at what may be freed.
 	upkeepPeriod = 500 * time.Millisecond
 )
