--- a/internal/connection/enginecache/follower.go
+++ b/internal/connection/enginecache/follower.go
@@ -18,6 +18,8 @@
 	Current() *site.Snapshot
 	// First reports whether this gateway comes first of all in the order of a name.
 	First(name string) bool
+	// Others returns the names of the other gateways, false if they are not known.
+	Others() (names []string, ok bool)
 }
 
 // Events reads the events of engines.
@@ -50,6 +52,9 @@
 	Events Events
 	Table  Table
 	Log    logr.Logger
+
+	// counted tells that the other gateways were known once. Before that, each takes itself for the first.
+	counted bool
 }
 
 // followed is an engine that is followed. An engine that started again is another one.
@@ -96,7 +101,10 @@
 func (f *Follower) engines() map[followed]int {
 	engines := map[followed]int{}
 	view := f.View.Current()
-	if view.Configuration == nil {
+	if !f.counted {
+		_, f.counted = f.View.Others()
+	}
+	if !f.counted || view.Configuration == nil {
 		return engines
 	}
 	for name, endpoints := range view.Endpoints {
--- a/internal/connection/enginecache/follower_test.go
+++ b/internal/connection/enginecache/follower_test.go
@@ -95,6 +95,7 @@
 type view struct {
 	mu       sync.Mutex
 	first    bool
+	alone    bool // the others are not known
 	snapshot *site.Snapshot
 }
 
@@ -106,21 +107,39 @@
 	return v.first
 }
 
+func (v *view) Others() ([]string, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return nil, !v.alone
+}
+
+func (v *view) set(change func()) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	change()
+}
+
 func run(t *testing.T, play func(e *engine, tb *table, v *view)) {
+	v := &view{first: true}
+	runWith(t, v, func(e *engine, tb *table) { play(e, tb, v) })
+}
+
+// runWith plays a follower of one engine with a view, on a virtual clock.
+func runWith(t *testing.T, v *view, play func(e *engine, tb *table)) {
 	synctest.Test(t, func(t *testing.T) {
 		e, tb := &engine{epoch: 1}, &table{}
-		v := &view{first: true, snapshot: &site.Snapshot{
+		v.snapshot = &site.Snapshot{
 			Configuration: &site.Configuration{Services: map[string]*site.Service{
 				"E": {Name: "E", Engine: &site.Engine{MemoryTokens: 40000}}, "plain": {Name: "plain"}}},
 			Endpoints: map[string][]*site.Endpoint{
 				"E":     {{ID: "e1", Service: "E", Address: netip.MustParseAddrPort("192.0.2.1:80")}},
-				"plain": {{ID: "p1", Service: "plain", Address: netip.MustParseAddrPort("192.0.2.2:80")}}}}}
+				"plain": {{ID: "p1", Service: "plain", Address: netip.MustParseAddrPort("192.0.2.2:80")}}}}
 		f := &enginecache.Follower{View: v, Events: e, Table: tb, Log: logr.Discard()}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- f.Run(ctx) }()
 		time.Sleep(2 * time.Second)
-		play(e, tb, v)
+		play(e, tb)
 		cancel()
 		is.New(t).NoErr(<-ended)
 	})
@@ -182,16 +201,28 @@
 func TestAnothersEngine(t *testing.T) {
 	run(t, func(e *engine, _ *table, v *view) {
 		is := is.New(t)
-		v.mu.Lock()
-		v.first = false
-		v.mu.Unlock()
+		v.set(func() { v.first = false })
 		time.Sleep(2 * time.Second)
 		e.play(func() { e.questions = 0 })
 		is.Equal(e.questions, 0)
-		v.mu.Lock()
-		v.first = true
-		v.mu.Unlock()
+		v.set(func() { v.first = true })
 		e.play(func() {})
 		is.True(e.questions > 0 && e.questions <= 15)
 	})
 }
+
+// TestStartsWithOthers guards against all gateways asking all engines when they start together, and against engines that nobody follows
+// while the others cannot be listed.
+func TestStartsWithOthers(t *testing.T) {
+	v := &view{first: true, alone: true}
+	runWith(t, v, func(e *engine, tb *table) {
+		is := is.New(t)
+		is.Equal(e.questions, 0)
+		v.set(func() { v.alone = false })
+		e.play(func() { e.events = append(e.events, added("a", 9000)) })
+		is.Equal(tb.keeps("a"), "a")
+		v.set(func() { v.alone = true })
+		e.play(func() { e.events = append(e.events, added("b", 9000)) })
+		is.Equal(tb.keeps("b"), "b")
+	})
+}
