Part the follower of engines from what it remembers

The memory takes answers now, and the follower asks and tells. Tests read their stand-ins under the lock; the race detector had found three places.

--- a/internal/connection/enginecache/follower.go
+++ b/internal/connection/enginecache/follower.go
@@ -122,37 +122,38 @@
 }
 
 // follow reads the events of one engine until ctx is done.
-func (f *Follower) follow(ctx context.Context, engine followed, memory int) {
-	kept := newMemory(memory)
-	var next, epoch uint64
+func (f *Follower) follow(ctx context.Context, engine followed, tokens int) {
+	m := newMemory(tokens)
 	answers := true
 	for ctx.Err() == nil {
 		began := time.Now()
-		call, cancel := context.WithTimeout(ctx, wait+callTime)
-		changes, err := f.Events.Watch(call, engine.address, next, wait)
-		cancel()
-		pause := period - time.Since(began)
-		if err != nil {
-			if answers && ctx.Err() == nil {
-				event.Info(f.Log, event.EngineCacheLost, "endpoint", engine.id, "epoch", epoch, "reason", err.Error())
-			}
-			answers, pause = false, retryTime
-		} else {
-			if changes.Epoch != epoch || changes.Lost {
-				event.Info(f.Log, event.EngineCacheFollowed, "endpoint", engine.id, "epoch", changes.Epoch, "before", epoch,
-					"eventsLost", changes.Lost)
-				kept = newMemory(memory)
-			}
-			if changes.Epoch != epoch && epoch != 0 {
-				changes.Next, changes.Changes = 0, nil // The numbers before it were another incarnation's.
-			}
-			answers, epoch, next = true, changes.Epoch, changes.Next
-			kept.apply(changes.Changes)
-			f.Table.Keeps(time.Now(), engine.id, kept.parts())
+		changes, err := f.ask(ctx, engine, m.next)
+		pause := retryTime
+		if err == nil {
+			f.take(engine, m, changes)
+			pause = period - time.Since(began)
+		} else if answers && ctx.Err() == nil {
+			event.Info(f.Log, event.EngineCacheLost, "endpoint", engine.id, "epoch", m.epoch, "reason", err.Error())
 		}
+		answers = err == nil
 		select {
 		case <-ctx.Done():
-		case <-time.After(max(0, pause)):
+		case <-time.After(pause):
 		}
 	}
 }
+
+// take applies an answer and tells the table.
+func (f *Follower) take(engine followed, m *memory, changes kvstore.Changes) {
+	if before := m.epoch; m.take(changes) {
+		event.Info(f.Log, event.EngineCacheFollowed, "endpoint", engine.id, "epoch", m.epoch, "before", before,
+			"eventsLost", changes.Lost)
+	}
+	f.Table.Keeps(time.Now(), engine.id, m.parts())
+}
+
+func (f *Follower) ask(ctx context.Context, engine followed, since uint64) (kvstore.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTime)
+	defer cancel()
+	return f.Events.Watch(ctx, engine.address, since, wait)
+}
--- a/internal/connection/enginecache/follower_test.go
+++ b/internal/connection/enginecache/follower_test.go
@@ -55,6 +55,13 @@
 	time.Sleep(2 * time.Second)
 }
 
+// asked returns the number of questions.
+func (e *engine) asked() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.questions
+}
+
 func added(id string, tokens int) kvstore.Change {
 	return kvstore.Change{Held: kvstore.Held{Key: kvstore.Key{Scope: "S", ID: id}, Tokens: tokens}}
 }
@@ -78,6 +85,12 @@
 	t.parts, t.at = parts, now
 }
 
+func (t *table) toldAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.at
+}
+
 // keeps returns the names of the parts among names that the table was told of.
 func (t *table) keeps(names ...string) (list string) {
 	t.mu.Lock()
@@ -188,12 +201,12 @@
 	run(t, func(e *engine, tb *table, _ *view) {
 		is := is.New(t)
 		e.play(func() { e.down, e.questions = true, 0 })
-		at := tb.at
+		at := tb.toldAt()
 		e.play(func() {})
-		is.Equal(tb.at, at)
-		is.True(e.questions > 0 && e.questions <= 5)
+		is.Equal(tb.toldAt(), at)
+		is.True(e.asked() > 0 && e.asked() <= 5)
 		e.play(func() { e.down = false })
-		is.True(tb.at.After(at))
+		is.True(tb.toldAt().After(at))
 	})
 }
 
@@ -204,10 +217,10 @@
 		v.set(func() { v.first = false })
 		time.Sleep(2 * time.Second)
 		e.play(func() { e.questions = 0 })
-		is.Equal(e.questions, 0)
+		is.Equal(e.asked(), 0)
 		v.set(func() { v.first = true })
 		e.play(func() {})
-		is.True(e.questions > 0 && e.questions <= 15)
+		is.True(e.asked() > 0 && e.asked() <= 15)
 	})
 }
 
@@ -217,7 +230,7 @@
 	v := &view{first: true, alone: true}
 	runWith(t, v, func(e *engine, tb *table) {
 		is := is.New(t)
-		is.Equal(e.questions, 0)
+		is.Equal(e.asked(), 0)
 		v.set(func() { v.alone = false })
 		e.play(func() { e.events = append(e.events, added("a", 9000)) })
 		is.Equal(tb.keeps("a"), "a")
