Bound the engines that a gateway follows

Cause: a gateway that starts lists the others before most of them have registered, takes itself for the first for nearly all of 3,000 engines, and opens a connection to each. Now it follows twelve at most, about what fits into its word to the others.

TestFollowsFew: 3,000 engines; all were asked before. On the users' sites a gateway follows two or three engines, so that only the start differs.

--- a/internal/connection/enginecache/follower.go
+++ b/internal/connection/enginecache/follower.go
@@ -42,6 +42,9 @@
 	callTime = 800 * time.Millisecond
 	// retryTime is the pause after a question that failed.
 	retryTime = time.Second
+	// maxFollowed bounds the engines that a gateway follows. What ten engines keep is what fits into its word to the others; a gateway
+	// that knows few of the others would open a connection to nearly each engine.
+	maxFollowed = 12
 	// checkPeriod is the time between two looks at which engines are followed here.
 	checkPeriod = 500 * time.Millisecond
 )
@@ -80,7 +83,7 @@
 			}
 		}
 		for engine, memory := range engines {
-			if running[engine] == nil {
+			if running[engine] == nil && len(running) < maxFollowed {
 				follow, stop := context.WithCancel(ctx)
 				running[engine] = stop
 				followers.Go(func() { f.follow(follow, engine, memory) })
--- a/internal/connection/enginecache/follower_test.go
+++ b/internal/connection/enginecache/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -26,9 +27,10 @@
 	events    []kvstore.Change
 	down      bool
 	questions int
+	addresses map[string]bool // that were asked
 }
 
-func (e *engine) Watch(ctx context.Context, _ string, since uint64, wait time.Duration) (kvstore.Changes, error) {
+func (e *engine) Watch(ctx context.Context, address string, since uint64, wait time.Duration) (kvstore.Changes, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait / 10):
@@ -36,6 +38,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.questions++
+	if e.addresses != nil {
+		e.addresses[address] = true
+	}
 	if e.down {
 		return kvstore.Changes{}, errors.New("down")
 	}
@@ -112,7 +117,11 @@
 	snapshot *site.Snapshot
 }
 
-func (v *view) Current() *site.Snapshot { return v.snapshot }
+func (v *view) Current() *site.Snapshot {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.snapshot
+}
 
 func (v *view) First(string) bool {
 	v.mu.Lock()
@@ -239,3 +248,22 @@
 		is.Equal(tb.keeps("b"), "b")
 	})
 }
+
+// TestFollowsFew guards against a connection to each engine of a large site while a gateway does not know the others yet.
+func TestFollowsFew(t *testing.T) {
+	v := &view{first: true}
+	runWith(t, v, func(e *engine, tb *table) {
+		is := is.New(t)
+		many := *v.snapshot
+		many.Endpoints = map[string][]*site.Endpoint{}
+		for i := range 3000 {
+			many.Endpoints["E"] = append(many.Endpoints["E"], &site.Endpoint{ID: fmt.Sprint("e", i), Service: "E",
+				Address: netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), uint16(1000+i))})
+		}
+		v.set(func() { v.snapshot = &many })
+		e.play(func() { e.addresses = map[string]bool{} })
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		is.True(len(e.addresses) >= 10 && len(e.addresses) <= 13)
+	})
+}
