--- a/internal/connection/enginecache/follower_test.go
+++ b/internal/connection/enginecache/follower_test.go
@@ -252,7 +252,7 @@
 // TestFollowsFew guards against a connection to each engine of a large site while a gateway does not know the others yet.
 func TestFollowsFew(t *testing.T) {
 	v := &view{first: true}
-	runWith(t, v, func(e *engine, tb *table) {
+	runWith(t, v, func(e *engine, _ *table) {
 		is := is.New(t)
 		many := *v.snapshot
 		many.Endpoints = map[string][]*site.Endpoint{}
