Reserve ports, lock the lease, bind Abandon to its token

Cause of the data race: orders call Abandon, MayOrder, Valid and Token of the lease while Run renews it, and neither lease.Lease nor the test's lease had a lock.

--- a/cmd/primrose-agent/main_test.go
+++ b/cmd/primrose-agent/main_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -22,6 +20,7 @@
 	"primrosecourse/internal/standin/engine"
 	"primrosecourse/internal/standin/orders"
 	standin "primrosecourse/internal/standin/platform"
+	"primrosecourse/internal/standin/ports"
 	"primrosecourse/pkg/settings"
 	"primrosecourse/pkg/token"
 	"primrosecourse/pkg/wire"
@@ -96,16 +95,21 @@
 	return addr
 }
 
-// freeAddress returns an address for a later listener. It avoids 127.0.0.1, whose ports the kernel also assigns to outgoing
-// connections of other tests.
+// ownPorts is the block of ports of this test process.
+var ownPorts = sync.OnceValues(ports.Reserve)
+
+// freeAddress returns an address for a later listener.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.N(254), rand.N(256), 1+rand.N(254)))
+	block, err := ownPorts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, err := block.Draw(block.Host(1))
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	return address
 }
 
 // TestRun guards against parts that work separately but not together. With the stand-ins of the platform and of an engine or
--- a/cmd/primrose-quickstart/deployment.go
+++ b/cmd/primrose-quickstart/deployment.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"net/netip"
 
 	"primrosecourse/pkg/settings"
@@ -16,8 +15,12 @@
 	modelName    = "Cards"
 )
 
-// deployment returns the configuration of a small site with three failure domains.
-func deployment(store netip.AddrPort) settings.Deployment {
+// entryCount, modelCount and serviceCount are the numbers of entries, of model endpoints and of endpoints of the order service.
+const entryCount, modelCount, serviceCount = 2, 3, 2
+
+// deployment returns the configuration of a small site with three failure domains. addresses are those of the entries, the model
+// endpoints and the service endpoints, in this order.
+func deployment(store netip.AddrPort, addresses []netip.AddrPort) settings.Deployment {
 	domains := []string{"East", "South", "West"}
 	sum := sha256.Sum256([]byte(credential))
 	d := settings.Deployment{
@@ -33,33 +36,23 @@
 	for _, name := range domains {
 		d.FailureDomains = append(d.FailureDomains, settings.FailureDomain{Name: name, Region: "Home"})
 	}
-	for i := range 2 {
+	for i := range entryCount {
 		d.Entries = append(d.Entries, settings.Entry{
-			Name: fmt.Sprintf("Entry%d", i+1), Address: freeAddress(), FailureDomain: domains[i],
+			Name: fmt.Sprintf("Entry%d", i+1), Address: addresses[i], FailureDomain: domains[i],
 		})
 	}
-	for i := range 3 {
+	for i := range modelCount {
 		d.Endpoints = append(d.Endpoints, settings.Endpoint{
-			Name: fmt.Sprintf("Model%d", i+1), Address: freeAddress(), FailureDomain: domains[i], Model: modelName,
+			Name: fmt.Sprintf("Model%d", i+1), Address: addresses[entryCount+i], FailureDomain: domains[i], Model: modelName,
 			ChecksFencing: true,
 		})
 	}
-	for i := range 2 {
+	for i := range serviceCount {
 		d.Endpoints = append(d.Endpoints, settings.Endpoint{
-			Name: fmt.Sprintf("Order%d", i+1), Kind: settings.ServiceEndpoint, Address: freeAddress(),
+			Name: fmt.Sprintf("Order%d", i+1), Kind: settings.ServiceEndpoint, Address: addresses[entryCount+modelCount+i],
 			FailureDomain: domains[i], Service: "Orders",
 		})
 	}
 	settings.ApplyDefaults(&d)
 	return d
 }
-
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress() netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err) // no loopback port is free
-	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
--- a/cmd/primrose-quickstart/system.go
+++ b/cmd/primrose-quickstart/system.go
@@ -21,6 +21,7 @@
 	"primrosecourse/internal/standin/kvstore"
 	"primrosecourse/internal/standin/orders"
 	"primrosecourse/internal/standin/platform"
+	"primrosecourse/internal/standin/ports"
 	"primrosecourse/internal/version/config"
 	"primrosecourse/pkg/settings"
 )
@@ -48,6 +49,7 @@
 	engines        map[string]*engine.Engine
 	services       map[string]*orders.Service
 	readinessAddrs []netip.AddrPort // of the agents, for /readyz
+	ports          *ports.Block     // for the parts whose addresses the configuration states
 }
 
 // start starts all components and waits until they are ready.
@@ -70,7 +72,14 @@
 	if err != nil {
 		return nil, err
 	}
-	s.deployment = deployment(store)
+	if s.ports, err = ports.Reserve(); err != nil {
+		return nil, err
+	}
+	addresses, err := s.drawAddresses(entryCount + modelCount + serviceCount)
+	if err != nil {
+		return nil, err
+	}
+	s.deployment = deployment(store, addresses)
 	s.client = platformclient.New(s.platform)
 	s.operator = &operator.Operator{Platform: s.client, Name: "quickstart"}
 	if err = s.acceptConfiguration(ctx); err != nil {
@@ -87,6 +96,18 @@
 	return s, s.waitReady(ctx)
 }
 
+// drawAddresses returns n addresses that no other part gets.
+func (s *system) drawAddresses(n int) (addresses []netip.AddrPort, err error) {
+	for range n {
+		address, err := s.ports.Draw(s.ports.Host(1))
+		if err != nil {
+			return nil, err
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
+}
+
 // acceptConfiguration stores the first configuration at the platform, as primrosectl apply does.
 func (s *system) acceptConfiguration(ctx context.Context) error {
 	content, err := settings.Accepted{Operator: "quickstart", At: time.Now(), Deployment: s.deployment}.Encode()
@@ -131,9 +152,13 @@
 
 // startAgent starts an agent and the stand-in of its engine or service.
 func (s *system) startAgent(ctx context.Context, e settings.Endpoint) (err error) {
+	metrics, err := s.drawAddresses(1)
+	if err != nil {
+		return err
+	}
 	d := &agent.Daemon{
 		Name: e.Name, FailureDomain: e.FailureDomain, Listen: e.Address, Platform: s.platform, Peers: s.peers(),
-		Metrics: freeAddress(), Log: s.log.WithName(e.Name),
+		Metrics: metrics[0], Log: s.log.WithName(e.Name),
 	}
 	if e.Kind == settings.ModelEndpoint {
 		model := s.deployment.Models[0]
@@ -217,6 +242,9 @@
 	if s.client != nil {
 		s.client.Close()
 	}
+	if s.ports != nil {
+		_ = s.ports.Close() // an error does not matter, since the run is over
+	}
 	select {
 	case err := <-s.failures:
 		return err
--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -22,6 +22,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,8 +51,9 @@
 	DefaultTime = 3 * time.Second
 )
 
-// Lease acquires, renews and releases the lease for one gateway. Its exported fields are set before the first call. It is not safe for concurrent
-// use.
+// Lease acquires, renews and releases the lease for one gateway. Its exported fields are set before the first call. One goroutine
+// calls Acquire, Renew, Release, MarkWanted and ClearWanted; all other methods are safe for concurrent use with these and with each
+// other.
 type Lease struct {
 	// Time is the lease time, within which an endpoint must not get orders from two holders. ThawTime is added to the time for
 	// which a new holder waits, to allow for a previous holder that was suspended.
@@ -69,9 +71,11 @@
 	// Clock returns the time since the machine booted. Default bootclock.Now.
 	Clock func() time.Duration
 
-	name     string
-	object   string
-	objects  Objects
+	name    string
+	object  string
+	objects Objects
+	// mu guards the fields below it. It is never held during a call of the store.
+	mu       sync.Mutex
 	held     bool
 	value    registry.Lease
 	revision uint64
@@ -103,17 +107,34 @@
 const lastHolderHeadStart = 700 * time.Millisecond
 
 // Held reports whether this gateway took the lease and has not given it up or lost it since. The lease may have expired.
-func (l *Lease) Held() bool { return l.held }
+func (l *Lease) Held() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held
+}
 
 // Token returns the fencing token of the last acquisition by this gateway.
-func (l *Lease) Token() uint64 { return l.value.Token }
+func (l *Lease) Token() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.value.Token
+}
 
 // Valid reports whether the lease is held and has not expired.
-func (l *Lease) Valid() bool { return l.held && l.Clock()-l.renewedAt < l.Validity }
+func (l *Lease) Valid() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.valid()
+}
+
+// valid is Valid for callers that hold mu.
+func (l *Lease) valid() bool { return l.held && l.Clock()-l.renewedAt < l.Validity }
 
 // MayOrder reports whether this gateway may send an order to an endpoint now.
 func (l *Lease) MayOrder(endpoint string) bool {
-	return l.Valid() && (!l.previousOrdered[endpoint] || l.Clock() >= l.previousOrderedUntil)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.valid() && (!l.previousOrdered[endpoint] || l.Clock() >= l.previousOrderedUntil)
 }
 
 // MarkWanted records that this gateway has orders to send. Calls after the first have no effect until ClearWanted is called.
@@ -130,7 +151,7 @@
 // lease; a lease that another gateway holds or takes first is no error.
 func (l *Lease) Acquire(ctx context.Context) (held bool, err error) {
 	defer func() { err = errors.Wrap(err, "acquire lease") }()
-	if l.held {
+	if l.Held() {
 		return true, nil
 	}
 	encoded, revision, err := l.objects.Get(ctx, l.object)
@@ -160,6 +181,8 @@
 	if err != nil {
 		return false, err
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.held, l.value, l.revision, l.renewedAt = true, next, revision, now
 	l.published = nil
 	if current.Last != "" && current.Last != l.name {
@@ -205,8 +228,10 @@
 	if err != nil {
 		return l.resolveRenewal(ctx, err, next, start)
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.value, l.revision, l.renewedAt = next, revision, start
-	return true
+	return l.held
 }
 
 // publish writes the endpoints that are about to change their weights, if they differ from those published last. It reports
@@ -237,6 +262,8 @@
 	if err == nil {
 		err = json.Unmarshal(encoded, &current)
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	switch {
 	case err != nil && l.Clock()-l.renewedAt >= l.Silence:
 		l.drop(errors.CombineErrors(cause, err).Error())
@@ -252,13 +279,20 @@
 		return false
 	}
 	l.value, l.renewedAt = next, start
-	return true
+	return l.held
 }
 
-// Abandon gives the lease up without writing to the store, for use when an endpoint has reported a higher token.
-func (l *Lease) Abandon(reason string) { l.drop(reason) }
+// Abandon gives the lease up without writing to the store, for use when an endpoint has reported a token higher than the given one.
+// It does nothing if this gateway has acquired the lease again since, with a higher token.
+func (l *Lease) Abandon(token uint64, reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if token == l.value.Token {
+		l.drop(reason)
+	}
+}
 
-// drop marks the lease as not held and logs the reason.
+// drop marks the lease as not held and logs the reason. The caller must hold mu.
 func (l *Lease) drop(reason string) {
 	if l.held {
 		event.Info(l.Log, event.LeaseLost, "token", l.value.Token, "reason", reason)
@@ -269,14 +303,17 @@
 // Release gives the lease up in the store. This gateway has priority in acquiring it again. The lease is no longer held even if
 // the write fails.
 func (l *Lease) Release(ctx context.Context) {
-	if !l.held {
+	if !l.Held() {
 		return
 	}
 	l.publish(ctx, nil)
 	next := l.value
 	next.Holder = ""
 	next.Renewal++
-	if _, err := l.objects.Put(ctx, l.object, l.revision, next); err != nil {
+	_, err := l.objects.Put(ctx, l.object, l.revision, next)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
 		l.drop("release: " + err.Error())
 		return
 	}
--- a/internal/process/lease/lease_test.go
+++ b/internal/process/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"testing"
 	"time"
 
@@ -195,3 +196,39 @@
 	f.now += time.Second
 	is.True(acquire(t, f.b)) // the last holder did not take it within its head start
 }
+
+// TestLeaseUsedByOrders guards against a data race between the goroutine that renews the lease and those that send orders.
+func TestLeaseUsedByOrders(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	is.True(acquire(t, f.a))
+	var orders sync.WaitGroup
+	for range 4 {
+		orders.Go(func() {
+			for range 200 {
+				if f.a.MayOrder("E1") && f.a.Valid() && f.a.Held() {
+					f.a.Abandon(f.a.Token(), "an endpoint has seen a higher fencing token")
+				}
+			}
+		})
+	}
+	for range 200 {
+		_ = acquire(t, f.a)
+		_ = f.a.Renew(context.Background(), nil, []string{"E1"})
+	}
+	orders.Wait()
+}
+
+// TestAbandonOfFormerToken guards against an order that is refused late: the lease that was acquired again since must stay.
+func TestAbandonOfFormerToken(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	is.True(acquire(t, f.a))
+	former := f.a.Token()
+	f.a.Abandon(former, "an endpoint has seen a higher fencing token")
+	is.True(!f.a.Held())
+	is.True(acquire(t, f.a))
+	f.a.Abandon(former, "an endpoint has seen a higher fencing token")
+	is.True(f.a.Held())
+	is.True(f.a.Token() > former)
+}
--- a/internal/version/weights/rollout.go
+++ b/internal/version/weights/rollout.go
@@ -68,7 +68,8 @@
 	Rank(name string) int
 }
 
-// Lease determines whether this gateway may send orders. It is implemented by lease.Lease.
+// Lease determines whether this gateway may send orders. It is implemented by lease.Lease. The goroutines of orders call Abandon,
+// MayOrder, Token and Valid while Run calls other methods.
 type Lease interface {
 	Acquire(ctx context.Context) (held bool, err error)
 	// Held reports whether this gateway has the lease, which may have expired. Valid reports whether this gateway has the
@@ -82,8 +83,9 @@
 	// Renew publishes the endpoints that are being updated, renews the lease and records in it the endpoints that were
 	// ordered recently. It reports whether the store has confirmed both.
 	Renew(ctx context.Context, updating, ordered []string) (confirmed bool)
-	// Abandon gives the lease up without writing to the store; Release gives it up in the store.
-	Abandon(reason string)
+	// Abandon gives the lease up without writing to the store if its token is still the given one; Release gives it up in the
+	// store.
+	Abandon(token uint64, reason string)
 	Release(ctx context.Context)
 	// MarkWanted records that this gateway has orders to send; ClearWanted records that it has none.
 	MarkWanted()
--- a/internal/version/weights/rollout_test.go
+++ b/internal/version/weights/rollout_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,15 +91,15 @@
 // fakeLease is a lease that is held until it is lost.
 type fakeLease struct {
 	e    *fakeEngines
-	lost bool
+	lost atomic.Bool
 }
 
-func (l *fakeLease) Acquire(context.Context) (bool, error) { return !l.lost, nil }
-func (l *fakeLease) Held() bool                            { return !l.lost }
-func (l *fakeLease) Valid() bool                           { return !l.lost }
-func (l *fakeLease) MayOrder(string) bool                  { return !l.lost }
+func (l *fakeLease) Acquire(context.Context) (bool, error) { return !l.lost.Load(), nil }
+func (l *fakeLease) Held() bool                            { return !l.lost.Load() }
+func (l *fakeLease) Valid() bool                           { return !l.lost.Load() }
+func (l *fakeLease) MayOrder(string) bool                  { return !l.lost.Load() }
 func (l *fakeLease) Token() uint64                         { return 1 }
-func (l *fakeLease) Abandon(string)                        { l.lost = true }
+func (l *fakeLease) Abandon(uint64, string)                { l.lost.Store(true) }
 func (l *fakeLease) Release(context.Context)               {}
 func (l *fakeLease) MarkWanted()                           {}
 func (l *fakeLease) ClearWanted()                          {}
--- a/internal/version/weights/update.go
+++ b/internal/version/weights/update.go
@@ -80,7 +80,7 @@
 	event.Info(r.Log, event.OrderSent, "endpoint", u.endpoint.ID, "model", u.model, "version", version, "token", token,
 		"expected", expected, "outcome", outcome)
 	if err == nil && result == Fenced {
-		r.Lease.Abandon("an endpoint has seen a higher fencing token")
+		r.Lease.Abandon(token, "an endpoint has seen a higher fencing token")
 	}
 	return result, err
 }
--- a/test/capacity/system_test.go
+++ b/test/capacity/system_test.go
@@ -5,38 +5,21 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
+
+	"primrosecourse/test/site"
 )
 
 // readyTimeout limits each wait for a process. It is reached only if the process is broken.
 const readyTimeout = 60 * time.Second
 
-// firstPort is the first port in use. All ports in use are below the range from which the kernel assigns ports to outgoing
-// connections.
-const firstPort = 20000
-
-// portCounter counts the ports that freeAddress has tried.
-var portCounter uint32
-
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress() string {
-	for {
-		portCounter++
-		port := firstPort + (uint32(os.Getpid())*37%9000+portCounter)%12000
-		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
-		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
-		if err == nil {
-			l.Close()
-			return addr.String()
-		}
-	}
-}
+// freeAddress returns a loopback address that no other part gets.
+func freeAddress() string { return site.FreeAddress().String() }
 
 // process is a started program. The field http is the address at which it serves HTTP.
 type process struct {
--- a/test/scenario/doc.go
+++ b/test/scenario/doc.go
@@ -42,6 +42,7 @@
 //	sleep DURATION                 lets time pass for faults that need it; results are awaited with retry
 //	traffic [prompts [N]]          sends prompts from N callers per entry (2 by default) in the background, and orders
 //	                               unless "prompts" is given, spread over the entries as a load balancer does
+//	traffic-stop                   stops the traffic without a verdict, so that later lines are checked even if a request failed
 //	traffic-end                    stops the traffic; fails if a request failed, an answer was wrong or none was sent
 //	excess N                       fails unless the engines together counted N runs beyond their capacity
 //
--- a/test/scenario/traffic_test.go
+++ b/test/scenario/traffic_test.go
@@ -141,6 +141,13 @@
 	}
 }
 
+// cmdTrafficStop stops the traffic without a verdict on it.
+func cmdTrafficStop(s *system, _ *testscript.TestScript, _ []string) error {
+	s.traffic.end()
+	return nil
+}
+
+// cmdTrafficEnd stops the traffic and fails if a request failed.
 func cmdTrafficEnd(s *system, ts *testscript.TestScript, _ []string) error {
 	s.traffic.end()
 	s.print(ts, fmt.Sprintf("requests=%d failures=%d", s.traffic.requests.Load(), len(s.traffic.failures)))
--- a/test/site/site.go
+++ b/test/site/site.go
@@ -11,64 +11,36 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
+
+	"primrosecourse/internal/standin/ports"
 )
 
 // ReadyTimeout limits each wait for a process. It is reached only if the process is broken.
 const ReadyTimeout = 30 * time.Second
 
-const (
-	// firstPort is the first port in use. All ports in use are below the range from which the kernel assigns ports to
-	// outgoing connections.
-	firstPort = 20000
-	// portsPerBlock is the number of ports in a block, blockCount the number of blocks up to port 32,000.
-	portsPerBlock = 1500
-	blockCount    = 8
-)
+// ownPorts is the block of ports of this test process.
+var ownPorts = sync.OnceValues(ports.Reserve)
 
-var (
-	// portCounter counts the ports that FreeAddress has tried.
-	portCounter       atomic.Uint32
-	portBlockListener net.Listener
-)
+// FreeAddress returns a loopback address that no other part of this or another test process gets.
+func FreeAddress() netip.AddrPort { return FreeAddressAt(1) }
 
-// reservePortBlock reserves a block of ports for this test process by listening on the first one, and returns that port. It
-// prevents two concurrent test runs from using the same port: one could otherwise start to use a port that the other has
-// chosen and not yet used. The listener stays open until the process ends. If all blocks are taken, it returns the first
-// port of the last block without reserving the block.
-var reservePortBlock = sync.OnceValue(func() (first uint32) {
-	for b := range uint32(blockCount) {
-		first = firstPort + b*portsPerBlock
-		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(loopbackAddress(first)))
-		if err == nil {
-			portBlockListener = l // an unreferenced listener would be closed by the garbage collector
-			return first
-		}
+// FreeAddressAt returns an address at the n-th loopback host of this test process, from 1 to 254. No other part gets its port, on
+// whichever host.
+func FreeAddressAt(n byte) netip.AddrPort {
+	block, err := ownPorts()
+	if err != nil {
+		panic(err)
 	}
-	return first
-})
-
-func loopbackAddress(port uint32) netip.AddrPort {
-	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
-}
-
-// FreeAddress returns a loopback address on which no TCP listener is open.
-func FreeAddress() netip.AddrPort {
-	defer runtime.KeepAlive(portBlockListener)
-	for {
-		addr := loopbackAddress(reservePortBlock() + 1 + portCounter.Add(1)%(portsPerBlock-1))
-		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
-		if err == nil {
-			l.Close()
-			return addr
-		}
+	address, err := block.Draw(block.Host(n))
+	if err != nil {
+		panic(err)
 	}
+	return address
 }
 
 // Site is a set of processes that share one configuration.
