Find silent engines, and count prompts against engine memory

(2) From 7 s on the dark engines were gone, yet callers waited 2.3 s for first tokens on sound ones: 10 to 16 long prompts in flight at engines with memory for 9. Such an engine drops runs and reads them again (896 of them): it does less the more it is given. Change: pkg/progress decides when an engine that owes progress is doubtful, by what any gateway heard from it and what the work in flight explains; forward.SilenceWatch asks it twice and releases its requests in an order by what callers lose; others are told at once. pkg/placement counts prompts against memory from sending to the end, by all gateways; a prompt without room waits for a quarter of its time, then is refused with 503 NoMemory and the time to come back. Attempts that sent no byte no longer draw on the retry budget. A connection that is not made within 500 ms (1 s before) counts as failed. Fails first: with the watch off, TestDarkEngine ends after 5.00 s with 504 in all cases; without hasRoom TestMemoryUnderLoad holds 156,500 tokens of 100,000.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -97,13 +97,14 @@
 	ordersLease := lease.New(settings.Name, platform.Leases(store), "Orders")
 	ordersLease.Publish, ordersLease.PublishName = shared, registry.UpdatingName()
 	ordersLease.Time, ordersLease.ThawTime, ordersLease.Log = settings.LeaseTime, settings.ThawTime, log
-	rollout := &weights.Rollout{Name: settings.Name, View: r, Lease: ordersLease, Engines: platform.NewServers(), Log: log,
+	servers := platform.NewServers()
+	rollout := &weights.Rollout{Name: settings.Name, View: r, Lease: ordersLease, Engines: servers, Log: log,
 		LeaseTime: settings.LeaseTime}
 	cacheStores := platform.NewCacheStores()
 	g := &gateway.Gateway{Settings: settings, Registry: r, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Log: log,
 		Tiers: &kvstore.Catalog{View: r, Stores: cacheStores, Log: log,
 			Relays: &kvstore.Relays{Calls: call.New(call.Settings{IdleConnections: 2})}, RelayPort: settings.RelayAddress().Port()},
-		EngineEvents: cacheStores, Metrics: metrics.NewRegistry(), Components: []gateway.Component{rollout}}
+		EngineEvents: cacheStores, Engines: servers, Metrics: metrics.NewRegistry(), Components: []gateway.Component{rollout}}
 	checkEnded := make(chan struct{})
 	go func() {
 		defer close(checkEnded)
--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -60,13 +60,17 @@
 	Number uint64
 	// Some is set if the message is an urgent one: its lists cover only the endpoints with an urgent change.
 	Some bool `msgpack:",omitempty"`
-	// Endpoints, InFlight and Pending have the same length. They are separate lists because field names would take up most of an
+	// Endpoints, InFlight, Pending and Held have the same length. They are separate lists because field names would take up most of an
 	// encoded list of structs.
 	Endpoints []string
 	InFlight  []int
 	Pending   []int
+	Held      []int
 	// ColdMs is how much longer each endpoint stays cold, in milliseconds. It is empty if no endpoint is cold.
 	ColdMs []int64 `msgpack:",omitempty"`
+	// HeardMs is how long ago each endpoint last sent anything to the sender, in milliseconds, 0 if that is not known; -1 means that
+	// the sender has just found the endpoint silent. It is empty if all are 0.
+	HeardMs []int64 `msgpack:",omitempty"`
 	// Floors is, by model, the lowest weight version whose parts in KV stores the sender still uses.
 	Floors map[string]uint64 `msgpack:",omitempty"`
 	// Kept lists, by endpoint, the long prompt parts cached by the endpoints that the sender follows.
@@ -108,6 +112,9 @@
 	return list, true
 }
 
+// silentMark stands in HeardMs for an endpoint that the sender has just found silent.
+const silentMark = -1
+
 func newMessage(name string, incarnation, number uint64, loads []placement.Load) *message {
 	m := &message{Name: name, Incarnation: incarnation, Number: number}
 	if slices.ContainsFunc(loads, func(l placement.Load) bool { return l.Cold > 0 }) {
@@ -116,10 +123,19 @@
 			m.ColdMs[i] = l.Cold.Milliseconds()
 		}
 	}
+	if slices.ContainsFunc(loads, func(l placement.Load) bool { return l.HeardAgo > 0 || l.Silent }) {
+		m.HeardMs = make([]int64, len(loads))
+		for i, l := range loads {
+			if m.HeardMs[i] = l.HeardAgo.Milliseconds(); l.Silent {
+				m.HeardMs[i] = silentMark
+			}
+		}
+	}
 	for _, l := range loads {
 		m.Endpoints = append(m.Endpoints, l.Endpoint)
 		m.InFlight = append(m.InFlight, l.InFlight)
 		m.Pending = append(m.Pending, l.Pending)
+		m.Held = append(m.Held, l.Held)
 	}
 	return m
 }
@@ -130,12 +146,18 @@
 	if len(cold) == 0 {
 		cold = make([]int64, len(m.Endpoints))
 	}
-	if len(m.InFlight) != len(m.Endpoints) || len(m.Pending) != len(m.Endpoints) || len(cold) != len(m.Endpoints) {
+	heard := m.HeardMs
+	if len(heard) == 0 {
+		heard = make([]int64, len(m.Endpoints))
+	}
+	if len(m.InFlight) != len(m.Endpoints) || len(m.Pending) != len(m.Endpoints) || len(m.Held) != len(m.Endpoints) || len(cold) != len(m.Endpoints) ||
+		len(heard) != len(m.Endpoints) {
 		return nil, false
 	}
 	for i, id := range m.Endpoints {
-		list = append(list, placement.Load{Endpoint: id, InFlight: m.InFlight[i], Pending: m.Pending[i],
-			Cold: time.Duration(cold[i]) * time.Millisecond})
+		list = append(list, placement.Load{Endpoint: id, InFlight: m.InFlight[i], Pending: m.Pending[i], Held: m.Held[i],
+			Cold:     time.Duration(cold[i]) * time.Millisecond,
+			HeardAgo: time.Duration(max(0, heard[i])) * time.Millisecond, Silent: heard[i] == silentMark})
 	}
 	return list, true
 }
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -96,4 +96,9 @@
 	EngineCacheLost
 	// WeightVersionGivenUp is logged when cached parts of older weight versions are no longer used.
 	WeightVersionGivenUp
+	// EndpointSilent is logged when an endpoint with requests in flight stopped sending and did not answer a question for a sign of
+	// life, with what the decision is based on; its requests are released.
+	EndpointSilent
+	// EndpointQuiet is logged when a doubtful endpoint answered that question, so that its requests stay there.
+	EndpointQuiet
 )
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -42,6 +42,8 @@
 	Tiers *kvstore.Catalog
 	// EngineEvents reads the cache events of engines. It may be nil.
 	EngineEvents enginecache.Events
+	// Engines asks engines for a sign of life. It may be nil; engines that stop sending are then found by the deadlines of requests.
+	Engines forward.Prober
 	// ReadyPath is the path of the load balancer's readiness check.
 	ReadyPath string
 	// Components are additional components. Like the gateway's own, they run until the requests in flight have finished or have
@@ -58,6 +60,7 @@
 	table            *placement.Table
 	pool             *endpoint.Pool
 	crashes          *forward.CrashWatch
+	silence          *forward.SilenceWatch
 	front            *front.Server
 }
 
@@ -70,6 +73,9 @@
 	minRetryAfter = 500 * time.Millisecond
 	// shedLogInterval is the shortest time between two log lines on load shedding.
 	shedLogInterval = time.Second
+	// dialTimeout is long enough for one lost packet on a link where packets wait, and shorter than the second after which the
+	// kernel would send the first packet of a connection again: nothing has been sent, so another endpoint is tried instead.
+	dialTimeout = 500 * time.Millisecond
 	// stopReserve is the part of the stop time that remains when the requests still in flight are cut off.
 	stopReserve = 500 * time.Millisecond
 )
@@ -79,6 +85,7 @@
 		g.abort = make(chan struct{})
 		g.table = placement.New()
 		g.pool = endpoint.New()
+		g.pool.DialTimeout = dialTimeout
 		if g.Tiers.Floors == nil {
 			g.Tiers.Floors = &tiering.Floors{}
 		}
@@ -93,6 +100,11 @@
 			Endpoints: g.pool, Crashes: g.crashes, Tiers: g.Tiers, Log: g.Log, Metrics: g.Metrics,
 			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
 				RepeatSpan: g.Settings.RepeatSpan}}
+		if g.Engines != nil {
+			g.silence = &forward.SilenceWatch{Table: g.table, Prober: g.Engines, Log: g.Log,
+				Count: func(metric string) { metrics.GetOrRegisterCounter(metric, g.Metrics).Inc(1) }}
+			handler.Silence = g.silence
+		}
 		g.front = front.New(handler)
 		g.front.Limits = g.limits
 		budget := g.Settings.Budget()
@@ -177,6 +189,9 @@
 	run(g.pool.Run)
 	run(g.crashes.Run)
 	run(g.Tiers.Run)
+	if g.silence != nil {
+		run(g.silence.Run)
+	}
 	if g.EngineEvents != nil {
 		follower := &enginecache.Follower{View: g.Registry, Events: g.EngineEvents, Table: g.table, Log: g.Log}
 		run(follower.Run)
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -18,10 +19,16 @@
 type attempt struct {
 	req      *request
 	endpoint *site.Endpoint
+	// placed is the request for which the endpoint was chosen.
+	placed *placement.Request
 	// prefillTokens is the number of prompt tokens of the attempt that the placement table counts as waiting for prefill; 0 once the
 	// first bytes of a streamed answer have arrived or the outcome is recorded.
 	prefillTokens int
 	started       time.Time
+	// ctx is done with the request, and with the cause errSilent once the endpoint has been found silent.
+	ctx context.Context
+	// flight is the attempt's entry in the silence watch, nil without one.
+	flight *flight
 }
 
 // bufferedAnswer is an answer that has been read completely.
@@ -37,7 +44,7 @@
 
 // recordOutcome reports the end of the attempt to the placement table and logs a change of the endpoint's suspect state.
 func (a *attempt) recordOutcome(o placement.Outcome) {
-	becameSuspect, becameTrusted := a.req.handler.Table.Ended(time.Now(), a.endpoint, a.prefillTokens, o)
+	becameSuspect, becameTrusted := a.req.handler.Table.Ended(time.Now(), a.endpoint, a.placed, a.prefillTokens, o)
 	a.prefillTokens = 0
 	switch {
 	case becameSuspect:
@@ -51,6 +58,8 @@
 // then not known to be the cause.
 func (a *attempt) failureOutcome(failure placement.Outcome) placement.Outcome {
 	switch {
+	case errors.Is(context.Cause(a.ctx), errSilent):
+		return placement.Silent
 	case a.req.caller.Err() != nil:
 		return placement.Abandoned
 	case a.req.ctx.Err() != nil:
@@ -97,6 +106,7 @@
 	req := a.req
 	info := req.handler.Codec.ParseAnswer(answer.Status, answer.Header)
 	now := time.Now()
+	req.handler.Table.Heard(now, a.endpoint)
 	if info.HasLoad {
 		req.handler.Table.Report(now, a.endpoint, info.Running, info.Waiting, info.Slots)
 	}
@@ -237,6 +247,9 @@
 	buffer := make([]byte, 4096)
 	for {
 		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			req.handler.Table.Heard(time.Now(), a.endpoint)
+		}
 		if n > 0 && !a.relayEvents(answer, buffer[:n]) {
 			return done
 		}
@@ -267,6 +280,7 @@
 	if len(complete) == 0 {
 		return true
 	}
+	a.flight.progress(time.Now())
 	if !a.startStream(answer) {
 		return false
 	}
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -77,6 +77,8 @@
 	Endpoints Sender
 	// Crashes may be nil.
 	Crashes Crashes
+	// Silence finds engines that stopped sending. It may be nil.
+	Silence *SilenceWatch
 	// Tiers may be nil.
 	Tiers  Tiers
 	Limits Limits
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -19,6 +19,9 @@
 	service := req.snapshot.Configuration.Services[req.service]
 	placementRequest := &placement.Request{Service: req.service, Remaining: time.Until(req.deadline), Gateways: req.snapshot.Gateways, Tried: req.tried,
 		Domain: req.handler.Domain, Tokens: req.meta.PromptTokens}
+	if service != nil && service.Engine != nil {
+		placementRequest.Memory = service.Engine.MemoryTokens
+	}
 	if shared := req.sharedParts(); service != nil && service.Engine != nil && len(shared) > 0 {
 		for _, p := range shared {
 			placementRequest.Shared += p.Tokens
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -40,6 +40,12 @@
 	tried        []string
 	attempts     int
 	possibleRuns int
+	// arrivals is the number of attempts of which a byte may have reached the endpoint. Only such attempts make the next one draw on
+	// the retry budget. retryTaken is set if the next attempt has already drawn on it.
+	arrivals   int
+	retryTaken bool
+	// awaitedRoom is how long the last attempt waited for an endpoint with room for the prompt.
+	awaitedRoom time.Duration
 	// fallback is the last server error of an endpoint that was not sent to the caller because the request was to be retried. It is
 	// sent if the request is given up.
 	fallback *bufferedAnswer
@@ -74,12 +80,12 @@
 // run sends the request to one endpoint after another until it is answered or must not be retried.
 func (req *request) run() {
 	for {
-		choice, placementRequest, refusal := req.chooseEndpoint()
+		choice, placementRequest, refusal := req.awaitRoom()
 		if refusal != nil {
 			req.giveUp(refusal.Reason.String(), refusal.RetryAfter)
 			return
 		}
-		if req.attempts > 0 && !req.takeRetry() {
+		if !req.mayRetry() {
 			req.giveUp("RetryBudget", 500*time.Millisecond)
 			return
 		}
@@ -108,6 +114,45 @@
 	}
 }
 
+const (
+	// roomPollInterval is about the time after which a request that found no room for its prompt looks again.
+	roomPollInterval = 25 * time.Millisecond
+	// roomPatience is the share of the time left for which such a request waits; it is then refused, so that its caller can come
+	// back in time.
+	roomPatience = 0.25
+)
+
+// awaitRoom chooses an endpoint. If none has room for the prompt, it waits for one.
+func (req *request) awaitRoom() (placement.Choice, *placement.Request, *placement.Refusal) {
+	waitingSince := time.Now()
+	patience := waitingSince.Add(time.Duration(roomPatience * float64(time.Until(req.deadline))))
+	for {
+		choice, placementRequest, refusal := req.chooseEndpoint()
+		if refusal == nil || refusal.Reason != placement.NoMemory || time.Now().After(patience) {
+			req.awaitedRoom = time.Since(waitingSince)
+			return choice, placementRequest, refusal
+		}
+		timer := time.NewTimer(roomPollInterval/2 + rand.N(roomPollInterval))
+		select {
+		case <-req.ctx.Done():
+			timer.Stop()
+			return choice, placementRequest, refusal
+		case <-timer.C:
+		}
+		req.snapshot = req.handler.View.Current()
+	}
+}
+
+// mayRetry reports whether the next attempt may be made. It takes a retry from the budget if the request may have arrived at an
+// endpoint before, unless that was done when the endpoint was found silent.
+func (req *request) mayRetry() bool {
+	if taken := req.retryTaken; taken || req.arrivals == 0 {
+		req.retryTaken = false
+		return true
+	}
+	return req.takeRetry()
+}
+
 // minBackoff is the shortest back-off after a second or later attempt of a request did not run it. A condition that makes several
 // endpoints refuse at once usually ends within a few hundred milliseconds, and each further attempt draws on the retry budget.
 const minBackoff = 50 * time.Millisecond
@@ -133,13 +178,24 @@
 	req.tried = append(req.tried, e.ID)
 	req.attempts++
 	event.Debug(req.handler.Log, event.RequestSent, "request", req.meta.ID, "route", req.route.Name, "endpoint", e.ID,
-		"reason", choice.Reason.String(), "waitMs", choice.Wait.Milliseconds(), "unread", choice.PrefillTokens, "shared", placementRequest.Shared, "stored", placementRequest.Stored,
+		"reason", choice.Reason.String(), "waitMs", choice.Wait.Milliseconds(), "roomMs", req.awaitedRoom.Milliseconds(), "unread", choice.PrefillTokens, "shared", placementRequest.Shared, "stored", placementRequest.Stored,
 		"considered", choice.Considered, "attempt", req.attempts, "configuration", req.snapshot.Configuration.Version, "entry", e.Revision)
 	req.handler.observe(req.metricName("Wait"), choice.Wait)
+	req.handler.observe(req.metricName("Room"), req.awaitedRoom)
 	service := req.snapshot.Configuration.Services[req.service]
-	a := &attempt{req: req, endpoint: e, prefillTokens: choice.PrefillTokens, started: now}
+	a := &attempt{req: req, endpoint: e, placed: placementRequest, prefillTokens: choice.PrefillTokens, started: now}
 	call := req.endpointCall(e, service)
-	answer, err := req.handler.Endpoints.Send(req.ctx, req.target(e, service), call)
+	ctx, release := context.WithCancelCause(req.ctx)
+	defer release(nil)
+	a.ctx = ctx
+	if service != nil && service.Engine != nil {
+		a.flight = req.handler.Silence.begin(a, now, choice.FirstToken, release)
+		defer req.handler.Silence.end(a.flight)
+	}
+	answer, err := req.handler.Endpoints.Send(ctx, req.target(e, service), call)
+	if !errors.Is(err, endpoint.ErrNotSent) {
+		req.arrivals++
+	}
 	if err != nil {
 		return a.handleSendError(err)
 	}
--- /dev/null
+++ b/internal/request/forward/silence.go
@@ -0,0 +1,261 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"primrosecourse/internal/event"
+	"primrosecourse/pkg/placement"
+	"primrosecourse/pkg/progress"
+	"primrosecourse/pkg/site"
+)
+
+// errSilent is the cause with which the context of an attempt is cancelled because its endpoint was found silent.
+var errSilent = errors.New("endpoint is silent")
+
+// Prober asks endpoints for a sign of life.
+type Prober interface {
+	// Alive returns nil if the endpoint answers.
+	Alive(ctx context.Context, e *site.Endpoint) error
+}
+
+const (
+	// silenceInterval is the time between two checks of the endpoints with attempts in flight.
+	silenceInterval = 50 * time.Millisecond
+	// A question is sent twice, questionDelay apart, since a packet may be lost; without an answer within questionTimeout, the
+	// endpoint is silent.
+	questionDelay   = 150 * time.Millisecond
+	questionTimeout = 450 * time.Millisecond
+	// maxQuestions bounds the endpoints that are asked at the same time.
+	maxQuestions = 32
+)
+
+// SilenceWatch finds engines that stopped sending although requests are in flight there, and releases these requests. Its exported
+// fields must be set before the first call.
+type SilenceWatch struct {
+	Table  *placement.Table
+	Prober Prober
+	Rule   progress.Rule
+	Log    logr.Logger
+	// Count counts an event of a metric; it may be nil.
+	Count func(metric string)
+
+	initOnce sync.Once
+	done     chan struct{}
+	mu       sync.Mutex
+	watched  map[string]*watchedEndpoint
+	asking   int
+}
+
+// watchedEndpoint is an endpoint with attempts in flight.
+type watchedEndpoint struct {
+	endpoint *site.Endpoint
+	flights  map[*flight]struct{}
+	asking   bool
+}
+
+// flight is an attempt in flight at an endpoint that is watched for silence.
+type flight struct {
+	watch   *SilenceWatch
+	attempt *attempt
+	release context.CancelCauseFunc
+	// state is guarded by watch.mu.
+	state progress.Attempt
+}
+
+func (w *SilenceWatch) init() {
+	w.initOnce.Do(func() { w.done, w.watched = make(chan struct{}), map[string]*watchedEndpoint{} })
+}
+
+// Done is closed when Run has ended.
+func (w *SilenceWatch) Done() <-chan struct{} {
+	w.init()
+	return w.done
+}
+
+// begin adds an attempt whose first token is expected after the given time. release cancels its context.
+func (w *SilenceWatch) begin(a *attempt, now time.Time, expected time.Duration, release context.CancelCauseFunc) *flight {
+	if w == nil {
+		return nil
+	}
+	w.init()
+	f := &flight{watch: w, attempt: a, release: release, state: progress.Attempt{SentAt: now, Expected: expected,
+		Deadline: a.req.deadline, Repeatable: a.req.route.Repeat != site.Never && a.req.possibleRuns+1 < a.req.route.Attempts}}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.watched[a.endpoint.ID]
+	if e == nil {
+		e = &watchedEndpoint{flights: map[*flight]struct{}{}}
+		w.watched[a.endpoint.ID] = e
+	}
+	e.endpoint = a.endpoint
+	e.flights[f] = struct{}{}
+	return f
+}
+
+// end removes an attempt.
+func (w *SilenceWatch) end(f *flight) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id := f.attempt.endpoint.ID
+	if e := w.watched[id]; e != nil {
+		if delete(e.flights, f); len(e.flights) == 0 && !e.asking {
+			delete(w.watched, id)
+		}
+	}
+}
+
+// progress records that an event of the attempt's answer arrived.
+func (f *flight) progress(now time.Time) {
+	if f == nil {
+		return
+	}
+	f.watch.mu.Lock()
+	defer f.watch.mu.Unlock()
+	if !f.state.ProgressAt.IsZero() {
+		f.state.Pause = max(f.state.Pause, now.Sub(f.state.ProgressAt))
+	}
+	f.state.ProgressAt = now
+}
+
+// Run checks the endpoints with attempts in flight until ctx is done. It always returns nil, once its goroutines have ended.
+func (w *SilenceWatch) Run(ctx context.Context) error {
+	w.init()
+	defer close(w.done)
+	var questions sync.WaitGroup
+	defer questions.Wait()
+	ticker := time.NewTicker(silenceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for _, e := range w.doubtful(time.Now()) {
+			questions.Go(func() { w.examine(ctx, e) })
+		}
+	}
+}
+
+// doubtful returns the endpoints that are to be asked for a sign of life, and marks them as being asked.
+func (w *SilenceWatch) doubtful(now time.Time) (list []*watchedEndpoint) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.watched {
+		if e.asking || w.asking >= maxQuestions {
+			continue
+		}
+		heardAt, others, accused := w.Table.LastHeard(now, e.endpoint)
+		state := progress.Endpoint{HeardAt: heardAt, OthersHeardAt: others}
+		for f := range e.flights {
+			state.Attempts = append(state.Attempts, f.state)
+		}
+		if (accused && len(e.flights) > 0) || w.Rule.Doubtful(now, state) {
+			e.asking = true
+			w.asking++
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// examine asks a doubtful endpoint for a sign of life and releases its attempts if it gives none.
+func (w *SilenceWatch) examine(ctx context.Context, e *watchedEndpoint) {
+	askedAt := time.Now()
+	err := w.ask(ctx, e.endpoint)
+	now := time.Now()
+	if ctx.Err() != nil {
+		err = nil
+	}
+	if err == nil {
+		w.Table.Heard(now, e.endpoint)
+	}
+	// An endpoint that sent something after all is not silent.
+	heardAt, _, _ := w.Table.LastHeard(now, e.endpoint)
+	silent := err != nil && !heardAt.After(askedAt)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e.asking = false
+	w.asking--
+	if len(e.flights) == 0 {
+		delete(w.watched, e.endpoint.ID)
+	}
+	if !silent {
+		w.count("Endpoints.Quiet")
+		event.Debug(w.Log, event.EndpointQuiet, "endpoint", e.endpoint.ID, "inFlight", len(e.flights), "answeredMs", now.Sub(askedAt).Milliseconds())
+		return
+	}
+	w.count("Endpoints.Silent")
+	w.Table.Silent(now, e.endpoint)
+	released := w.releaseFlights(e, now, askedAt)
+	event.Info(w.Log, event.EndpointSilent, "endpoint", e.endpoint.ID, "released", released, "heardMs", agoMillis(now, heardAt),
+		"askedMs", now.Sub(askedAt).Milliseconds(), "reason", err.Error())
+}
+
+// releaseFlights cancels the attempts that were sent to a silent endpoint before it was asked, in the order of
+// progress.ReleaseOrder, and takes retries for them from the budget in that order. It returns their number. The caller must hold mu,
+// so that no attempt ends meanwhile and the requests' own goroutines don't use their state.
+func (w *SilenceWatch) releaseFlights(e *watchedEndpoint, now, askedAt time.Time) int {
+	var flights []*flight
+	var states []progress.Attempt
+	for f := range e.flights {
+		if f.state.SentAt.Before(askedAt) {
+			flights, states = append(flights, f), append(states, f.state)
+		}
+	}
+	for _, i := range progress.ReleaseOrder(now, states) {
+		if req := flights[i].attempt.req; states[i].Repeatable {
+			req.retryTaken = req.takeRetry()
+		}
+		flights[i].release(errSilent)
+	}
+	return len(flights)
+}
+
+// agoMillis returns how long ago t was in milliseconds, or -1 if t is zero.
+func agoMillis(now, t time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return now.Sub(t).Milliseconds()
+}
+
+// ask asks an endpoint for a sign of life, twice unless the first question is answered soon. It returns the first error if neither
+// is answered in time. A refused connection is an error at once.
+func (w *SilenceWatch) ask(ctx context.Context, e *site.Endpoint) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	answers := make(chan error, 2)
+	question := func() { answers <- w.Prober.Alive(ctx, e) }
+	go question()
+	again := time.NewTimer(questionDelay)
+	defer again.Stop()
+	for outstanding := 1; outstanding > 0; {
+		select {
+		case <-again.C:
+			outstanding++
+			go question()
+		case answer := <-answers:
+			if answer == nil {
+				return nil
+			}
+			err = errors.CombineErrors(err, answer)
+			outstanding--
+		}
+	}
+	return err
+}
+
+func (w *SilenceWatch) count(metric string) {
+	if w.Count != nil {
+		w.Count(metric)
+	}
+}
--- a/pkg/placement/cachedparts_test.go
+++ b/pkg/placement/cachedparts_test.go
@@ -130,8 +130,8 @@
 	is.Equal(table.LocalCaches(now, 10), local)
 }
 
-// TestUrgentLoads guards against long prompts that peers learn of only after the prefill, and against urgent reports of short
-// prompts.
+// TestUrgentLoads guards against long prompts that peers learn of only after the prefill, against room in memory that they learn of
+// late, and against urgent reports of short prompts.
 func TestUrgentLoads(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
@@ -146,17 +146,22 @@
 		}
 	}
 	req := &placement.Request{Service: "S", Gateways: 1}
-	table.Sent(now, list[0], req, 300)
+	short, long := *req, *req
+	short.Tokens, long.Tokens = 300, 17000
+	table.Sent(now, list[0], &short, 300)
 	is.True(!urgent())
-	table.Sent(now, list[1], req, 17000)
+	table.Sent(now, list[1], &long, 17000)
 	is.True(urgent())
-	is.Equal(table.UrgentLoads(now), []placement.Load{{Endpoint: "e1", InFlight: 1, Pending: 17000}})
+	is.Equal(table.UrgentLoads(now), []placement.Load{{Endpoint: "e1", InFlight: 1, Pending: 17000, Held: 17000}})
 	is.Equal(len(table.UrgentLoads(now)), 0)
 	table.Prefilled(list[1], 17000, time.Second)
 	is.True(urgent())
-	is.Equal(table.UrgentLoads(now), []placement.Load{{Endpoint: "e1", InFlight: 1}})
-	table.Ended(now, list[1], 0, placement.Answered)
+	is.Equal(table.UrgentLoads(now), []placement.Load{{Endpoint: "e1", InFlight: 1, Held: 17000}})
+	table.Ended(now, list[0], &short, 300, placement.Answered)
 	is.True(!urgent())
+	table.Ended(now, list[1], &long, 0, placement.Answered)
+	is.True(urgent())
+	is.Equal(table.UrgentLoads(now), []placement.Load{{Endpoint: "e1"}})
 
 	other := newTable(nil, list, now)
 	other.SetPeerLoads(now, "G1", []placement.Load{{Endpoint: "e0", InFlight: 1, Pending: 300}, {Endpoint: "e1"}})
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -27,6 +27,8 @@
 	NoEndpoint
 	// AllCold means that at least one cold endpoint is at the limit of its request rate and no other endpoint is left.
 	AllCold
+	// NoMemory means that no endpoint that can take the request has room for its prompt.
+	NoMemory
 	// TooLate means that the expected wait at the endpoint with the lowest cost exceeds the remaining time of the request.
 	TooLate
 )
@@ -49,6 +51,8 @@
 	Remaining time.Duration
 	// Gateways is the number of gateways that share the request rate of a cold endpoint.
 	Gateways int
+	// Memory is the number of tokens that an engine of the service has room for, 0 if unknown.
+	Memory int
 	// Tried are the endpoints to which this request was already sent.
 	Tried []string
 	// Domain is the failure domain of this gateway. Endpoints in it are preferred when all else is equal.
@@ -66,6 +70,8 @@
 	// prefill.
 	Wait          time.Duration
 	PrefillTokens int
+	// FirstToken is the expected time until the first token: the wait, the fetch of stored parts and the prefill.
+	FirstToken time.Duration
 	// Considered is the number of endpoints whose costs were compared.
 	Considered int
 }
@@ -127,7 +133,7 @@
 	best := Choice{}
 	bestCost := time.Duration(1<<62 - 1)
 	meanErrorShare := t.meanErrorShare(candidates)
-	coldLimited, unsampled, considered := false, false, 0
+	coldLimited, memoryLimited, unsampled, considered := false, false, false, 0
 	timeToProbe := maxSuspectPause
 	probability := t.sampleShare(r, len(candidates))
 	for _, e := range candidates {
@@ -144,6 +150,10 @@
 			coldLimited = true
 			continue
 		}
+		if !t.hasRoom(now, r, e.ID, s) {
+			memoryLimited = true
+			continue
+		}
 		if s.suspect {
 			probeAt := s.suspectAt.Add(s.suspectPause)
 			if s.probing || now.Before(probeAt) {
@@ -168,6 +178,8 @@
 		return Choice{Considered: considered}, &Refusal{Reason: TooLate, RetryAfter: t.spread(best.Wait / 2)}
 	case best.Endpoint != nil:
 		return best, nil
+	case memoryLimited:
+		return best, &Refusal{Reason: NoMemory, RetryAfter: t.spread(minMemoryWait)}
 	case coldLimited:
 		return best, &Refusal{Reason: AllCold, RetryAfter: t.spread(300 * time.Millisecond)}
 	}
@@ -232,14 +244,15 @@
 	tokensPerSecond := t.prefillRate(r.Service).tokensPerSecond
 	reason := x.reason
 	prefillTokens := r.Tokens - r.Shared + x.uncachedTokens
-	peerInFlight, peerPending, known := t.peerTotals(now, e.ID)
-	wait := time.Duration((s.pending + peerPending) / tokensPerSecond * float64(time.Second))
+	peers, known := t.peerTotals(now, e.ID)
+	wait := time.Duration((s.pending + float64(peers.Pending)) / tokensPerSecond * float64(time.Second))
 	cost := wait + time.Duration(float64(prefillTokens)/tokensPerSecond*float64(time.Second)) + time.Duration((1-x.cachedShare)*float64(r.FetchTime))
+	firstToken := cost
 	perRequest := plainRequestCost
 	if r.Tokens > 0 {
 		perRequest = engineRequestCost
 	}
-	inFlight := s.inFlight + peerInFlight
+	inFlight := s.inFlight + peers.InFlight
 	if !known {
 		inFlight = s.estimatedInFlight(now)
 	}
@@ -261,7 +274,7 @@
 	}
 	// The random term spreads requests over endpoints of equal cost.
 	cost += time.Duration(t.Random() * float64(time.Millisecond))
-	return cost, Choice{Endpoint: e, Reason: reason, Wait: wait, PrefillTokens: prefillTokens}
+	return cost, Choice{Endpoint: e, Reason: reason, Wait: wait, PrefillTokens: prefillTokens, FirstToken: firstToken}
 }
 
 // estimatedInFlight estimates the number of requests at an endpoint without reports of other gateways. The weight of the endpoint's
--- a/pkg/placement/choose_test.go
+++ b/pkg/placement/choose_test.go
@@ -82,7 +82,7 @@
 	table := newTable(nil, list, now)
 	req := &placement.Request{Service: "S", Gateways: 1, Domain: "d"}
 	table.Sent(now, list[0], req, 0)
-	suspect, _ := table.Ended(now, list[0], 0, placement.Unreachable)
+	suspect, _ := table.Ended(now, list[0], &placement.Request{}, 0, placement.Unreachable)
 	is.True(suspect)
 	for range 20 {
 		c, _ := table.Choose(now.Add(100*time.Millisecond), req, list)
@@ -98,7 +98,7 @@
 	table.Sent(later, list[0], req, 0)
 	_, refusal = table.Choose(later, req, list[:1])
 	is.True(refusal != nil) // one probe at a time
-	_, trusted := table.Ended(later, list[0], 0, placement.Answered)
+	_, trusted := table.Ended(later, list[0], &placement.Request{}, 0, placement.Answered)
 	is.True(trusted)
 	c, _ = table.Choose(later, req, list[:1])
 	is.Equal(c.Reason, placement.LeastLoad)
@@ -113,10 +113,10 @@
 	table := newTable(nil, list, now)
 	req := &placement.Request{Service: "S", Gateways: 1}
 	table.Sent(now, list[0], req, 0)
-	suspect, _ := table.Ended(now, list[0], 0, placement.Broken)
+	suspect, _ := table.Ended(now, list[0], &placement.Request{}, 0, placement.Broken)
 	is.True(!suspect)
 	table.Sent(now, list[0], req, 0)
-	suspect, _ = table.Ended(now, list[0], 0, placement.Broken)
+	suspect, _ = table.Ended(now, list[0], &placement.Request{}, 0, placement.Broken)
 	is.True(suspect)
 }
 
@@ -134,7 +134,7 @@
 		when := now.Add(time.Duration(ms) * time.Millisecond)
 		if _, refusal := table.Choose(when, req, list); refusal == nil {
 			table.Sent(when, list[0], req, 0)
-			table.Ended(when, list[0], 0, placement.Answered)
+			table.Ended(when, list[0], &placement.Request{}, 0, placement.Answered)
 			sent++
 		} else {
 			is.Equal(refusal.Reason, placement.AllCold)
@@ -166,7 +166,7 @@
 			o = placement.Full
 			refused++
 		}
-		table.Ended(now, c.Endpoint, 0, o)
+		table.Ended(now, c.Endpoint, &placement.Request{}, 0, o)
 	}
 	is.True(refused <= 4) // attempts at 0, 150, 450 and 1,050 ms, of 150 requests
 	_, refusal := table.Choose(start.Add(1500*time.Millisecond), req, list[:1])
@@ -181,7 +181,7 @@
 	table := newTable(nil, list, now)
 	req := &placement.Request{Service: "S", Gateways: 1}
 	table.Sent(now, list[0], req, 0)
-	table.Ended(now, list[0], 0, placement.Unreachable)
+	table.Ended(now, list[0], &placement.Request{}, 0, placement.Unreachable)
 	restarted := *list[0]
 	restarted.StartedAt = now
 	table.SetEndpoints(now, nil, []*site.Endpoint{&restarted})
@@ -225,7 +225,7 @@
 		if c.Endpoint.ID == "e0" && n%2 == 0 {
 			o = placement.Failed
 		}
-		table.Ended(now, c.Endpoint, 0, o)
+		table.Ended(now, c.Endpoint, &placement.Request{}, 0, o)
 		counts[c.Endpoint.ID]++
 	}
 	is.True(counts["e0"] < 60)
--- a/pkg/placement/enum_string.go
+++ b/pkg/placement/enum_string.go
@@ -16,11 +16,12 @@
 	_ = x[Broken-5]
 	_ = x[Late-6]
 	_ = x[Abandoned-7]
+	_ = x[Silent-8]
 }
 
-const _Outcome_name = "AnsweredErredFullMisdirectedUnreachableBrokenLateAbandoned"
+const _Outcome_name = "AnsweredErredFullMisdirectedUnreachableBrokenLateAbandonedSilent"
 
-var _Outcome_index = [...]uint8{0, 8, 13, 17, 28, 39, 45, 49, 58}
+var _Outcome_index = [...]uint8{0, 8, 13, 17, 28, 39, 45, 49, 58, 64}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
@@ -40,12 +41,13 @@
 	_ = x[Probe-4]
 	_ = x[NoEndpoint-5]
 	_ = x[AllCold-6]
-	_ = x[TooLate-7]
+	_ = x[NoMemory-7]
+	_ = x[TooLate-8]
 }
 
-const _Reason_name = "HomeHolderSpillLeastLoadProbeNoEndpointAllColdTooLate"
+const _Reason_name = "HomeHolderSpillLeastLoadProbeNoEndpointAllColdNoMemoryTooLate"
 
-var _Reason_index = [...]uint8{0, 4, 10, 15, 24, 29, 39, 46, 53}
+var _Reason_index = [...]uint8{0, 4, 10, 15, 24, 29, 39, 46, 54, 61}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/placement/hot_test.go
+++ b/pkg/placement/hot_test.go
@@ -74,7 +74,7 @@
 				return false
 			}
 			tables[c.gateway].Prefilled(list[c.engine], c.prefillTokens, 0)
-			tables[c.gateway].Ended(now, list[c.engine], 0, placement.Answered)
+			tables[c.gateway].Ended(now, list[c.engine], &placement.Request{}, 0, placement.Answered)
 			return true
 		})
 		for i, from := range tables {
--- a/pkg/placement/load_test.go
+++ b/pkg/placement/load_test.go
@@ -88,7 +88,7 @@
 				tables[p.gateway].Prefilled(e, p.prefillTokens, 0)
 				continue
 			}
-			tables[p.gateway].Ended(p.at, e, 0, placement.Answered)
+			tables[p.gateway].Ended(p.at, e, &placement.Request{}, 0, placement.Answered)
 		}
 		if c.interval > 0 && now.Sub(lastExchange) >= c.interval {
 			lastExchange = now
--- a/pkg/placement/peers.go
+++ b/pkg/placement/peers.go
@@ -12,8 +12,14 @@
 	// InFlight is the number of requests in flight, Pending the number of their prompt tokens that probably are not prefilled yet.
 	InFlight int
 	Pending  int
+	// Held is the number of prompt tokens of the requests in flight, prefilled or not.
+	Held int
 	// Cold is how much longer the endpoint is cold by its own statement, not by the reports of other gateways.
 	Cold time.Duration
+	// HeardAgo is how long ago the endpoint last sent anything to this gateway, 0 if that is not known.
+	HeardAgo time.Duration
+	// Silent is set if this gateway has just found the endpoint silent.
+	Silent bool
 }
 
 // maxPeerLoadAge is the age from which the load report of another gateway is ignored.
@@ -25,8 +31,9 @@
 	loads      map[string]Load
 }
 
-// urgentTokens is the number of uncached tokens from which the start or end of a prefill is reported to other gateways at once. A prompt
-// of this length occupies an engine for about as long as the shortest time between two reports of all loads.
+// urgentTokens is the number of uncached tokens from which the start or end of a prefill, and the number of prompt tokens from which the
+// start or end of a request, is reported to other gateways at once. A prompt of this length occupies an engine for about as long as the
+// shortest time between two reports of all loads.
 const urgentTokens = 2048
 
 // markUrgent marks the load of an endpoint as urgent if it changed by at least urgentTokens uncached tokens. The caller must hold mu.
@@ -34,6 +41,11 @@
 	if tokens < urgentTokens {
 		return
 	}
+	t.signalUrgent(endpoint)
+}
+
+// signalUrgent marks the load of an endpoint as urgent. The caller must hold mu.
+func (t *Table) signalUrgent(endpoint string) {
 	t.urgent[endpoint] = true
 	select {
 	case t.urgentSignal <- struct{}{}:
@@ -59,7 +71,12 @@
 }
 
 func (s *endpointState) load(now time.Time, id string) Load {
-	return Load{Endpoint: id, InFlight: s.inFlight, Pending: int(s.pending), Cold: max(0, s.coldUntil.Sub(now))}
+	l := Load{Endpoint: id, InFlight: s.inFlight, Pending: int(s.pending), Held: s.held, Cold: max(0, s.coldUntil.Sub(now)),
+		Silent: now.Before(s.silentUntil)}
+	if s.inFlight > 0 && !s.ownHeardAt.IsZero() { // Reports of others are not passed on: each hop would make them seem more recent.
+		l.HeardAgo = max(time.Millisecond, now.Sub(s.ownHeardAt))
+	}
+	return l
 }
 
 // Loads returns the loads of this gateway, at most limit of them: first those at endpoints that are cold by their own statement, then
@@ -89,6 +106,7 @@
 	}
 	t.peers[peer] = peerLoads{receivedAt: now, loads: byEndpoint}
 	t.applyPeerCold(now, loads)
+	t.applyPeerSigns(now, loads)
 	for name, p := range t.peers {
 		if now.Sub(p.receivedAt) > 10*maxPeerLoadAge {
 			delete(t.peers, name)
@@ -110,6 +128,7 @@
 	}
 	t.peers[peer] = p
 	t.applyPeerCold(now, loads)
+	t.applyPeerSigns(now, loads)
 }
 
 // applyPeerCold marks the endpoints that another gateway reports as cold. The caller must hold mu.
@@ -122,17 +141,18 @@
 	}
 }
 
-// peerTotals returns the sum of the other gateways' loads at an endpoint. known is false if there is no recent report of any other gateway,
+// peerTotals returns the sums of the other gateways' loads at an endpoint. known is false if there is no recent report of any other gateway,
 // about whatever endpoint. The caller must hold mu.
-func (t *Table) peerTotals(now time.Time, endpoint string) (inFlight int, pending float64, known bool) {
+func (t *Table) peerTotals(now time.Time, endpoint string) (sum Load, known bool) {
 	for _, p := range t.peers {
 		if now.Sub(p.receivedAt) > maxPeerLoadAge {
 			continue
 		}
 		known = true
 		l := p.loads[endpoint]
-		inFlight += l.InFlight
-		pending += float64(l.Pending)
+		sum.InFlight += l.InFlight
+		sum.Pending += l.Pending
+		sum.Held += l.Held
 	}
-	return inFlight, pending, known
+	return sum, known
 }
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -34,6 +34,9 @@
 	Late
 	// Abandoned means that the caller disconnected.
 	Abandoned
+	// Silent means that the endpoint stopped sending and did not answer a question for a sign of life. The table has recorded that
+	// by Table.Silent.
+	Silent
 )
 
 const (
@@ -61,6 +64,8 @@
 	inFlight  int
 	// pending is the number of prompt tokens that this gateway has in flight and that the endpoint probably has not prefilled yet.
 	pending float64
+	// held is the number of prompt tokens of the requests that this gateway has in flight there, prefilled or not.
+	held int
 
 	// running, waiting and slots are the load that the endpoint stated at reportedAt. slots is recorded but not used.
 	running, waiting, slots int
@@ -79,6 +84,12 @@
 	// coldUntil is the end of the cold phase by the endpoint's own statement, which is reported to other gateways.
 	coldUntil time.Time
 	cache     cacheReport
+	// ownHeardAt is when the endpoint last sent anything to this gateway, heardAt the same or, as reported, to any gateway. silentUntil is how long an
+	// endpoint that was found silent by this gateway is reported to the others; accusedAt is when another gateway last reported that.
+	ownHeardAt  time.Time
+	heardAt     time.Time
+	silentUntil time.Time
+	accusedAt   time.Time
 }
 
 // Table records the state of endpoints.
@@ -93,6 +104,10 @@
 	// is marked, unless an earlier value has not been read yet.
 	urgent       map[string]bool
 	urgentSignal chan struct{}
+	// heard is when anything was last received, from whatever endpoint or gateway; previouslyHeard is the same without the endpoint
+	// heardEndpoint, which heard stands for.
+	heard, previouslyHeard time.Time
+	heardEndpoint          string
 	// Random returns a number in [0, 1). It defaults to math/rand/v2 and must be set before the first call.
 	Random func() float64
 }
@@ -120,8 +135,7 @@
 	for _, e := range endpoints {
 		s := t.endpointState(e)
 		if !s.startedAt.Equal(e.StartedAt) {
-			inFlight, pending := s.inFlight, s.pending
-			*s = endpointState{startedAt: e.StartedAt, inFlight: inFlight, pending: pending}
+			*s = endpointState{startedAt: e.StartedAt, inFlight: s.inFlight, pending: s.pending, held: s.held}
 		}
 		if service != nil {
 			s.cold.PerSecond = service.ColdRate
@@ -173,7 +187,8 @@
 	s := t.endpointState(e)
 	s.inFlight++
 	s.pending += float64(prefillTokens)
-	t.markUrgent(e.ID, prefillTokens)
+	s.held += r.Tokens
+	t.markUrgent(e.ID, r.Tokens)
 	s.cold.Sent(now, r.Gateways)
 	if s.suspect {
 		s.probing = true
@@ -191,15 +206,16 @@
 	t.prefillRate(e.Service).observe(prefillTokens, took)
 }
 
-// Ended records the end of an attempt. prefillTokens is the number of tokens that was given to Sent, or 0 if Prefilled has been called for
+// Ended records the end of an attempt. r is the request that was given to Sent, prefillTokens is the number of tokens that was given to Sent, or 0 if Prefilled has been called for
 // the attempt. suspect reports whether the endpoint has just become suspect, trusted whether it has just stopped being suspect.
-func (t *Table) Ended(now time.Time, e *site.Endpoint, prefillTokens int, o Outcome) (suspect, trusted bool) {
+func (t *Table) Ended(now time.Time, e *site.Endpoint, r *Request, prefillTokens int, o Outcome) (suspect, trusted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.endpointState(e)
 	s.inFlight = max(0, s.inFlight-1)
 	s.pending = max(0, s.pending-float64(prefillTokens))
-	t.markUrgent(e.ID, prefillTokens)
+	s.held = max(0, s.held-r.Tokens)
+	t.markUrgent(e.ID, r.Tokens)
 	s.probing = false
 	switch o {
 	case Answered:
