Relay the watches of the platform's store within a failure domain

Change: internal/connection/watchrelay. The first gateway of a domain in the rendezvous-hash order of a kind reads it, the others watch that one, or the second, or the store. A frozen reader is left after 0.9 s, one cut off from the store when its last answer is too old. Ruled out: longer waits and rarer calls by each gateway (they delay what must be known within 2 s).

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -22,6 +22,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
@@ -29,6 +30,7 @@
 
 	"primrosecourse/internal/connection/call"
 	"primrosecourse/internal/connection/kvstore"
+	"primrosecourse/internal/connection/watchrelay"
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/daemon"
 	"primrosecourse/internal/process/gateway"
@@ -47,6 +49,13 @@
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr, signals, reloads))
 }
 
+// fastRelayAge and slowRelayAge bound the age of what another gateway passes on. A configuration or the leaving of an endpoint must
+// take effect within two seconds on the smallest sites; all else has at least twice that time.
+const (
+	fastRelayAge = 1500 * time.Millisecond
+	slowRelayAge = 2500 * time.Millisecond
+)
+
 // levelPrefixBytes is how many leading bytes of a log line are searched for the level.
 const levelPrefixBytes = 80
 
@@ -89,11 +98,15 @@
 	log := logr.FromSlogHandler(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: slog.LevelDebug})).WithName(settings.Name)
 	store := platform.NewStore(settings.Store)
 	defer store.Close()
-	shared := platform.Shared(store)
 	r := &registry.Registry{Name: settings.Name, LoadAddress: settings.LoadAddress(), FailureDomain: settings.FailureDomain,
-		Configurations: platform.Configurations(store), Endpoints: platform.Endpoints(store),
-		Evacuations: platform.Evacuations(store), Versions: platform.Versions(store), Shared: shared,
 		Members: platform.Members(store), Log: log}
+	relay := &watchrelay.Relay{Leaders: r, Port: settings.RelayAddress().Port(), Calls: call.New(call.Settings{IdleConnections: 8}), Log: log}
+	shared := platform.Shared(store, relay.Source("Shared", slowRelayAge, platform.RawShared(store)))
+	r.Configurations = platform.Configurations(relay.Source("Configuration", fastRelayAge, platform.RawConfigurations(store)))
+	r.Endpoints = platform.Endpoints(relay.Source("Endpoint", fastRelayAge, platform.RawEndpoints(store)))
+	r.Evacuations = platform.Evacuations(relay.Source("Evacuation", slowRelayAge, platform.RawEvacuations(store)))
+	r.Versions = platform.Versions(relay.Source("Version", slowRelayAge, platform.RawVersions(store)))
+	r.Shared = shared
 	ordersLease := lease.New(settings.Name, platform.Leases(store), "Orders")
 	ordersLease.Publish, ordersLease.PublishName = shared, registry.UpdatingName()
 	ordersLease.Time, ordersLease.ThawTime, ordersLease.Log = settings.LeaseTime, settings.ThawTime, log
@@ -104,7 +117,7 @@
 	g := &gateway.Gateway{Settings: settings, Registry: r, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Log: log,
 		Tiers: &kvstore.Catalog{View: r, Stores: cacheStores, Log: log,
 			Relays: &kvstore.Relays{Calls: call.New(call.Settings{IdleConnections: 2})}, RelayPort: settings.RelayAddress().Port()},
-		EngineEvents: cacheStores, Engines: servers, Metrics: metrics.NewRegistry(), Components: []gateway.Component{rollout}}
+		EngineEvents: cacheStores, Engines: servers, Relay: relay, Metrics: metrics.NewRegistry(), Components: []gateway.Component{rollout}}
 	checkEnded := make(chan struct{})
 	go func() {
 		defer close(checkEnded)
--- /dev/null
+++ b/internal/connection/watchrelay/relay.go
@@ -0,0 +1,345 @@
+package watchrelay
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"primrosecourse/internal/connection/call"
+	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/bootclock"
+	"primrosecourse/internal/process/platform"
+	"primrosecourse/internal/version/registry"
+)
+
+// Path is the path at which a Relay serves the other gateways.
+const Path = "/Objects"
+
+const (
+	// readers is the number of gateways of a domain that the others ask before they ask the store.
+	readers = 2
+	// callMargin is the time that a call may take in addition to its wait.
+	callMargin = 300 * time.Millisecond
+	// waitShare is the share of its maxAge for which a gateway that others ask lets the store wait, and for which the others let it
+	// wait. The store's answers are then recent at almost all times, and a gateway that is frozen is left before maxAge has passed.
+	waitShare = 0.4
+	// servedPeriod is how long after a call a gateway expects further ones.
+	servedPeriod = 5 * time.Second
+	// failurePause is how long a gateway that failed to answer is not asked again.
+	failurePause = 2 * time.Second
+	// maxAnswerBytes limits an answer of another gateway.
+	maxAnswerBytes = 64 << 20
+	// maxWaits is the number of calls that may wait here at the same time, more than a domain has gateways and kinds.
+	maxWaits = 1024
+)
+
+// Leaders names the gateways that read a kind of object for a failure domain; registry.Registry implements it.
+type Leaders interface {
+	// DomainLeaders returns the addresses of the first n gateways of this gateway's failure domain in the rendezvous-hash order
+	// for name, without this gateway. If this gateway is among them, only those before it are returned.
+	DomainLeaders(name string, n int) []netip.Addr
+}
+
+// Relay reads objects through other gateways and passes on what this one reads. Its exported fields must be set before the first
+// call of Source.
+type Relay struct {
+	Leaders Leaders
+	// Port is the port at which the gateways serve each other. If it is 0, all objects are read from the store.
+	Port  uint16
+	Calls *call.Client
+	Log   logr.Logger
+
+	mu     sync.Mutex
+	kinds  map[string]*Kind
+	failed map[netip.Addr]time.Time
+	waits  int
+}
+
+// Kind is a source of one kind of object. It implements registry.Source.
+type Kind struct {
+	relay  *Relay
+	name   string
+	maxAge time.Duration
+	store  registry.Source[json.RawMessage]
+	own    *journal
+
+	mu sync.Mutex
+	// age is how old the last result already was when it was received; through is the gateway that sent it, invalid for the store.
+	age     time.Duration
+	through netip.Addr
+	// servedAt is when another gateway last asked for this kind.
+	servedAt time.Time
+}
+
+// answer is what a gateway answers to another one. The field names are those of its msgpack encoding.
+type answer struct {
+	// Revision is the revision up to which the changes are complete.
+	Revision uint64
+	// AgeMs is how long ago the store answered the gateway that answers, in milliseconds.
+	AgeMs int64
+	// Gap is set if the changes since the revision that was asked for are no longer known here.
+	Gap bool `msgpack:",omitempty"`
+	// Names, Revisions and Values have the same length. A value is empty if the object was removed.
+	Names     []string
+	Revisions []uint64
+	Values    [][]byte
+
+	directAt time.Duration
+}
+
+func (a *answer) add(c Change) {
+	a.Names, a.Revisions = append(a.Names, c.Name), append(a.Revisions, c.Revision)
+	if c.Removed {
+		a.Values = append(a.Values, nil)
+		return
+	}
+	a.Values = append(a.Values, c.Value)
+}
+
+func (a *answer) changes() (list []Change, err error) {
+	if len(a.Names) != len(a.Revisions) || len(a.Names) != len(a.Values) {
+		return nil, errors.New("lists differ in length")
+	}
+	for i, name := range a.Names {
+		list = append(list, Change{Name: name, Revision: a.Revisions[i], Removed: len(a.Values[i]) == 0, Value: a.Values[i]})
+	}
+	return list, nil
+}
+
+// Source returns the source of a kind of object that store reads at the platform. Another gateway is trusted for it while its own
+// last answer of the store is at most maxAge old. It must be called once for each kind, before the relay serves.
+func (r *Relay) Source(name string, maxAge time.Duration, store registry.Source[json.RawMessage]) *Kind {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.kinds == nil {
+		r.kinds, r.failed = map[string]*Kind{}, map[netip.Addr]time.Time{}
+	}
+	k := &Kind{relay: r, name: name, maxAge: maxAge, store: store, own: newJournal()}
+	r.kinds[name] = k
+	return k
+}
+
+// Age returns how old the last result already was when it was received: 0 if it came from the store.
+func (k *Kind) Age() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.age
+}
+
+// List implements registry.Source.
+func (k *Kind) List(ctx context.Context) (changes []Change, revision uint64, err error) {
+	if a, list, ok := k.ask(ctx, url.Values{}, 0); ok {
+		k.own.replace(list, a.Revision, 0)
+		return list, a.Revision, nil
+	}
+	start := bootclock.Now()
+	changes, revision, err = k.store.List(ctx)
+	if err == nil {
+		k.own.replace(changes, revision, start)
+		k.received(0, netip.Addr{})
+	}
+	return changes, revision, err
+}
+
+// Watch implements registry.Source.
+func (k *Kind) Watch(ctx context.Context, after uint64, wait time.Duration) (changes []Change, revision uint64, err error) {
+	shortWait := min(wait, time.Duration(waitShare*float64(k.maxAge)))
+	query := url.Values{"After": {strconv.FormatUint(after, 10)}, "WaitMs": {strconv.FormatInt(shortWait.Milliseconds(), 10)}}
+	if a, list, ok := k.ask(ctx, query, shortWait); ok {
+		if a.Gap {
+			return nil, 0, errors.Wrap(platform.ErrWatchGap, "relayed")
+		}
+		k.own.update(after, list, a.Revision, 0)
+		return list, a.Revision, nil
+	}
+	if k.isAsked() {
+		wait = shortWait
+	}
+	asOf := bootclock.Now()
+	changes, revision, err = k.store.Watch(ctx, after, wait)
+	if err == nil {
+		if len(changes) == 0 { // The store waited, so nothing had changed by then.
+			asOf = min(asOf+wait, bootclock.Now())
+		}
+		k.own.update(after, changes, revision, asOf)
+		k.received(0, netip.Addr{})
+	}
+	return changes, revision, err
+}
+
+// isAsked reports whether other gateways have asked for this kind recently.
+func (k *Kind) isAsked() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.servedAt.IsZero() && time.Since(k.servedAt) < servedPeriod
+}
+
+// ask asks the gateways that read this kind for this one, in their order. ok is false if none answered, and if this gateway is itself
+// the first of them.
+func (k *Kind) ask(ctx context.Context, query url.Values, wait time.Duration) (a answer, changes []Change, ok bool) {
+	if k.relay.Port == 0 {
+		return a, nil, false
+	}
+	query.Set("Kind", k.name)
+	for _, leader := range k.relay.Leaders.DomainLeaders(k.name, readers) {
+		if !k.relay.mayAsk(leader) {
+			continue
+		}
+		a, changes, err := k.relay.call(ctx, leader, query, wait)
+		age := time.Duration(a.AgeMs) * time.Millisecond
+		if err == nil && age <= k.maxAge {
+			k.received(age, leader)
+			return a, changes, true
+		}
+		if ctx.Err() != nil {
+			return a, nil, false
+		}
+		if err == nil {
+			err = errors.Newf("answer is %v old", age)
+		}
+		k.relay.fail(leader, k.name, err)
+	}
+	return a, nil, false
+}
+
+func (k *Kind) received(age time.Duration, through netip.Addr) {
+	k.mu.Lock()
+	changed := k.through != through
+	k.age, k.through = age, through
+	k.mu.Unlock()
+	if changed {
+		event.Info(k.relay.Log, event.WatchRelayed, "kind", k.name, "through", text(through), "ageMs", age.Milliseconds())
+	}
+}
+
+func text(through netip.Addr) string {
+	if !through.IsValid() {
+		return "store"
+	}
+	return through.String()
+}
+
+func (r *Relay) mayAsk(leader netip.Addr) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.failed[leader]) >= failurePause
+}
+
+func (r *Relay) fail(leader netip.Addr, kind string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for other, at := range r.failed {
+		if time.Since(at) >= failurePause {
+			delete(r.failed, other)
+		}
+	}
+	r.failed[leader] = time.Now()
+	event.Debug(r.Log, event.WatchRelayed, "kind", kind, "through", leader.String(), "reason", err.Error())
+}
+
+func (r *Relay) call(ctx context.Context, leader netip.Addr, query url.Values, wait time.Duration) (a answer, changes []Change, err error) {
+	defer func() { err = errors.Wrapf(err, "relay %s", leader) }()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+netip.AddrPortFrom(leader, r.Port).String()+Path+"?"+query.Encode(), nil)
+	if err != nil {
+		return a, nil, err
+	}
+	response, err := r.Calls.Do(ctx, request, call.Bounds{Timeout: callMargin, Wait: wait, Limit: maxAnswerBytes})
+	if err != nil {
+		return a, nil, err
+	}
+	if response.Status != http.StatusOK {
+		return a, nil, errors.Newf("status %d", response.Status)
+	}
+	if err = msgpack.Unmarshal(response.Body, &a); err != nil {
+		return a, nil, err
+	}
+	changes, err = a.changes()
+	return a, changes, err
+}
+
+// ServeHTTP answers other gateways: the objects of a kind without After, else the changes after that revision, for which it waits up
+// to WaitMs. It answers 503 if the store has not answered this gateway recently.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	r.mu.Lock()
+	k := r.kinds[request.FormValue("Kind")]
+	r.mu.Unlock()
+	if k == nil {
+		http.Error(w, "kind is not known here", http.StatusNotFound)
+		return
+	}
+	k.mu.Lock()
+	k.servedAt = time.Now()
+	k.mu.Unlock()
+	var a answer
+	var ok bool
+	if after := request.FormValue("After"); after == "" {
+		a, ok = k.own.list(bootclock.Now() - k.maxAge)
+	} else {
+		revision, err := strconv.ParseUint(after, 10, 64)
+		waitMs, waitErr := strconv.ParseInt(cmp.Or(request.FormValue("WaitMs"), "0"), 10, 32)
+		if err != nil || waitErr != nil || waitMs < 0 {
+			http.Error(w, "After and WaitMs must be numbers", http.StatusBadRequest)
+			return
+		}
+		a, ok = r.await(request.Context(), k, revision, time.Duration(waitMs)*time.Millisecond)
+	}
+	if !ok {
+		http.Error(w, "kind is not read here", http.StatusServiceUnavailable)
+		return
+	}
+	a.AgeMs = (bootclock.Now() - a.directAt).Milliseconds()
+	body, err := msgpack.Marshal(&a)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	// The write fails if the calling gateway has disconnected, which needs no handling.
+	_, _ = w.Write(body)
+}
+
+// await returns the changes of a kind after a revision as soon as there are any, and what it has after the wait. ok is false if the
+// state is not known, or too old by then, or if too many calls wait.
+func (r *Relay) await(ctx context.Context, k *Kind, after uint64, wait time.Duration) (a answer, ok bool) {
+	r.mu.Lock()
+	full := r.waits >= maxWaits
+	if !full {
+		r.waits++
+	}
+	r.mu.Unlock()
+	if full {
+		return a, false
+	}
+	defer func() {
+		r.mu.Lock()
+		r.waits--
+		r.mu.Unlock()
+	}()
+	end := bootclock.Now() + wait
+	for {
+		now := bootclock.Now()
+		a, changed, ok := k.own.since(after, now-k.maxAge)
+		if !ok || a.Gap || len(a.Names) > 0 || now >= end {
+			return a, ok
+		}
+		// The state is looked at again when it would become too old, unless the store has answered by then.
+		next := time.NewTimer(min(end-now, a.directAt+k.maxAge-now) + time.Millisecond)
+		select {
+		case <-ctx.Done():
+			next.Stop()
+			return a, false
+		case <-next.C:
+		case <-changed:
+			next.Stop()
+		}
+	}
+}
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -101,4 +101,7 @@
 	EndpointSilent
 	// EndpointQuiet is logged when a doubtful endpoint answered that question, so that its requests stay there.
 	EndpointQuiet
+	// WatchRelayed is logged when a gateway begins to read a kind of object through another gateway, or from the store again, and, with
+	// the reason, when another gateway could not be read.
+	WatchRelayed
 )
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"primrosecourse/internal/connection/front"
 	"primrosecourse/internal/connection/kvstore"
 	"primrosecourse/internal/connection/loads"
+	"primrosecourse/internal/connection/watchrelay"
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/request/forward"
 	"primrosecourse/internal/version/registry"
@@ -44,6 +45,8 @@
 	EngineEvents enginecache.Events
 	// Engines asks engines for a sign of life. It may be nil; engines that stop sending are then found by the deadlines of requests.
 	Engines forward.Prober
+	// Relay serves the objects that this gateway reads to the others. It may be nil.
+	Relay *watchrelay.Relay
 	// ReadyPath is the path of the load balancer's readiness check.
 	ReadyPath string
 	// Components are additional components. Like the gateway's own, they run until the requests in flight have finished or have
@@ -203,7 +206,12 @@
 	for _, c := range g.Components {
 		run(c.Run)
 	}
-	relayServer := &http.Server{Handler: g.Tiers, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute}
+	relays := http.NewServeMux()
+	relays.Handle("/", g.Tiers)
+	if g.Relay != nil {
+		relays.Handle(watchrelay.Path, g.Relay)
+	}
+	relayServer := &http.Server{Handler: relays, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute}
 	metricsServer := &http.Server{Handler: metricsHandler(g.Metrics), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute}
 	serving := make(chan error, 4)
 	go func() { serving <- metricsServer.Serve(metricsListener) }()
--- a/internal/version/registry/follower.go
+++ b/internal/version/registry/follower.go
@@ -24,6 +24,11 @@
 	defaultWatchTimeout = 2500 * time.Millisecond
 )
 
+// aged is a source whose last result was already some time old when it was received, since it was passed on.
+type aged interface {
+	Age() time.Duration
+}
+
 // follower lists and watches the objects of one kind and passes their changes to apply.
 type follower[T any] struct {
 	kind   string
@@ -205,6 +210,9 @@
 func (f *follower[T]) recordContact() {
 	f.mu.Lock()
 	f.contactAt = bootclock.Now()
+	if relayed, ok := f.source.(aged); ok {
+		f.contactAt -= relayed.Age()
+	}
 	f.mu.Unlock()
 }
 
--- a/internal/version/registry/members.go
+++ b/internal/version/registry/members.go
@@ -141,6 +141,33 @@
 	return addresses, false
 }
 
+// DomainLeaders returns the addresses of the first n gateways of this gateway's failure domain, of those present with an address, in the
+// rendezvous-hash order for a name, without this gateway. If this gateway is among them, only those before it are returned.
+func (r *Registry) DomainLeaders(name string, n int) (leaders []netip.Addr) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	type leader struct {
+		hash    uint64
+		address netip.Addr
+	}
+	now, own := time.Now(), xxhash.Sum64String(r.Name+"\n"+name)
+	var candidates []leader
+	for other, m := range r.members {
+		h := xxhash.Sum64String(other + "\n" + name)
+		if other != r.Name && m.gateway.FailureDomain == r.FailureDomain && m.gateway.Address.IsValid() && m.isPresent(now, r.membersFailedAt) {
+			candidates = append(candidates, leader{h, m.gateway.Address.Addr()})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b leader) int { return cmp.Compare(b.hash, a.hash) })
+	for _, l := range candidates[:min(n, len(candidates))] {
+		if l.hash < own {
+			break
+		}
+		leaders = append(leaders, l.address)
+	}
+	return leaders
+}
+
 // Rank returns the number of gateways present that precede this one in the rendezvous-hash order for a name.
 func (r *Registry) Rank(name string) (rank int) {
 	r.mu.Lock()
