Exchange loads in groups with a speaker each

Change: full and urgent messages stay within the failure domain; the gateway that speaks for it sends sums to one gateway of each other domain, which passes them on. Keys of 32 bits stand for endpoints; cached parts and floors go with every third of a second's message. Floors of a former incarnation that are passed on late are ignored (pkg/tiering): they may be higher than what the new one uses. Ruled out: rarer messages to all (loads would be older everywhere). Fails first: with summaries recorded by speaker instead of by domain TestSummaries ("the gateways know of [4 4 4 2 2 1] requests in flight, want 7 each"); without the check of incarnations TestUnused.

--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -25,8 +26,20 @@
 	Peers() []site.Gateway
 }
 
+// View provides the endpoints of the site; registry.Registry implements it.
+type View interface {
+	Current() *site.Snapshot
+}
+
 // Table records the state of endpoints; placement.Table implements it.
 type Table interface {
+	// SumLoads returns the loads that this gateway and the named others cause together, for at most limit endpoints, and SumLoadsAt
+	// those at the given endpoints.
+	SumLoads(now time.Time, limit int, peers map[string]bool) []placement.Load
+	SumLoadsAt(now time.Time, endpoints []string, peers map[string]bool) []placement.Load
+	// GroupCaches returns the cached parts that this gateway and the named others reported themselves, at most limit parts, those that
+	// were returned longest ago first.
+	GroupCaches(now time.Time, limit int, peers map[string]bool) []placement.CachedParts
 	// Loads returns the loads that this gateway causes at endpoints and how much longer endpoints are cold, for at most limit endpoints.
 	Loads(now time.Time, limit int) []placement.Load
 	// SetPeerLoads replaces all loads recorded for another gateway.
@@ -40,7 +53,7 @@
 	// LocalCaches returns the long prompt parts cached by the endpoints that this gateway follows, at most limit parts in all.
 	LocalCaches(now time.Time, limit int) []placement.CachedParts
 	// SetPeerCaches records the prompt parts cached by the endpoints that another gateway follows.
-	SetPeerCaches(now time.Time, caches []placement.CachedParts)
+	SetPeerCaches(now time.Time, peer string, caches []placement.CachedParts)
 }
 
 // Floors records, for each gateway and model, the lowest weight version whose parts in KV stores the gateway still uses;
@@ -50,136 +63,36 @@
 	Own() map[string]uint64
 	// SetPeer records the floors that an incarnation of another gateway reported. now is the time since the start of the machine.
 	SetPeer(peer string, incarnation uint64, floors map[string]uint64, now time.Duration)
-}
-
-// message is the content of a datagram. The field names are those of its msgpack encoding.
-type message struct {
-	Name        string
-	Incarnation uint64
-	// Number increases with each message of an incarnation.
-	Number uint64
-	// Some is set if the message is an urgent one: its lists cover only the endpoints with an urgent change.
-	Some bool `msgpack:",omitempty"`
-	// Endpoints, InFlight, Pending and Held have the same length. They are separate lists because field names would take up most of an
-	// encoded list of structs.
-	Endpoints []string
-	InFlight  []int
-	Pending   []int
-	Held      []int
-	// ColdMs is how much longer each endpoint stays cold, in milliseconds. It is empty if no endpoint is cold.
-	ColdMs []int64 `msgpack:",omitempty"`
-	// HeardMs is how long ago each endpoint last sent anything to the sender, in milliseconds, 0 if that is not known; -1 means that
-	// the sender has just found the endpoint silent. It is empty if all are 0.
-	HeardMs []int64 `msgpack:",omitempty"`
-	// Floors is, by model, the lowest weight version whose parts in KV stores the sender still uses.
-	Floors map[string]uint64 `msgpack:",omitempty"`
-	// Kept lists, by endpoint, the long prompt parts cached by the endpoints that the sender follows.
-	Kept map[string]cachedParts `msgpack:",omitempty"`
-}
-
-// cachedParts lists the prompt parts cached by one endpoint, as two lists of the same length.
-type cachedParts struct {
-	Keys   []uint64
-	Tokens []int
-}
-
-// setCached fills Kept from list.
-func (m *message) setCached(list []placement.CachedParts) {
-	if len(list) > 0 {
-		m.Kept = make(map[string]cachedParts, len(list))
-	}
-	for _, c := range list {
-		parts := cachedParts{Keys: make([]uint64, len(c.Parts)), Tokens: make([]int, len(c.Parts))}
-		for i, p := range c.Parts {
-			parts.Keys[i], parts.Tokens[i] = p.Key, p.Tokens
-		}
-		m.Kept[c.Endpoint] = parts
-	}
-}
-
-// cached returns the content of Kept, and false if lists that belong together differ in length.
-func (m *message) cached() (list []placement.CachedParts, ok bool) {
-	for id, parts := range m.Kept {
-		if len(parts.Keys) != len(parts.Tokens) {
-			return nil, false
-		}
-		c := placement.CachedParts{Endpoint: id}
-		for i, key := range parts.Keys {
-			c.Parts = append(c.Parts, placement.Part{Key: key, Tokens: parts.Tokens[i]})
-		}
-		list = append(list, c)
-	}
-	return list, true
-}
-
-// silentMark stands in HeardMs for an endpoint that the sender has just found silent.
-const silentMark = -1
-
-func newMessage(name string, incarnation, number uint64, loads []placement.Load) *message {
-	m := &message{Name: name, Incarnation: incarnation, Number: number}
-	if slices.ContainsFunc(loads, func(l placement.Load) bool { return l.Cold > 0 }) {
-		m.ColdMs = make([]int64, len(loads))
-		for i, l := range loads {
-			m.ColdMs[i] = l.Cold.Milliseconds()
-		}
-	}
-	if slices.ContainsFunc(loads, func(l placement.Load) bool { return l.HeardAgo > 0 || l.Silent }) {
-		m.HeardMs = make([]int64, len(loads))
-		for i, l := range loads {
-			if m.HeardMs[i] = l.HeardAgo.Milliseconds(); l.Silent {
-				m.HeardMs[i] = silentMark
-			}
-		}
-	}
-	for _, l := range loads {
-		m.Endpoints = append(m.Endpoints, l.Endpoint)
-		m.InFlight = append(m.InFlight, l.InFlight)
-		m.Pending = append(m.Pending, l.Pending)
-		m.Held = append(m.Held, l.Held)
-	}
-	return m
-}
-
-// loads returns the loads of the message, and false if its lists differ in length.
-func (m *message) loads() (list []placement.Load, ok bool) {
-	cold := m.ColdMs
-	if len(cold) == 0 {
-		cold = make([]int64, len(m.Endpoints))
-	}
-	heard := m.HeardMs
-	if len(heard) == 0 {
-		heard = make([]int64, len(m.Endpoints))
-	}
-	if len(m.InFlight) != len(m.Endpoints) || len(m.Pending) != len(m.Endpoints) || len(m.Held) != len(m.Endpoints) || len(cold) != len(m.Endpoints) ||
-		len(heard) != len(m.Endpoints) {
-		return nil, false
-	}
-	for i, id := range m.Endpoints {
-		list = append(list, placement.Load{Endpoint: id, InFlight: m.InFlight[i], Pending: m.Pending[i], Held: m.Held[i],
-			Cold:     time.Duration(cold[i]) * time.Millisecond,
-			HeardAgo: time.Duration(max(0, heard[i])) * time.Millisecond, Silent: heard[i] == silentMark})
-	}
-	return list, true
+	// Peer returns what was last recorded for another gateway.
+	Peer(peer string) (incarnation uint64, floors map[string]uint64)
 }
 
 const (
-	// minInterval is the time between two full messages of a gateway with few peers. The interval grows in proportion to the number
-	// of peers to which the messages go: minInterval for each full peersAtMinInterval of them, and at least minInterval.
+	// minInterval is the time between two full messages of a gateway with few peers in its domain. The interval grows in proportion to
+	// their number: minInterval for each full peersAtMinInterval of them, and at least minInterval.
 	minInterval        = 50 * time.Millisecond
 	peersAtMinInterval = 5
-	// maxBroadcastPeers is the number of peers up to which messages go to all of them. With that number the interval is 1 s, which is
-	// also the age from which placement.Table ignores a report; with a longer interval, reports would expire before they are renewed.
-	maxBroadcastPeers = 100
+	// maxInterval is the longest such time. It is half of the age from which placement.Table ignores a report, so that one lost message
+	// does no harm.
+	maxInterval = 500 * time.Millisecond
+	// summaryInterval is the minimum time between two full summaries of a domain, urgentSummaryInterval that between two urgent ones.
+	summaryInterval       = 100 * time.Millisecond
+	urgentSummaryInterval = 20 * time.Millisecond
 	// minUrgentInterval is the minimum time between two urgent messages without a full message between them.
 	minUrgentInterval = 5 * time.Millisecond
 	// idleInterval is the minimum time between two full messages while there is neither a load nor a cold endpoint to report.
 	idleInterval = 500 * time.Millisecond
 	// maxLoads limits the endpoints in a full message, so that the message fits into one packet. Urgent messages are not limited.
 	maxLoads = 40
+	// maxSummaryLoads limits the endpoints in a summary, and maxSummaryParts the cached parts, of which each summary has others.
+	maxSummaryLoads = 128
+	maxSummaryParts = 60
+	// cachePeriod is the time between two messages or summaries with cached parts and floors.
+	cachePeriod = 300 * time.Millisecond
 	// maxCachedParts limits the cached parts in a full message for the same reason. The key and the length of a part take up 12 bytes.
 	maxCachedParts = 60
 	// maxDatagramBytes is the size of the receive buffer; longer datagrams are truncated.
-	maxDatagramBytes = 4096
+	maxDatagramBytes = 8192
 )
 
 // Exchange sends and receives loads. Its exported fields must be set before Run is called.
@@ -197,10 +110,22 @@
 	Floors Floors
 	Log    logr.Logger
 
+	// View provides the endpoints that the keys in messages stand for.
+	View View
+
 	unreadable atomic.Int64
 	mu         sync.Mutex
 	// latest holds the last accepted message of each sender with only Incarnation and Number set.
 	latest map[string]message
+	// speakers and members describe this gateway's domain: members are the names of the other gateways of it that sent a message.
+	speakers speakers
+	members  map[string]bool
+	// ids maps the keys of the endpoints of a snapshot to their IDs.
+	ids   map[uint32]string
+	idsOf *site.Snapshot
+	// pendingUrgent are the endpoints with an urgent change that the next urgent summary reports; a value on urgentSummary starts it.
+	pendingUrgent map[string]bool
+	urgentSummary chan struct{}
 }
 
 // Unreadable returns the number of datagrams that were dropped because they could not be decoded, were malformed, or had the
@@ -210,7 +135,7 @@
 // Run exchanges loads until ctx is done.
 func (e *Exchange) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrap(err, "load exchange") }()
-	e.latest = map[string]message{}
+	e.init()
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(e.Address))
 	if err != nil {
 		return err
@@ -223,68 +148,182 @@
 	return nil
 }
 
-// sendLoop sends the state of this gateway to its peers until ctx is done.
+func (e *Exchange) init() {
+	e.latest, e.members, e.pendingUrgent = map[string]message{}, map[string]bool{}, map[string]bool{}
+	e.urgentSummary = make(chan struct{}, 1)
+	e.speakers.own = e.Address
+}
+
+// sender is the state of sendLoop.
+type sender struct {
+	exchange *Exchange
+	conn     *net.UDPConn
+	number   uint64
+	// lastSent is when the last full message was sent, lastIdle whether it had no loads, lastCached when the last one with cached parts
+	// and floors was sent. lastSummary, lastUrgentSummary and lastCachedSummary are the same for summaries.
+	lastSent, lastCached                              time.Time
+	lastSummary, lastUrgentSummary, lastCachedSummary time.Time
+	lastIdle                                          bool
+}
+
+// sendLoop sends the state of this gateway to the others of its domain, and summaries to other domains while it speaks for its own,
+// until ctx is done.
 func (e *Exchange) sendLoop(ctx context.Context, conn *net.UDPConn) {
-	var number uint64
-	var lastSent time.Time
-	lastIdle := false
-	for {
-		peers := recipients(e.Peers.Peers(), e.Domain)
-		interval := minInterval * time.Duration(max(1, len(peers)/peersAtMinInterval))
-		loads := e.Table.Loads(time.Now(), maxLoads)
-		idle := len(loads) == 0
-		if len(peers) > 0 && (!idle || !lastIdle || time.Since(lastSent) >= idleInterval) {
-			number++
-			m := newMessage(e.Name, e.Incarnation, number, loads)
-			if e.Floors != nil {
-				m.Floors = e.Floors.Own()
-			}
-			m.setCached(e.Table.LocalCaches(time.Now(), maxCachedParts))
-			e.broadcast(conn, peers, m)
-			lastSent, lastIdle = time.Now(), idle
+	s := &sender{exchange: e, conn: conn}
+	for ctx.Err() == nil {
+		now := time.Now()
+		same, others := split(e.Peers.Peers(), e.Domain)
+		s.sendFull(now, same)
+		speaks := e.speaks(same, now)
+		if speaks && now.Sub(s.lastSummary) >= max(summaryInterval, interval(len(same))) {
+			s.sendSummary(now, others)
 		}
-		number = e.sendUrgent(ctx, conn, peers, number, interval)
-		if ctx.Err() != nil {
-			return
+		s.sendUrgent(ctx, same, others, speaks, interval(len(same)))
+	}
+}
+
+// interval returns the time between two full messages to n peers.
+func interval(n int) time.Duration {
+	return min(maxInterval, minInterval*time.Duration(max(1, n/peersAtMinInterval)))
+}
+
+func (e *Exchange) speaks(same []site.Gateway, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.speakers.speaks(same, now)
+}
+
+func (s *sender) next() *message {
+	s.number++
+	return &message{Name: s.exchange.Name, Incarnation: s.exchange.Incarnation, Number: s.number}
+}
+
+func (s *sender) sendFull(now time.Time, same []site.Gateway) {
+	loads := s.exchange.Table.Loads(now, maxLoads)
+	idle := len(loads) == 0
+	if len(same) == 0 || (idle && s.lastIdle && now.Sub(s.lastSent) < idleInterval) {
+		return
+	}
+	m := s.next()
+	m.setLoads(loads)
+	if now.Sub(s.lastCached) >= cachePeriod {
+		s.lastCached = now
+		if s.exchange.Floors != nil {
+			m.Floors = s.exchange.Floors.Own()
 		}
+		m.setCached(s.exchange.Table.LocalCaches(now, maxCachedParts))
 	}
+	s.exchange.broadcast(s.conn, same, m)
+	s.lastSent, s.lastIdle = now, idle
 }
 
-// sendUrgent sends urgent load changes to peers until duration has passed or ctx is done. It takes the number of the last message
-// sent and returns the new one.
-func (e *Exchange) sendUrgent(ctx context.Context, conn *net.UDPConn, peers []site.Gateway, number uint64, duration time.Duration) uint64 {
+func (s *sender) sendSummary(now time.Time, others map[string][]site.Gateway) {
+	if len(others) == 0 {
+		return
+	}
+	e := s.exchange
+	members := e.memberNames()
+	m := s.next()
+	m.Domain = e.Domain
+	m.setLoads(e.Table.SumLoads(now, maxSummaryLoads, members))
+	if now.Sub(s.lastCachedSummary) >= cachePeriod {
+		s.lastCachedSummary = now
+		m.setCached(e.Table.GroupCaches(now, maxSummaryParts, members))
+		m.GroupFloors = e.groupFloors(members)
+	}
+	e.broadcast(s.conn, draw(others), m)
+	s.lastSummary = now
+}
+
+// memberNames returns the names of the other gateways of this domain that sent a message.
+func (e *Exchange) memberNames() map[string]bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.members)
+}
+
+// groupFloors returns the floors of the named gateways and of this one.
+func (e *Exchange) groupFloors(members map[string]bool) map[string]incarnationFloors {
+	if e.Floors == nil {
+		return nil
+	}
+	all := map[string]incarnationFloors{e.Name: {Incarnation: e.Incarnation, Floors: e.Floors.Own()}}
+	for name := range members {
+		if incarnation, floors := e.Floors.Peer(name); incarnation != 0 {
+			all[name] = incarnationFloors{Incarnation: incarnation, Floors: floors}
+		}
+	}
+	return all
+}
+
+// sendUrgent sends urgent load changes until duration has passed or ctx is done: those of this gateway to its domain, and, if this
+// gateway speaks for it, those of the domain to the others.
+func (s *sender) sendUrgent(ctx context.Context, same []site.Gateway, others map[string][]site.Gateway, speaks bool, duration time.Duration) {
+	e := s.exchange
 	end := time.After(duration)
-	urgent := e.Table.Urgent()
-	var pause <-chan time.Time
+	urgent, summary := e.Table.Urgent(), (<-chan struct{})(e.urgentSummary)
+	var pause, summaryPause <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
-			return number
+			return
 		case <-end:
-			return number
+			return
 		case <-pause:
-			urgent = e.Table.Urgent()
+			urgent, pause = e.Table.Urgent(), nil
+		case <-summaryPause:
+			summary, summaryPause = e.urgentSummary, nil
 		case <-urgent:
-			number++
-			m := newMessage(e.Name, e.Incarnation, number, e.Table.UrgentLoads(time.Now()))
+			loads := e.Table.UrgentLoads(time.Now())
+			m := s.next()
+			m.setLoads(loads)
 			m.Some = true
-			e.broadcast(conn, peers, m)
+			e.broadcast(s.conn, same, m)
+			e.queueSummary(loads)
 			urgent, pause = nil, time.After(minUrgentInterval)
+		case <-summary:
+			if wait := urgentSummaryInterval - time.Since(s.lastUrgentSummary); speaks && wait > 0 {
+				e.signalSummary()
+				summary, summaryPause = nil, time.After(wait)
+				continue
+			}
+			s.sendUrgentSummary(others, speaks)
 		}
 	}
 }
 
-// recipients returns the peers to send to: all of them, or only those of the same failure domain if with all of them the interval
-// would exceed the age at which a report expires. If no peer is in the same failure domain, it returns all of them.
-func recipients(peers []site.Gateway, domain string) []site.Gateway {
-	if len(peers) <= maxBroadcastPeers {
-		return peers
+// queueSummary adds endpoints to those that the next urgent summary reports.
+func (e *Exchange) queueSummary(loads []placement.Load) {
+	e.mu.Lock()
+	for _, l := range loads {
+		e.pendingUrgent[l.Endpoint] = true
 	}
-	sameDomain := slices.DeleteFunc(slices.Clone(peers), func(p site.Gateway) bool { return p.FailureDomain != domain })
-	if len(sameDomain) == 0 {
-		return peers
+	e.mu.Unlock()
+	e.signalSummary()
+}
+
+func (e *Exchange) signalSummary() {
+	select {
+	case e.urgentSummary <- struct{}{}:
+	default:
+	}
+}
+
+func (s *sender) sendUrgentSummary(others map[string][]site.Gateway, speaks bool) {
+	e := s.exchange
+	e.mu.Lock()
+	endpoints := slices.Collect(maps.Keys(e.pendingUrgent))
+	clear(e.pendingUrgent)
+	e.mu.Unlock()
+	if !speaks || len(others) == 0 || len(endpoints) == 0 {
+		return
 	}
-	return sameDomain
+	now := time.Now()
+	m := s.next()
+	m.Domain, m.Some = e.Domain, true
+	m.setLoads(e.Table.SumLoadsAt(now, endpoints[:min(len(endpoints), maxSummaryLoads)], e.memberNames()))
+	e.broadcast(s.conn, draw(others), m)
+	s.lastUrgentSummary = now
 }
 
 func (e *Exchange) broadcast(conn *net.UDPConn, peers []site.Gateway, m *message) {
@@ -302,44 +341,105 @@
 func (e *Exchange) receive(conn *net.UDPConn) {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			continue
 		}
-		e.handle(buffer[:n], time.Now())
+		if passOn := e.handle(buffer[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), time.Now()); passOn != nil {
+			same, _ := split(e.Peers.Peers(), e.Domain)
+			e.broadcast(conn, same, passOn)
+		}
+	}
+}
+
+// endpointIDs returns the IDs of the endpoints of the current snapshot by their keys. The result must not be changed.
+func (e *Exchange) endpointIDs() map[uint32]string {
+	snapshot := e.View.Current()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.idsOf != snapshot {
+		ids := map[uint32]string{}
+		for _, endpoints := range snapshot.Endpoints {
+			for _, endpoint := range endpoints {
+				ids[endpointKey(endpoint.ID)] = endpoint.ID
+			}
+		}
+		e.ids, e.idsOf = ids, snapshot
 	}
+	return e.ids
 }
 
 // handle decodes a datagram and applies it to the table and the floors. A datagram is dropped if its number is not higher than that
-// of the last accepted one of the same sender and incarnation.
-func (e *Exchange) handle(b []byte, now time.Time) {
+// of the last accepted one of the same sender and incarnation. It returns the message that is to be passed on to the domain, nil if
+// there is none.
+func (e *Exchange) handle(b []byte, from netip.AddrPort, now time.Time) (passOn *message) {
 	var m message
 	err := msgpack.Unmarshal(b, &m)
-	loads, loadsOK := m.loads()
-	cached, cachedOK := m.cached()
+	ids := e.endpointIDs()
+	loads, loadsOK := m.loads(ids)
+	cached, cachedOK := m.cached(ids)
 	if err != nil || !loadsOK || !cachedOK || m.Name == "" || m.Name == e.Name {
 		e.unreadable.Add(1)
-		return
+		return nil
 	}
-	e.mu.Lock()
-	last, seen := e.latest[m.Name]
-	outdated := seen && last.Incarnation == m.Incarnation && m.Number <= last.Number
-	if !outdated {
-		e.latest[m.Name] = message{Incarnation: m.Incarnation, Number: m.Number}
+	if !e.accept(&m, from, now) {
+		return nil
+	}
+	source := m.Name
+	if m.Domain != "" {
+		source = domainSource(m.Domain)
+		if !m.PassedOn {
+			passOn = &m
+			passOn.PassedOn = true
+		}
 	}
-	e.mu.Unlock()
 	switch {
-	case outdated:
 	case m.Some:
-		e.Table.UpdatePeerLoads(now, m.Name, loads)
+		e.Table.UpdatePeerLoads(now, source, loads)
+		if m.Domain == "" {
+			e.queueSummary(loads)
+		}
 	default:
-		e.Table.SetPeerLoads(now, m.Name, loads)
-		e.Table.SetPeerCaches(now, cached)
-		if e.Floors != nil {
+		e.Table.SetPeerLoads(now, source, loads)
+	}
+	if len(cached) > 0 {
+		e.Table.SetPeerCaches(now, source, cached)
+	}
+	if e.Floors != nil {
+		if m.Floors != nil {
 			e.Floors.SetPeer(m.Name, m.Incarnation, m.Floors, bootclock.Now())
 		}
+		for name, f := range m.GroupFloors {
+			if name != e.Name {
+				e.Floors.SetPeer(name, f.Incarnation, f.Floors, bootclock.Now())
+			}
+		}
+	}
+	return passOn
+}
+
+// domainSource is the name under which the table records the loads of a whole domain.
+func domainSource(domain string) string { return "Domain " + domain }
+
+// accept reports whether a message is newer than the last one of its sender, and records it. A summary of this gateway's own domain is
+// not accepted, since its gateways are known themselves.
+func (e *Exchange) accept(m *message, from netip.AddrPort, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if m.Domain == e.Domain && m.Domain != "" {
+		return false
+	}
+	last, seen := e.latest[m.Name]
+	if seen && last.Incarnation == m.Incarnation && m.Number <= last.Number {
+		return false
+	}
+	e.latest[m.Name] = message{Incarnation: m.Incarnation, Number: m.Number}
+	if m.Domain == "" {
+		e.members[m.Name] = true
+		e.speakers.hear(from, now)
 	}
+	return true
 }
--- a/internal/connection/loads/exchange_test.go
+++ b/internal/connection/loads/exchange_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +16,7 @@
 
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/tiering"
 )
 
 // table is a Table that records the values it receives.
@@ -43,7 +46,15 @@
 
 func (t *table) LocalCaches(time.Time, int) []placement.CachedParts { return t.cached }
 
-func (t *table) SetPeerCaches(_ time.Time, cached []placement.CachedParts) {
+func (t *table) SumLoads(now time.Time, limit int, _ map[string]bool) []placement.Load {
+	return t.Loads(now, limit)
+}
+
+func (t *table) SumLoadsAt(time.Time, []string, map[string]bool) []placement.Load { return t.urgent }
+
+func (t *table) GroupCaches(time.Time, int, map[string]bool) []placement.CachedParts { return t.cached }
+
+func (t *table) SetPeerCaches(_ time.Time, _ string, cached []placement.CachedParts) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.peerCached = cached
@@ -79,6 +90,13 @@
 	return list
 }
 
+// view lists the endpoints e1, e2, new, old and restarted.
+type view struct{}
+
+var viewSnapshot = &site.Snapshot{Endpoints: map[string][]*site.Endpoint{"S": {{ID: "e1"}, {ID: "e2"}, {ID: "new"}, {ID: "old"}, {ID: "restarted"}}}}
+
+func (view) Current() *site.Snapshot { return viewSnapshot }
+
 // freeAddress returns a local UDP address that is not in use.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
@@ -99,8 +117,8 @@
 	tableA.cached = []placement.CachedParts{{Endpoint: "e1", Parts: []placement.Part{{Key: 1 << 63, Tokens: 2000}, {Key: 7, Tokens: 1500}}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 2)
-	for _, e := range []*Exchange{{Name: "A", Address: a, Peers: peers{b}, Table: tableA, Log: logr.Discard()},
-		{Name: "B", Address: b, Peers: peers{a}, Table: tableB, Log: logr.Discard()}} {
+	for _, e := range []*Exchange{{Name: "A", Address: a, Peers: peers{b}, Table: tableA, View: view{}, Log: logr.Discard()},
+		{Name: "B", Address: b, Peers: peers{a}, Table: tableB, View: view{}, Log: logr.Discard()}} {
 		go func() { ended <- e.Run(ctx) }()
 	}
 	defer func() {
@@ -135,11 +153,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 2)
 	many := peers{b}
-	for len(many) < 100 { // the interval between full messages is 1 s with this many peers
+	for len(many) < 100 { // the interval between full messages is 500 ms with this many peers
 		many = append(many, netip.MustParseAddrPort("127.0.0.1:9"))
 	}
-	for _, e := range []*Exchange{{Name: "A", Address: a, Peers: many, Table: tableA, Log: logr.Discard()},
-		{Name: "B", Address: b, Peers: peers{}, Table: tableB, Log: logr.Discard()}} {
+	for _, e := range []*Exchange{{Name: "A", Address: a, Peers: many, Table: tableA, View: view{}, Log: logr.Discard()},
+		{Name: "B", Address: b, Peers: peers{}, Table: tableB, View: view{}, Log: logr.Discard()}} {
 		go func() { ended <- e.Run(ctx) }()
 	}
 	defer func() {
@@ -169,45 +187,233 @@
 func TestOutdatedAndUnreadableDatagrams(t *testing.T) {
 	is := is.New(t)
 	tbl := &table{}
-	e := &Exchange{Name: "A", Table: tbl, latest: map[string]message{}}
+	e := &Exchange{Name: "A", Table: tbl, View: view{}}
+	e.init()
 	handle := func(m *message) {
 		b, err := msgpack.Marshal(m)
 		is.NoErr(err)
-		e.handle(b, time.Now())
+		e.handle(b, netip.AddrPort{}, time.Now())
 	}
-	handle(newMessage("B", 1, 5, []placement.Load{{Endpoint: "new"}}))
-	handle(newMessage("B", 1, 4, []placement.Load{{Endpoint: "old"}}))
+	newMessage := func(incarnation, number uint64, endpoint string) *message {
+		m := &message{Name: "B", Incarnation: incarnation, Number: number}
+		m.setLoads([]placement.Load{{Endpoint: endpoint}})
+		return m
+	}
+	handle(newMessage(1, 5, "new"))
+	handle(newMessage(1, 4, "old"))
 	is.Equal(tbl.loadsOf("B")[0].Endpoint, "new")
-	handle(newMessage("B", 2, 1, []placement.Load{{Endpoint: "restarted"}}))
+	handle(newMessage(2, 1, "restarted"))
 	is.Equal(tbl.loadsOf("B")[0].Endpoint, "restarted")
 	for _, bad := range []string{"", "\xc1", "GET / HTTP/1.1\r\n", "\x81\xa4Name"} {
-		e.handle([]byte(bad), time.Now())
+		e.handle([]byte(bad), netip.AddrPort{}, time.Now())
 	}
 	handle(&message{Name: "A", Number: 9}) // this gateway's own name
-	handle(&message{Name: "B", Incarnation: 2, Number: 2, Endpoints: []string{"e1"}})
-	handle(&message{Name: "B", Incarnation: 2, Number: 3, Endpoints: []string{"e1"}, InFlight: []int{1}, Pending: []int{1}, ColdMs: []int64{1, 2}})
-	handle(&message{Name: "B", Incarnation: 2, Number: 4, Kept: map[string]cachedParts{"e1": {Keys: []uint64{1}}}})
+	handle(&message{Name: "B", Incarnation: 2, Number: 2, Endpoints: []uint32{1}})
+	handle(&message{Name: "B", Incarnation: 2, Number: 3, Endpoints: []uint32{1}, InFlight: []int{1}, Pending: []int{1}, Held: []int{1}, ColdMs: []int64{1, 2}})
+	handle(&message{Name: "B", Incarnation: 2, Number: 4, Kept: map[uint32]cachedParts{1: {Keys: []uint64{1}}}})
 	is.Equal(e.Unreadable(), int64(8))
 }
 
-// TestRecipients guards against sending to so many peers that reports expire before they are renewed, and against a gateway that
-// sends to no peer.
-func TestRecipients(t *testing.T) {
-	many := func(n int, domains ...string) (list []site.Gateway) {
-		for i := range n {
-			list = append(list, site.Gateway{FailureDomain: domains[i%len(domains)]})
-		}
-		return list
-	}
-	for name, c := range map[string]struct {
-		peers []site.Gateway
-		want  int
-	}{
-		"few":                              {many(30, "a", "b", "c"), 30},
-		"many":                             {many(300, "a", "b", "c"), 100},
-		"many and none in the same domain": {many(300, "b", "c"), 300},
-		"none":                             {nil, 0},
-	} {
-		t.Run(name, func(t *testing.T) { is.New(t).Equal(len(recipients(c.peers, "a")), c.want) })
+// group is a gateway with a real table.
+type group struct {
+	exchange *Exchange
+	table    *placement.Table
+}
+
+// startGroups starts gateways with real tables, one for each of the domains, until the end of the test.
+func startGroups(t *testing.T, domains ...string) (gateways []group) {
+	t.Helper()
+	var all []site.Gateway
+	for _, domain := range domains {
+		all = append(all, site.Gateway{Address: freeAddress(t), FailureDomain: domain})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, len(all))
+	for i, self := range all {
+		others := slices.Concat(all[:i], all[i+1:])
+		table := placement.New()
+		table.SetEndpoints(time.Now(), nil, viewSnapshot.Endpoints["S"])
+		g := group{table: table, exchange: &Exchange{Name: fmt.Sprintf("G%d", i), Incarnation: 1, Address: self.Address, Domain: self.FailureDomain,
+			Peers: gatewayList(others), Table: table, View: view{}, Floors: &tiering.Floors{}, Log: logr.Discard()}}
+		gateways = append(gateways, g)
+		go func() { ended <- g.exchange.Run(ctx) }()
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range gateways {
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	return gateways
+}
+
+type gatewayList []site.Gateway
+
+func (l gatewayList) Peers() []site.Gateway { return l }
+
+// inFlight returns the requests in flight at an endpoint as a gateway knows them.
+func (g group) inFlight(endpoint string) int {
+	everyone := map[string]bool{}
+	for i := range 16 {
+		everyone[fmt.Sprintf("G%d", i)] = true
+	}
+	for _, domain := range []string{"a", "b", "c"} {
+		everyone[domainSource(domain)] = true
+	}
+	for _, l := range g.table.SumLoads(time.Now(), 100, everyone) {
+		if l.Endpoint == endpoint {
+			return l.InFlight
+		}
+	}
+	return 0
+}
+
+// TestSummaries guards against loads that other domains don't learn of, and against loads that are counted twice since a gateway
+// learns of them both by itself and in a summary, or by the summaries of two gateways.
+func TestSummaries(t *testing.T) {
+	is := is.New(t)
+	gateways := startGroups(t, "a", "a", "a", "b", "b", "c")
+	e1 := viewSnapshot.Endpoints["S"][0]
+	short, long := &placement.Request{Tokens: 100}, &placement.Request{Tokens: 9000}
+	for i, g := range gateways {
+		g.table.Sent(time.Now(), e1, short, 100)
+		if i == 1 {
+			g.table.Sent(time.Now(), e1, long, 9000)
+		}
+	}
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		var counts []int
+		for _, g := range gateways {
+			counts = append(counts, g.inFlight("e1"))
+			is.True(counts[len(counts)-1] <= 7) // counted twice
+		}
+		if slices.Min(counts) == 7 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("the gateways know of %v requests in flight, want 7 each", counts)
+		}
+	}
+	for range 100 { // while two gateways may take themselves for the speaker, and after
+		for _, g := range gateways {
+			is.True(g.inFlight("e1") <= 7)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	gateways[1].table.Ended(time.Now(), e1, long, 9000, placement.Answered)
+	for deadline := time.Now().Add(time.Second); gateways[5].inFlight("e1") != 6; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("a domain did not learn within 1 s of the end of a long prompt in another one")
+		}
+	}
+}
+
+// TestFloorsReachAllDomains guards against parts that are never freed, or freed too early, since the floors of a gateway of another domain
+// are not known.
+func TestFloorsReachAllDomains(t *testing.T) {
+	gateways := startGroups(t, "a", "a", "b", "b")
+	for i, g := range gateways {
+		g.exchange.Floors.(*tiering.Floors).Raise("M", uint64(10+i), time.Second)
+	}
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		missing := ""
+		for i, g := range gateways {
+			for j := range gateways {
+				if _, floors := g.exchange.Floors.Peer(fmt.Sprintf("G%d", j)); i != j && floors["M"] != uint64(10+j) {
+					missing += fmt.Sprintf(" G%d of G%d: %v", i, j, floors)
+				}
+			}
+		}
+		if missing == "" {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("floors are not known:%s", missing)
+		}
+	}
+}
+
+// TestSpeaker guards against a domain that nobody speaks for, as after the end of its speaker, and against one for which all speak.
+func TestSpeaker(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var members []site.Gateway
+	for i := range 20 {
+		members = append(members, site.Gateway{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)})
+	}
+	count := func(now time.Time, alive func(i int) bool) (speaking int) {
+		for i := range members {
+			if !alive(i) {
+				continue
+			}
+			s := speakers{own: members[i].Address}
+			for j := range members {
+				if j != i && alive(j) {
+					s.hear(members[j].Address, now)
+				} else if j != i {
+					s.hear(members[j].Address, now.Add(-2*speakerTimeout))
+				}
+			}
+			if s.speaks(slices.Concat(members[:i], members[i+1:]), now) {
+				speaking++
+			}
+		}
+		return speaking
+	}
+	is.Equal(count(now, func(int) bool { return true }), 1)
+	for dead := range members {
+		is.Equal(count(now, func(i int) bool { return i != dead }), 1)
+	}
+	alone := speakers{own: members[0].Address}
+	is.True(alone.speaks(members[1:], now)) // heard nobody yet
+}
+
+// TestInterval guards against an interval at which reports expire before they are renewed.
+func TestInterval(t *testing.T) {
+	is := is.New(t)
+	is.Equal(interval(0), minInterval)
+	is.Equal(interval(20), 4*minInterval)
+	is.Equal(interval(1000), maxInterval)
+}
+
+// BenchmarkGateway measures what one gateway does for a full message of its own and a summary, by the size of its group and the number
+// of groups that it receives summaries of.
+func BenchmarkGateway(b *testing.B) {
+	for _, size := range []int{7, 20, 50} {
+		for _, groups := range []int{2, 4, 25} {
+			b.Run(fmt.Sprintf("group=%d/groups=%d", size, groups), func(b *testing.B) {
+				benchmarkGateway(b, size, groups)
+			})
+		}
+	}
+}
+
+func benchmarkGateway(b *testing.B, size, groups int) {
+	now := time.Now()
+	table := placement.New()
+	table.SetEndpoints(now, nil, viewSnapshot.Endpoints["S"])
+	e := &Exchange{Name: "A", Domain: "a", Table: table, View: view{}, Log: logr.Discard()}
+	e.init()
+	encode := func(name, domain string, number uint64) []byte {
+		m := &message{Name: name, Domain: domain, Incarnation: 1, Number: number}
+		m.setLoads([]placement.Load{{Endpoint: "e1", InFlight: 3, Pending: 900, Held: 4000}, {Endpoint: "e2", InFlight: 1, Held: 100}})
+		encoded, err := msgpack.Marshal(m)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return encoded
+	}
+	b.ReportAllocs()
+	number := uint64(0)
+	for b.Loop() {
+		number++
+		for i := range size {
+			e.handle(encode(fmt.Sprint("G", i), "", number), netip.AddrPort{}, now)
+		}
+		for i := range groups {
+			e.handle(encode(fmt.Sprint("S", i), fmt.Sprint("d", i), number), netip.AddrPort{}, now)
+		}
 	}
 }
--- a/internal/process/gateway/memory_test.go
+++ b/internal/process/gateway/memory_test.go
@@ -44,7 +44,7 @@
 					for i := range parts {
 						parts[i] = placement.Part{Key: uint64(i), Tokens: 12800}
 					}
-					table.SetPeerCaches(now, []placement.CachedParts{{Endpoint: e.ID, Parts: parts}})
+					table.SetPeerCaches(now, "G", []placement.CachedParts{{Endpoint: e.ID, Parts: parts}})
 				}
 				places := ring.New(nil, members)
 				b.ReportMetric(float64(heapAlloc()-before)/float64(n), "B/endpoint")
--- a/pkg/placement/cachedparts.go
+++ b/pkg/placement/cachedparts.go
@@ -33,7 +33,9 @@
 type cacheReport struct {
 	receivedAt time.Time
 	local      bool
-	parts      []Part
+	// source is the gateway or group of gateways that reported it, empty if it is local.
+	source string
+	parts  []Part
 }
 
 func (r cacheReport) fresh(now time.Time) bool {
@@ -64,13 +66,14 @@
 	return list
 }
 
-// SetPeerCaches records what another gateway reports about the endpoints whose caches it follows. A recent local report takes precedence.
-func (t *Table) SetPeerCaches(now time.Time, list []CachedParts) {
+// SetPeerCaches records what another gateway or group of gateways reports about the endpoints whose caches it follows. A recent local
+// report takes precedence.
+func (t *Table) SetPeerCaches(now time.Time, peer string, list []CachedParts) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range list {
 		if s := t.states[c.Endpoint]; s != nil && !(s.cache.local && s.cache.fresh(now)) {
-			s.cache = cacheReport{receivedAt: now, parts: c.Parts}
+			s.cache = cacheReport{receivedAt: now, source: peer, parts: c.Parts}
 		}
 	}
 }
--- a/pkg/placement/cachedparts_test.go
+++ b/pkg/placement/cachedparts_test.go
@@ -39,7 +39,7 @@
 			list := endpoints(3)
 			table := newTable(nil, list, now)
 			for id, parts := range c.cached {
-				table.SetPeerCaches(now.Add(-c.age), []placement.CachedParts{{Endpoint: id, Parts: parts}})
+				table.SetPeerCaches(now.Add(-c.age), "G", []placement.CachedParts{{Endpoint: id, Parts: parts}})
 			}
 			req := &placement.Request{Service: "S", Tokens: 17000, Shared: 12800, Homes: []string{"e0"}, Parts: shares(part), Gateways: 1}
 			choice, refusal := table.Choose(now, req, list)
@@ -121,12 +121,12 @@
 	list := endpoints(3)
 	table := newTable(nil, list, now)
 	table.SetLocalCache(now, "e0", []placement.Part{{Key: 1, Tokens: 2000}, {Key: 2, Tokens: 2000}})
-	table.SetPeerCaches(now, []placement.CachedParts{{Endpoint: "e1", Parts: []placement.Part{{Key: 3, Tokens: 2000}}}, {Endpoint: "foreign"}})
+	table.SetPeerCaches(now, "G", []placement.CachedParts{{Endpoint: "e1", Parts: []placement.Part{{Key: 3, Tokens: 2000}}}, {Endpoint: "foreign"}})
 	local := table.LocalCaches(now, 10)
 	is.Equal(local, []placement.CachedParts{{Endpoint: "e0", Parts: []placement.Part{{Key: 1, Tokens: 2000}, {Key: 2, Tokens: 2000}}}})
 	is.Equal(len(table.LocalCaches(now, 1)), 0) // not half of the endpoint's parts
 	is.Equal(len(table.LocalCaches(now.Add(time.Minute), 10)), 0)
-	table.SetPeerCaches(now, []placement.CachedParts{{Endpoint: "e0"}}) // another gateway also reports the endpoint
+	table.SetPeerCaches(now, "G", []placement.CachedParts{{Endpoint: "e0"}}) // another gateway also reports the endpoint
 	is.Equal(table.LocalCaches(now, 10), local)
 }
 
--- a/pkg/placement/hot_test.go
+++ b/pkg/placement/hot_test.go
@@ -95,7 +95,7 @@
 			}
 			for len(inTransit) > 0 && !inTransit[0].at.After(now) {
 				for _, t := range tables {
-					t.SetPeerCaches(now, []placement.CachedParts{{Endpoint: list[inTransit[0].engine].ID, Parts: inTransit[0].parts}})
+					t.SetPeerCaches(now, "G", []placement.CachedParts{{Endpoint: list[inTransit[0].engine].ID, Parts: inTransit[0].parts}})
 				}
 				inTransit = inTransit[1:]
 			}
--- a/pkg/placement/peers.go
+++ b/pkg/placement/peers.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // Load is the load that one gateway causes at an endpoint.
 type Load struct {
@@ -85,14 +81,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, s := range t.states {
-		if l := s.load(now, id); l.InFlight > 0 || l.Pending > 0 || l.Cold > 0 {
+		if l := s.load(now, id); l.matters() {
 			list = append(list, l)
 		}
 	}
-	slices.SortFunc(list, func(a, b Load) int {
-		return cmp.Or(cmp.Compare(min(1, b.Cold), min(1, a.Cold)),
-			cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.InFlight, a.InFlight), cmp.Compare(a.Endpoint, b.Endpoint))
-	})
+	sortLoads(list)
 	return list[:min(limit, len(list))]
 }
 
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -84,6 +84,8 @@
 	// coldUntil is the end of the cold phase by the endpoint's own statement, which is reported to other gateways.
 	coldUntil time.Time
 	cache     cacheReport
+	// cacheReturned is when GroupCaches last returned the cache of the endpoint.
+	cacheReturned time.Time
 	// ownHeardAt is when the endpoint last sent anything to this gateway, heardAt the same or, as reported, to any gateway. silentUntil is how long an
 	// endpoint that was found silent by this gateway is reported to the others; accusedAt is when another gateway last reported that.
 	ownHeardAt  time.Time
--- a/pkg/tiering/floors.go
+++ b/pkg/tiering/floors.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -58,8 +59,13 @@
 type peerFloors struct {
 	incarnation uint64
 	floors      map[string]floorHistory
+	// former are the last incarnations before this one, whose reports may still be on their way through other gateways.
+	former []uint64
 }
 
+// maxFormerIncarnations limits peerFloors.former. A gateway does not start that often within the time for which messages are passed on.
+const maxFormerIncarnations = 8
+
 // Raise raises this gateway's own floor of a model to version. It reports whether the floor was below version.
 func (f *Floors) Raise(model string, version uint64, now time.Duration) (raised bool) {
 	f.mu.Lock()
@@ -111,7 +117,8 @@
 	return version >= f.own[model].version()
 }
 
-// SetPeer records the floors that another gateway sent. If its incarnation has changed, the floors recorded before are discarded.
+// SetPeer records the floors that another gateway sent. If its incarnation has changed, the floors recorded before are discarded. Those
+// of a former incarnation, which may have been passed on late, are ignored: they may be higher than what the new one still uses.
 func (f *Floors) SetPeer(peer string, incarnation uint64, floors map[string]uint64, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -119,8 +126,16 @@
 		f.peers = map[string]*peerFloors{}
 	}
 	p := f.peers[peer]
+	if p != nil && slices.Contains(p.former, incarnation) {
+		return
+	}
 	if p == nil || p.incarnation != incarnation {
-		p = &peerFloors{incarnation: incarnation, floors: map[string]floorHistory{}}
+		next := &peerFloors{incarnation: incarnation, floors: map[string]floorHistory{}}
+		if p != nil {
+			next.former = append(p.former, p.incarnation)
+			next.former = next.former[max(0, len(next.former)-maxFormerIncarnations):]
+		}
+		p = next
 		f.peers[peer] = p
 	}
 	for model, version := range floors {
@@ -130,6 +145,21 @@
 	}
 }
 
+// Peer returns the incarnation and the floors by model that were last recorded for another gateway, 0 and nil if there are none.
+func (f *Floors) Peer(peer string) (incarnation uint64, floors map[string]uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[peer]
+	if p == nil {
+		return 0, nil
+	}
+	floors = make(map[string]uint64, len(p.floors))
+	for model, history := range p.floors {
+		floors[model] = history.version()
+	}
+	return p.incarnation, floors
+}
+
 // RetainPeers discards the floors of the peers for which keep returns false.
 func (f *Floors) RetainPeers(keep func(peer string) bool) {
 	f.mu.Lock()
--- a/pkg/tiering/floors_test.go
+++ b/pkg/tiering/floors_test.go
@@ -107,8 +107,9 @@
 	is.True(!f.Unused("M", 1, []string{"a"}, time.Second+tiering.TransferTimeout)) // a fetch that gateway a started may still run
 	is.True(f.Unused("M", 1, []string{"a"}, 5*time.Second))
 	is.True(!f.Unused("M", 2, []string{"a"}, time.Hour))
-	is.True(!f.Unused("M", 1, []string{"a", "b"}, time.Hour)) // gateway b has sent no floors
-	f.SetPeer("a", 2, map[string]uint64{}, 10*time.Second)    // gateway a restarted and has not learned of version 2
+	is.True(!f.Unused("M", 1, []string{"a", "b"}, time.Hour))    // gateway b has sent no floors
+	f.SetPeer("a", 2, map[string]uint64{}, 10*time.Second)       // gateway a restarted and has not learned of version 2
+	f.SetPeer("a", 1, map[string]uint64{"M": 2}, 10*time.Second) // passed on late by another gateway
 	is.True(!f.Unused("M", 1, []string{"a"}, time.Hour))
 	f.RetainPeers(func(string) bool { return false })
 	is.True(!f.Unused("M", 1, []string{"a"}, time.Hour))
