--- a/internal/connection/endpoint/conn.go
+++ b/internal/connection/endpoint/conn.go
@@ -27,12 +27,45 @@
 	// maxStrayResponses limits the responses that are skipped before the expected one: 1xx responses and responses to earlier
 	// requests.
 	maxStrayResponses = 3
+	// maxHeadBytes limits the heads of a response and of all that is skipped before it, and maxStrayBody the bodies that are skipped.
+	// net/http's parser has no limit of its own: a head without end would be read until the memory is full.
+	maxHeadBytes = 256 << 10
+	maxStrayBody = 256 << 10
 )
 
+// errHeadTooLong means that the endpoint sent maxHeadBytes before the end of a head.
+var errHeadTooLong = errors.New("head of the response is too long")
+
+// headLimiter reads from a connection and, while limited, no more than remaining bytes.
+type headLimiter struct {
+	net.Conn
+	limited   bool
+	remaining int
+}
+
+// limit allows n bytes from now on, and any number if n is negative.
+func (r *headLimiter) limit(n int) { r.limited, r.remaining = n >= 0, n }
+
+// Read implements io.Reader.
+func (r *headLimiter) Read(p []byte) (n int, err error) {
+	if r.limited && r.remaining == 0 {
+		return 0, errHeadTooLong
+	}
+	if r.limited && len(p) > r.remaining {
+		p = p[:r.remaining]
+	}
+	n, err = r.Conn.Read(p)
+	if r.limited {
+		r.remaining -= n
+	}
+	return n, err
+}
+
 // conn is one connection to an endpoint.
 type conn struct {
 	net.Conn
 	br        *bufio.Reader
+	limiter   *headLimiter
 	idleSince time.Time
 	idleLimit time.Duration
 	// reused is set after the first request. The send of a later request may fail because the endpoint has closed the idle
@@ -44,7 +77,8 @@
 	if tcp, ok := c.(*net.TCPConn); ok {
 		setKeepAlive(tcp)
 	}
-	return &conn{Conn: c, br: bufio.NewReaderSize(c, 4096), idleLimit: defaultIdleLimit}
+	limiter := &headLimiter{Conn: c}
+	return &conn{Conn: c, br: bufio.NewReaderSize(limiter, 4096), limiter: limiter, idleLimit: defaultIdleLimit}
 }
 
 // setKeepAlive makes the kernel close a connection whose endpoint has acknowledged nothing for silenceTimeout.
@@ -125,10 +159,11 @@
 }
 
 // readResponse returns the response to the call with its body unread. It skips up to maxStrayResponses
-// responses that are 1xx or belong to earlier requests.
+// responses that are 1xx or belong to earlier requests, as long as their heads and bodies are not too long.
 func (x *exchange) readResponse(call *Call) (response *http.Response, err error) {
 	defer func() { err = errors.Wrap(err, "read") }()
 	request := &http.Request{Method: call.Method}
+	x.conn.limiter.limit(maxHeadBytes)
 	for range maxStrayResponses + 1 {
 		response, err := http.ReadResponse(x.conn.br, request)
 		if err != nil {
@@ -137,15 +172,18 @@
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
-		if call.Matches == nil || call.Matches(response.StatusCode, response.Header) {
+		if call.Matches == nil || call.Matches(response.StatusCode, response.Header, !x.conn.reused) {
+			x.conn.limiter.limit(-1)
 			return response, nil
 		}
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			break // The end of this response is the end of the connection, so that no other can follow.
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, errors.Mark(err, ErrBroken)
+		x.conn.limiter.limit(-1)
+		if n, err := io.CopyN(io.Discard, response.Body, maxStrayBody+1); n > maxStrayBody || !errors.Is(err, io.EOF) {
+			return nil, errors.Mark(errors.Newf("stray response has no end after %d bytes: %v", n, err), ErrBroken)
 		}
+		x.conn.limiter.limit(maxHeadBytes)
 	}
 	return nil, errors.Wrap(ErrBroken, "no response to this request among those that arrived")
 }
--- a/internal/connection/endpoint/pool.go
+++ b/internal/connection/endpoint/pool.go
@@ -43,9 +43,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response belongs to this call and not to an earlier one on the same connection. If it is nil,
-	// every response is accepted.
-	Matches func(status int, header http.Header) bool
+	// Matches reports whether a response belongs to this call and not to an earlier one on the same connection; first is set if the
+	// connection has not carried any. If it is nil, every response is accepted.
+	Matches func(status int, header http.Header, first bool) bool
 	// RecentConn is set for a request that must not run twice. The request is sent on a new connection or on one that has been
 	// idle for less than half of its idle limit, because the endpoint is unlikely to close such a connection just as the request
 	// arrives.
--- a/internal/connection/endpoint/pool_test.go
+++ b/internal/connection/endpoint/pool_test.go
@@ -78,7 +78,7 @@
 
 func newCall(id string) *Call {
 	return &Call{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id }}
+		Matches: func(_ int, h http.Header, _ bool) bool { return h.Get("Id") == id }}
 }
 
 // send sends a call and returns the body of its response.
--- a/internal/connection/front/server.go
+++ b/internal/connection/front/server.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"primrosecourse/pkg/site"
@@ -91,14 +92,31 @@
 // Active returns the number of requests in progress.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
+// Busy returns the number of connections with a request in progress, one that is being read, or bytes of one that have arrived.
+func (s *Server) Busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	busy := len(s.open) - len(s.idle)
+	for c := range s.idle {
+		if hasArrived(c) {
+			busy++
+		}
+	}
+	return busy
+}
+
 // Drain makes the server close each connection after the response to the next request that it reads on it.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes the connections without a request in progress.
+// CloseIdle closes the connections without a request in progress. A connection on which bytes of a request have arrived is left open
+// until that request is answered.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.idle {
+		if hasArrived(c) {
+			continue
+		}
 		// serveNext drops a request that arrives on a connection that is no longer in the set. Otherwise the request would be
 		// handled although its response can't be sent.
 		delete(s.idle, c)
@@ -106,6 +124,25 @@
 	}
 }
 
+// hasArrived reports whether bytes have arrived on a connection that nobody has read yet. The goroutine of the connection reads them as
+// soon as it runs.
+func hasArrived(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var buffer [1]byte
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // CloseAll closes all connections.
 func (s *Server) CloseAll() {
 	s.mu.Lock()
@@ -211,6 +248,9 @@
 	w.closeAfter = !keepAlive || s.draining.Load()
 	s.handle(ctx, c, br, request, w)
 	if w.aborted || w.err != nil || !w.ended {
+		if tcp, ok := c.(*net.TCPConn); ok && w.started && w.unframed {
+			_ = tcp.SetLinger(0)
+		}
 		return false
 	}
 	if w.closeAfter {
--- a/internal/connection/front/writer.go
+++ b/internal/connection/front/writer.go
@@ -23,8 +23,10 @@
 	// closeAfter is set if the connection closes after this response.
 	closeAfter bool
 
-	started   bool
-	chunked   bool
+	started bool
+	chunked bool
+	// unframed is set if only the end of the connection marks the end of the body.
+	unframed  bool
 	remaining int64 // the announced length minus the bytes written; negative if no length was announced
 	ended     bool
 	aborted   bool
@@ -42,7 +44,11 @@
 		return errors.New("response has already been started")
 	}
 	w.started = true
+	if status == http.StatusNoContent || status == http.StatusNotModified {
+		w.noBody = true // Framing and a body would be taken for the beginning of the next response.
+	}
 	w.chunked = length < 0 && !w.http10
+	w.unframed = length < 0 && w.http10
 	w.remaining = length
 	if length < 0 && w.http10 {
 		w.closeAfter = true
@@ -58,6 +64,7 @@
 		}
 	}
 	switch {
+	case status == http.StatusNoContent || status == http.StatusNotModified:
 	case w.chunked:
 		w.writeString("Transfer-Encoding: chunked\r\n")
 	case length >= 0:
@@ -119,7 +126,8 @@
 	return w.Flush()
 }
 
-// Abort makes the connection close without the end of the response, so that the caller sees that it is incomplete.
+// Abort makes the connection close without the end of the response, so that the caller sees that it is incomplete. A body whose end is
+// that of the connection is broken off by a reset.
 func (w *Writer) Abort() { w.aborted = true }
 
 // Answer writes a whole response.
--- a/internal/connection/kvstore/relay.go
+++ b/internal/connection/kvstore/relay.go
@@ -29,7 +29,7 @@
 	// yet can still poll the store.
 	readerShare = 0.6
 	// maxRelayResponseBytes limits a response of another gateway.
-	maxRelayResponseBytes = 64 << 20
+	maxRelayResponseBytes = 8 << 20
 )
 
 // changeLog holds the recent changes of a store for the gateways that poll this one. The mu of the catalog guards it.
--- a/internal/connection/watchrelay/relay.go
+++ b/internal/connection/watchrelay/relay.go
@@ -38,7 +38,7 @@
 	// failurePause is how long a gateway that failed to answer is not asked again.
 	failurePause = 2 * time.Second
 	// maxAnswerBytes limits an answer of another gateway.
-	maxAnswerBytes = 64 << 20
+	maxAnswerBytes = 8 << 20
 	// maxWaits is the number of calls that may wait here at the same time, more than a domain has gateways and kinds.
 	maxWaits = 1024
 )
--- a/internal/process/agent/reconcile.go
+++ b/internal/process/agent/reconcile.go
@@ -118,6 +118,9 @@
 	}
 	defer a.work.Done()
 	cfg := a.currentConfig()
+	if cfg == nil || cfg.model == nil { // withdrawn while this agent waited for an epoch
+		return a.ReconcileInterval
+	}
 	o := engine.Order{Kind: "SetRole", Role: RoleServe, Epoch: a.epoch}
 	if s.model != cfg.model.Name || s.version != cfg.model.Version {
 		release, err := a.acquireLoadPermit(ctx)
@@ -126,7 +129,7 @@
 		}
 		defer release()
 		// The configuration may have changed during the wait for the permit.
-		if cfg = a.currentConfig(); cfg.model == nil {
+		if cfg = a.currentConfig(); cfg == nil || cfg.model == nil {
 			return 0
 		}
 		o = engine.Order{Kind: "LoadVersion", Model: cfg.model.Name, Version: cfg.model.Version, Epoch: a.epoch}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -247,7 +247,7 @@
 	return listeners, nil
 }
 
-// drain accepts connections for drainNoticeTime more, waits for the requests in flight, until stopReserve before the end of the stop
+// drain accepts connections for drainNoticeTime more, waits for the requests in flight and those that are arriving, until stopReserve before the end of the stop
 // time, and closes all connections of callers.
 func (g *Gateway) drain(callerListener net.Listener) {
 	started := time.Now()
@@ -258,7 +258,7 @@
 	_ = callerListener.Close()
 	g.front.CloseIdle()
 	cutOff := started.Add(g.Settings.StopTime - stopReserve)
-	for g.front.Active() > 0 && time.Now().Before(cutOff) && g.wait(20*time.Millisecond) {
+	for g.front.Busy() > 0 && time.Now().Before(cutOff) && g.wait(20*time.Millisecond) {
 		g.front.CloseIdle()
 	}
 	event.Info(g.Log, event.GatewayDraining, "active", g.front.Active(), "cutOff", true)
--- a/internal/request/caller/call.go
+++ b/internal/request/caller/call.go
@@ -207,7 +207,7 @@
 }
 
 // sendRepeatable sends a repeatable call to any endpoint, with retries within the retry budget.
-func (c *serviceCall) sendRepeatable(ctx context.Context) (wire.Reply, *failure) {
+func (c *serviceCall) sendRepeatable(ctx context.Context) (reply wire.Reply, f *failure) {
 	ring := c.req.snapshot.rings.Services[c.service.Name]
 	var candidates []string
 	for _, i := range ring.Append(nil, rand.Uint64(), time.Now(), maxCallAttempts) {
@@ -216,6 +216,13 @@
 	// Endpoints known to be down are tried last.
 	slices.SortStableFunc(candidates, func(a, b string) int { return c.downRank(a) - c.downRank(b) })
 	lastFailure := newFailure("NoEndpoint", "")
+	// worst is the outcome of all attempts together: what may have run at one endpoint may have run, whatever the next one says.
+	worst := wire.NotRun
+	defer func() {
+		if f != nil && f.outcome == wire.NotRun {
+			f.outcome = worst
+		}
+	}()
 	for i, endpoint := range candidates {
 		if i > 0 && !c.h.Budget.Retry(time.Now()) {
 			c.h.count("RetryBudgetSpent")
@@ -237,6 +244,9 @@
 				lastFailure.outcome = wire.OutcomeUnknown
 			}
 		}
+		if lastFailure.outcome != wire.NotRun && worst != wire.Ran {
+			worst = lastFailure.outcome
+		}
 		if ctx.Err() != nil {
 			f := failureFromContext(ctx)
 			f.outcome = lastFailure.outcome
--- a/internal/request/caller/call_test.go
+++ b/internal/request/caller/call_test.go
@@ -106,6 +106,24 @@
 	}
 }
 
+// TestRepeatableCallThatMayHaveRun guards against a repeatable call that is reported as not run since the last endpoint says so, although
+// an earlier one may have run it.
+func TestRepeatableCallThatMayHaveRun(t *testing.T) {
+	for name, scripts := range map[string][]script{
+		"connection lost, then refused": {connectionLost, refusal(wire.ReasonServiceDown), refusal(wire.ReasonServiceDown)},
+		"unknown, then refused": {{messages: []wire.Message{wire.Refused{Reason: wire.ReasonReplyLost, Outcome: wire.OutcomeUnknown}}},
+			refusal(wire.ReasonServiceDown), refusal(wire.ReasonServiceDown)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestServer(t, scripts...)
+			s.Budget = &retry.Budget{Burst: 9, Ratio: 1e-9, PerSecond: 1e-9}
+			w := s.do("GET", "/services/Orders/status", "")
+			s.is.Equal(s.decodeBody(w).Outcome, "outcome unknown")
+			s.is.Equal(w.Header().Get("Retry-After"), "")
+		})
+	}
+}
+
 // TestEveryReason guards against a reason without an HTTP status, or with a status other than the one in statuses.
 func TestEveryReason(t *testing.T) {
 	statuses := map[wire.Reason]int{
--- a/internal/request/caller/prompt_test.go
+++ b/internal/request/caller/prompt_test.go
@@ -114,6 +114,12 @@
 		{name: "no endpoint reachable", scripts: nil, attempts: 3, reason: "NoEndpoint", outcome: "not run"},
 		{name: "connection lost before tokens, then refused", scripts: []script{{err: errLost}, refusal(wire.ReasonQuarantined)},
 			attempts: 2, reason: "Quarantined", outcome: "outcome unknown"},
+		{name: "refused after it may have run, then refused as not run", scripts: []script{
+			{messages: []wire.Message{wire.Refused{Reason: wire.ReasonReplyLost, Outcome: wire.OutcomeUnknown}}},
+			refusal(wire.ReasonBusy), refusal(wire.ReasonBusy)}, attempts: 3, reason: "Busy", outcome: "outcome unknown"},
+		{name: "refused after it ran, then refused as not run", scripts: []script{
+			{messages: []wire.Message{wire.Refused{Reason: wire.ReasonEngineDown, Outcome: wire.Ran}}},
+			refusal(wire.ReasonBusy), refusal(wire.ReasonBusy)}, attempts: 3, reason: "Busy", outcome: "ran"},
 		{name: "prompt exceeds the frame limit", scripts: []script{
 			{submitErr: fmt.Errorf("%w: %w", agent.ErrNotSent, wire.ErrFrameTooLarge)}, fullAnswer},
 			attempts: 1, reason: "BodyTooLarge", outcome: "not run"},
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -203,10 +203,7 @@
 				return noRetry, newFailure(ReasonSlowReader, "")
 			}
 		case wire.Refused:
-			if m.Outcome != wire.NotRun && m.Reason == wire.ReasonEngineDown {
-				r.runs++
-				r.crashes++
-			}
+			r.recordRefused(m, chosen.Endpoint)
 			return handleRefused(m)
 		case wire.End:
 			return r.handleEnd(ctx, m, chosen.Endpoint)
@@ -280,6 +277,23 @@
 	return chargedRetry, &failure{reason: ReasonConnectionLost, outcome: wire.OutcomeUnknown}
 }
 
+// recordRefused remembers a refusal that does not exclude that the prompt ran, so that a later refusal by another endpoint is not passed
+// on as "not run".
+func (r *promptRun) recordRefused(m wire.Refused, endpoint string) {
+	if m.Outcome == wire.NotRun {
+		return
+	}
+	r.mayHaveArrived = true
+	r.accepted = r.accepted || m.Outcome == wire.Ran
+	if !slices.Contains(r.mayHaveRun, endpoint) {
+		r.mayHaveRun = append(r.mayHaveRun, endpoint)
+		r.runs++
+	}
+	if m.Reason == wire.ReasonEngineDown {
+		r.crashes++
+	}
+}
+
 // handleRefused returns the result of an attempt that the agent refused.
 func handleRefused(m wire.Refused) (attemptResult, *failure) {
 	f := failureFromWire(m)
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -250,8 +250,14 @@
 		if n > 0 {
 			req.handler.Table.Heard(time.Now(), a.endpoint)
 		}
-		if n > 0 && !a.relayEvents(answer, buffer[:n]) {
-			return done
+		if n > 0 {
+			relayed, tooLong := a.relayEvents(answer, buffer[:n])
+			switch {
+			case tooLong:
+				return a.handleBrokenStream(errors.New("event is too long"))
+			case !relayed:
+				return done
+			}
 		}
 		switch {
 		case err == nil:
@@ -263,37 +269,32 @@
 	}
 }
 
-// relayEvents relays the events that p completes. It reports whether the stream can continue.
-func (a *attempt) relayEvents(answer *endpoint.Answer, p []byte) bool {
+// relayEvents relays the events that p completes. It reports whether the caller can get more, and whether what follows is too long for
+// an event.
+func (a *attempt) relayEvents(answer *endpoint.Answer, p []byte) (relayed, tooLong bool) {
 	req := a.req
 	if a.prefillTokens > 0 {
 		req.handler.Table.Prefilled(a.endpoint, a.prefillTokens, time.Since(a.started))
 		a.prefillTokens = 0
 	}
 	complete, ok := req.stream.add(p)
-	if !ok {
-		a.recordOutcome(placement.Broken)
-		req.reason = "EventTooLong"
-		req.w.Abort()
-		return false
-	}
 	if len(complete) == 0 {
-		return true
+		return true, !ok
 	}
 	a.flight.progress(time.Now())
 	if !a.startStream(answer) {
-		return false
+		return false, false
 	}
 	if _, err := req.w.Write(complete); err == nil {
 		err = req.w.Flush()
 		if err == nil {
-			return true
+			return true, !ok
 		}
 	}
 	a.recordOutcome(placement.Abandoned)
 	req.reason = "CallerLeft"
 	req.w.Abort()
-	return false
+	return false, false
 }
 
 // startStream writes the header of a stream unless it has been written. It returns false if the write fails.
--- a/internal/request/forward/events.go
+++ b/internal/request/forward/events.go
@@ -18,8 +18,9 @@
 	lastID string
 }
 
-// maxEventBytes bounds the buffered bytes of an incomplete event.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds the buffered bytes of an incomplete event. Many streams at a time may reach it, when endpoints send bytes
+// without end that are no events.
+const maxEventBytes = 128 << 10
 
 // add appends p to the stream and returns the events that it completes, without those that the caller already has. It
 // returns false if an incomplete event exceeds maxEventBytes.
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -231,9 +231,10 @@
 	id := req.meta.ID
 	return &endpoint.Call{Method: req.incoming.Method, Target: req.incoming.Target, Host: req.incoming.Host, Header: req.handler.Codec.Outgoing(req.incoming.Header, o),
 		Body: req.incoming.Body, RecentConn: req.route.Repeat == site.Never,
-		Matches: func(status int, header http.Header) bool {
+		Matches: func(status int, header http.Header, first bool) bool {
 			s := req.handler.Codec.ParseAnswer(status, header)
-			return s.ID == id || (s.ID == "" && s.NotRun)
+			// A refusal without an ID may be a late copy of one to an earlier request on the connection.
+			return s.ID == id || (s.ID == "" && s.NotRun && first)
 		}}
 }
 
--- a/pkg/tiering/plan_test.go
+++ b/pkg/tiering/plan_test.go
@@ -105,12 +105,12 @@
 	}
 }
 
-// TestScopeText guards against two scopes (of models without a slash in the name) with the same text, which would let one
+// TestScopeText guards against two scopes with the same text, which would let one
 // organisation, model or version use parts of another, and against a text that is parsed to another scope.
 func TestScopeText(t *testing.T) {
-	word := rapid.StringMatching(`[a-z0-9/]{1,6}`)
+	word := rapid.StringMatching(`[a-z0-9/%]{1,6}`)
 	scope := rapid.Custom(func(t *rapid.T) tiering.Scope {
-		s := tiering.Scope{Model: rapid.StringMatching(`[a-z0-9]{1,4}`).Draw(t, "model"), Version: rapid.Uint64Range(0, 20).Draw(t, "version")}
+		s := tiering.Scope{Model: rapid.StringMatching(`[a-z0-9/%]{1,4}`).Draw(t, "model"), Version: rapid.Uint64Range(0, 20).Draw(t, "version")}
 		if rapid.Bool().Draw(t, "dedicated") {
 			s.Organisation = word.Draw(t, "organisation")
 		}
--- a/pkg/tiering/scope.go
+++ b/pkg/tiering/scope.go
@@ -1,6 +1,7 @@
 package tiering
 
 import (
+	"net/url"
 	"strconv"
 	"strings"
 )
@@ -20,13 +21,13 @@
 	dedicatedScope = "Own"
 )
 
-// String returns the text of the scope. Different scopes have different texts as long as no model name contains a slash.
+// String returns the text of the scope. Different scopes have different texts: slashes in names are escaped.
 func (s Scope) String() string {
-	tail := "/" + s.Model + "/" + strconv.FormatUint(s.Version, 10)
+	tail := "/" + url.PathEscape(s.Model) + "/" + strconv.FormatUint(s.Version, 10)
 	if s.Organisation == "" {
 		return sharedScope + tail
 	}
-	return dedicatedScope + "/" + s.Organisation + tail
+	return dedicatedScope + "/" + url.PathEscape(s.Organisation) + tail
 }
 
 // ParseScope parses the text that Scope.String returns. ok is false if text has another form.
@@ -43,12 +44,20 @@
 	if !found {
 		return s, false
 	}
-	s = Scope{Model: model, Version: n}
 	organisation, dedicated := strings.CutPrefix(head, dedicatedScope+"/")
+	if !dedicated && head != sharedScope {
+		return s, false
+	}
+	s.Version = n
+	if s.Model, err = url.PathUnescape(model); err != nil {
+		return Scope{}, false
+	}
 	if dedicated {
-		s.Organisation = organisation
+		if s.Organisation, err = url.PathUnescape(organisation); err != nil || s.Organisation == "" {
+			return Scope{}, false
+		}
 	}
-	return s, dedicated || head == sharedScope
+	return s, true
 }
 
 // cutLast cuts text at its last slash.
