Relay the contents of KV stores within failure domains

Change: if the store allows a reader for each domain, the first gateways of each domain read it and the others ask within theirs. Fails first: TestLeaders needs readers within the domain, which the code before does not choose.

--- a/internal/version/registry/members.go
+++ b/internal/version/registry/members.go
@@ -115,57 +115,69 @@
 // are present.
 func (r *Registry) IsLeader(name string) bool { return r.Rank(name) == 0 }
 
-// Leaders returns the addresses of the first n gateways, of those present with an address, in the rendezvous-hash order for a
-// name. If this gateway is among them, it returns no addresses and self is true.
+// Leaders returns the addresses of gateways that read something in place of this one, of those present with an address, in the
+// rendezvous-hash order for a name. Of all gateways about n read. If that allows one for each failure domain, the readers of this
+// gateway's own domain are returned, so that what they pass on stays within it. If this gateway is a reader itself, it returns no addresses
+// and self is true.
 func (r *Registry) Leaders(name string, n int) (addresses []netip.Addr, self bool) {
-	if r.Rank(name) < n {
-		return nil, true
+	perDomain := n / r.domainCount()
+	if perDomain == 0 {
+		return r.leaders(name, n, "")
 	}
+	return r.leaders(name, perDomain, r.FailureDomain)
+}
+
+// domainCount returns the number of failure domains with a gateway that is present.
+func (r *Registry) domainCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	type leader struct {
-		hash    uint64
-		address netip.Addr
-	}
-	var candidates []leader
 	now := time.Now()
-	for other, m := range r.members {
-		if other != r.Name && m.gateway.Address.IsValid() && m.isPresent(now, r.membersFailedAt) {
-			candidates = append(candidates, leader{xxhash.Sum64String(other + "\n" + name), m.gateway.Address.Addr()})
+	domains := map[string]bool{r.FailureDomain: true}
+	for name, m := range r.members {
+		if name != r.Name && m.isPresent(now, r.membersFailedAt) {
+			domains[m.gateway.FailureDomain] = true
 		}
 	}
-	slices.SortFunc(candidates, func(a, b leader) int { return cmp.Compare(b.hash, a.hash) })
-	for _, l := range candidates[:min(n, len(candidates))] {
-		addresses = append(addresses, l.address)
-	}
-	return addresses, false
+	return len(domains)
 }
 
 // DomainLeaders returns the addresses of the first n gateways of this gateway's failure domain, of those present with an address, in the
 // rendezvous-hash order for a name, without this gateway. If this gateway is among them, only those before it are returned.
-func (r *Registry) DomainLeaders(name string, n int) (leaders []netip.Addr) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (r *Registry) DomainLeaders(name string, n int) (addresses []netip.Addr) {
+	return r.before(name, n, r.FailureDomain)
+}
+
+// leaders returns the first n gateways of a failure domain, or of all if domain is empty, or self if this gateway is among them.
+func (r *Registry) leaders(name string, n int, domain string) (addresses []netip.Addr, self bool) {
+	if addresses = r.before(name, n, domain); len(addresses) < n {
+		return nil, true
+	}
+	return addresses, false
+}
+
+// before returns the addresses of at most n gateways of a failure domain, or of all if domain is empty, that come before this one in the
+// rendezvous-hash order for a name, the first one first.
+func (r *Registry) before(name string, n int, domain string) (addresses []netip.Addr) {
 	type leader struct {
 		hash    uint64
 		address netip.Addr
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	now, own := time.Now(), xxhash.Sum64String(r.Name+"\n"+name)
 	var candidates []leader
 	for other, m := range r.members {
 		h := xxhash.Sum64String(other + "\n" + name)
-		if other != r.Name && m.gateway.FailureDomain == r.FailureDomain && m.gateway.Address.IsValid() && m.isPresent(now, r.membersFailedAt) {
+		if other != r.Name && h > own && (domain == "" || m.gateway.FailureDomain == domain) && m.gateway.Address.IsValid() &&
+			m.isPresent(now, r.membersFailedAt) {
 			candidates = append(candidates, leader{h, m.gateway.Address.Addr()})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b leader) int { return cmp.Compare(b.hash, a.hash) })
 	for _, l := range candidates[:min(n, len(candidates))] {
-		if l.hash < own {
-			break
-		}
-		leaders = append(leaders, l.address)
+		addresses = append(addresses, l.address)
 	}
-	return leaders
+	return addresses
 }
 
 // Rank returns the number of gateways present that precede this one in the rendezvous-hash order for a name.
--- /dev/null
+++ b/internal/version/registry/members_test.go
@@ -0,0 +1,48 @@
+package registry
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"primrosecourse/pkg/site"
+)
+
+// TestLeaders guards against readers in other failure domains where each domain may have one, against more readers than are allowed,
+// and against a gateway that reads neither itself nor through another one.
+func TestLeaders(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	const domains, perDomain = 3, 4
+	var gateways []*Registry
+	for i := range domains * perDomain {
+		r := &Registry{Name: fmt.Sprintf("G%02d", i), FailureDomain: string(rune('a' + i%domains)), Log: logr.Discard()}
+		r.init()
+		for j := range domains * perDomain {
+			r.members[fmt.Sprintf("G%02d", j)] = member{lastSeen: now, revision: 1, gateway: site.Gateway{
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(j % domains), byte(j)}), 7000), FailureDomain: string(rune('a' + j%domains))}}
+		}
+		gateways = append(gateways, r)
+	}
+	for allowed, want := range map[int]int{1: 1, 2: 2, 3: 3, 5: 3, 6: 6, 100: 12} {
+		readers := 0
+		for _, r := range gateways {
+			addresses, self := r.Leaders("store", allowed)
+			if self {
+				readers++
+				continue
+			}
+			is.True(len(addresses) > 0)
+			for _, a := range addresses {
+				if allowed >= domains {
+					is.Equal(a.As4()[2], r.FailureDomain[0]-'a') // passed on within the domain
+				}
+			}
+		}
+		is.Equal(readers, want) // of so many that are allowed
+	}
+}
