Learn which stores deliver late, and read instead

Change: pkg/tiering.Links compares the first tokens after fetches from each store with what was expected and with the median of the stores; gateways share the sums with their loads. A part is fetched only if that costs at most twice the time of reading it, since reading takes time of the engine. TestUrgentLoadsAreSentAtOnce failed in 11 of 60 runs beside load: a full message replaced the urgent loads in the test's own table, since the interval with 100 peers is 500 ms now; the test looks at what urgent messages brought. 60 of 60 pass.

--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -18,6 +18,7 @@
 	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/tiering"
 )
 
 // Peers lists the other gateways.
@@ -110,6 +111,8 @@
 	Floors Floors
 	Log    logr.Logger
 
+	// Links holds the delays of stores to exchange; it may be nil.
+	Links *tiering.Links
 	// View provides the endpoints that the keys in messages stand for.
 	View View
 
@@ -212,6 +215,9 @@
 			m.Floors = s.exchange.Floors.Own()
 		}
 		m.setCached(s.exchange.Table.LocalCaches(now, maxCachedParts))
+		if s.exchange.Links != nil {
+			m.setLinks(s.exchange.Links.Reports(now, nil))
+		}
 	}
 	s.exchange.broadcast(s.conn, same, m)
 	s.lastSent, s.lastIdle = now, idle
@@ -230,6 +236,9 @@
 		s.lastCachedSummary = now
 		m.setCached(e.Table.GroupCaches(now, maxSummaryParts, members))
 		m.GroupFloors = e.groupFloors(members)
+		if e.Links != nil {
+			m.setLinks(e.Links.Reports(now, members))
+		}
 	}
 	e.broadcast(s.conn, draw(others), m)
 	s.lastSummary = now
@@ -408,6 +417,9 @@
 	if len(cached) > 0 {
 		e.Table.SetPeerCaches(now, source, cached)
 	}
+	if e.Links != nil && len(m.Links) > 0 {
+		e.Links.SetPeer(now, source, m.links())
+	}
 	if e.Floors != nil {
 		if m.Floors != nil {
 			e.Floors.SetPeer(m.Name, m.Incarnation, m.Floors, bootclock.Now())
--- a/internal/connection/loads/exchange_test.go
+++ b/internal/connection/loads/exchange_test.go
@@ -24,6 +24,7 @@
 	mu         sync.Mutex
 	own        []placement.Load
 	peers      map[string][]placement.Load
+	updates    map[string][]placement.Load // by urgent messages
 	cached     []placement.CachedParts
 	peerCached []placement.CachedParts
 	// urgent is returned by UrgentLoads. A value on urgentSignal requests that those loads are sent.
@@ -38,10 +39,10 @@
 func (t *table) UpdatePeerLoads(_ time.Time, peer string, loads []placement.Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.peers == nil {
-		t.peers = map[string][]placement.Load{}
+	if t.updates == nil {
+		t.updates = map[string][]placement.Load{}
 	}
-	t.peers[peer] = append(t.peers[peer], loads...)
+	t.updates[peer] = append(t.updates[peer], loads...)
 }
 
 func (t *table) LocalCaches(time.Time, int) []placement.CachedParts { return t.cached }
@@ -75,6 +76,12 @@
 	t.peers[peer] = loads
 }
 
+func (t *table) updatesOf(peer string) []placement.Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.updates[peer]
+}
+
 func (t *table) loadsOf(peer string) []placement.Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -174,12 +181,12 @@
 		}
 	}
 	is.True(signals > 0 && signals <= 101) // at most one per minUrgentInterval in 500 ms
-	for deadline := time.Now().Add(3 * time.Second); len(tableB.loadsOf("A")) == 0; time.Sleep(5 * time.Millisecond) {
+	for deadline := time.Now().Add(3 * time.Second); len(tableB.updatesOf("A")) == 0; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatal("B has received no loads from A")
+			t.Fatal("B has received no urgent loads from A")
 		}
 	}
-	is.Equal(tableB.loadsOf("A")[0], tableA.urgent[0])
+	is.Equal(tableB.updatesOf("A")[0], tableA.urgent[0])
 }
 
 // TestOutdatedAndUnreadableDatagrams guards against returning to an older state when datagrams arrive out of order, and against a
--- a/internal/connection/loads/message.go
+++ b/internal/connection/loads/message.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"primrosecourse/pkg/placement"
+	"primrosecourse/pkg/tiering"
 )
 
 // message is the content of a datagram. The field names are those of its msgpack encoding.
@@ -36,6 +37,8 @@
 	Floors map[string]uint64 `msgpack:",omitempty"`
 	// GroupFloors are, in a summary, the floors of the gateways of the domain by their names.
 	GroupFloors map[string]incarnationFloors `msgpack:",omitempty"`
+	// Links are the delays of first tokens after fetches, by store, as the sender or the gateways of its domain observed them.
+	Links map[string]linkReport `msgpack:",omitempty"`
 	// Kept lists, by endpoint, the long prompt parts cached by the endpoints that the sender, or a gateway of its domain, follows.
 	Kept map[uint32]cachedParts `msgpack:",omitempty"`
 }
@@ -46,6 +49,31 @@
 	Floors      map[string]uint64
 }
 
+// linkReport is a tiering.LinkReport, with the sum in milliseconds.
+type linkReport struct {
+	SumMs int64
+	Count int
+}
+
+// setLinks fills Links.
+func (m *message) setLinks(reports map[string]tiering.LinkReport) {
+	if len(reports) > 0 {
+		m.Links = make(map[string]linkReport, len(reports))
+	}
+	for store, r := range reports {
+		m.Links[store] = linkReport{SumMs: r.Sum.Milliseconds(), Count: r.Count}
+	}
+}
+
+// links returns the content of Links.
+func (m *message) links() map[string]tiering.LinkReport {
+	reports := make(map[string]tiering.LinkReport, len(m.Links))
+	for store, r := range m.Links {
+		reports[store] = tiering.LinkReport{Sum: time.Duration(r.SumMs) * time.Millisecond, Count: r.Count}
+	}
+	return reports
+}
+
 // cachedParts lists the prompt parts cached by one endpoint, as two lists of the same length.
 type cachedParts struct {
 	Keys   []uint64
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -64,6 +64,7 @@
 	pool             *endpoint.Pool
 	crashes          *forward.CrashWatch
 	silence          *forward.SilenceWatch
+	links            *tiering.Links
 	front            *front.Server
 }
 
@@ -87,6 +88,7 @@
 	g.initOnce.Do(func() {
 		g.abort = make(chan struct{})
 		g.table = placement.New()
+		g.links = &tiering.Links{}
 		g.pool = endpoint.New()
 		g.pool.DialTimeout = dialTimeout
 		if g.Tiers.Floors == nil {
@@ -100,7 +102,7 @@
 		discarded := metrics.GetOrRegisterCounter("Crashes.NotLookedInto", g.Metrics)
 		g.crashes = &forward.CrashWatch{Marks: g.Registry, Endpoints: g.pool, Log: g.Log, Dropped: func() { discarded.Inc(1) }}
 		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table,
-			Endpoints: g.pool, Crashes: g.crashes, Tiers: g.Tiers, Log: g.Log, Metrics: g.Metrics,
+			Endpoints: g.pool, Crashes: g.crashes, Tiers: g.Tiers, Links: g.links, Log: g.Log, Metrics: g.Metrics,
 			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
 				RepeatSpan: g.Settings.RepeatSpan}}
 		if g.Engines != nil {
@@ -201,7 +203,7 @@
 	}
 	exchange := &loads.Exchange{Name: g.Settings.Name, Incarnation: rand.Uint64(), Address: g.Settings.LoadAddress(),
 		Domain: g.Settings.FailureDomain, Peers: g.Registry, Table: g.table,
-		Floors: g.Tiers.Floors, View: g.Registry, Log: g.Log}
+		Floors: g.Tiers.Floors, Links: g.links, View: g.Registry, Log: g.Log}
 	run(exchange.Run)
 	for _, c := range g.Components {
 		run(c.Run)
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -27,6 +27,11 @@
 	started       time.Time
 	// ctx is done with the request, and with the cause errSilent once the endpoint has been found silent.
 	ctx context.Context
+	// observesLink is set if the time of the first token says something about links: the endpoint probably had to fetch the shared
+	// parts, the longest one from the store fetchedFrom, or to read them. expected is the expected time until the first token.
+	observesLink bool
+	fetchedFrom  string
+	expected     time.Duration
 	// flight is the attempt's entry in the silence watch, nil without one.
 	flight *flight
 }
@@ -274,7 +279,11 @@
 func (a *attempt) relayEvents(answer *endpoint.Answer, p []byte) (relayed, tooLong bool) {
 	req := a.req
 	if a.prefillTokens > 0 {
-		req.handler.Table.Prefilled(a.endpoint, a.prefillTokens, time.Since(a.started))
+		took := time.Since(a.started)
+		req.handler.Table.Prefilled(a.endpoint, a.prefillTokens, took)
+		if a.observesLink && req.handler.Links != nil {
+			req.handler.Links.Observe(time.Now(), a.fetchedFrom, took-a.expected)
+		}
 		a.prefillTokens = 0
 	}
 	complete, ok := req.stream.add(p)
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -80,7 +80,9 @@
 	// Silence finds engines that stopped sending. It may be nil.
 	Silence *SilenceWatch
 	// Tiers may be nil.
-	Tiers  Tiers
+	Tiers Tiers
+	// Links finds stores that deliver late. It may be nil.
+	Links  *tiering.Links
 	Limits Limits
 	Log    logr.Logger
 	// Metrics may be nil.
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -15,6 +15,7 @@
 // chooseEndpoint chooses an endpoint for the next attempt, or returns the reason why there is none.
 func (req *request) chooseEndpoint() (placement.Choice, *placement.Request, *placement.Refusal) {
 	now := time.Now()
+	req.avoidedFetches = 0
 	r := req.handler.serviceRing(req.snapshot, req.service)
 	service := req.snapshot.Configuration.Services[req.service]
 	placementRequest := &placement.Request{Service: req.service, Remaining: time.Until(req.deadline), Gateways: req.snapshot.Gateways, Tried: req.tried,
@@ -115,7 +116,48 @@
 		!req.handler.Tiers.Uses(req.meta.Model, version) {
 		return nil
 	}
-	return tiering.Plan(req.handler.Tiers.List(), req.sharedParts(), req.handler.Tiers.Scope(req.scope(version).String()))
+	actions := tiering.Plan(req.handler.Tiers.List(), req.sharedParts(), req.handler.Tiers.Scope(req.scope(version).String()))
+	return req.withoutLateFetches(service, actions)
+}
+
+// withoutLateFetches removes the fetches from stores that deliver so late that an engine reads the part sooner, and those of the parts
+// behind it, since a part is of use only with all parts before it.
+func (req *request) withoutLateFetches(service *site.Service, actions []tiering.Action) []tiering.Action {
+	if req.handler.Links == nil {
+		return actions
+	}
+	delays := req.handler.Links.Delays(time.Now())
+	if len(delays) == 0 {
+		return actions
+	}
+	rate := req.handler.Table.PrefillRate(req.service)
+	avoided := false
+	for i := range actions {
+		fetch := actions[i].Fetch
+		if fetch == nil {
+			continue
+		}
+		avoided = avoided || !tiering.Worthwhile(req.meta.Parts[i], fetch, service.Engine.TokenBytes, rate, delays[fetch.Name])
+		if avoided {
+			actions[i].Fetch = nil
+			req.avoidedFetches++
+		}
+	}
+	return actions
+}
+
+// longestFetch returns the store whose fetch takes longest by its nominal speed, or tiering.NoFetch if there is no fetch.
+func (req *request) longestFetch(service *site.Service, actions []tiering.Action) string {
+	store, longest := tiering.NoFetch, time.Duration(0)
+	for i, a := range actions {
+		if a.Fetch == nil {
+			continue
+		}
+		if d := tiering.FetchTime(req.meta.Parts[i:i+1], actions[i:i+1], service.Engine.TokenBytes); d > longest {
+			store, longest = a.Fetch.Name, d
+		}
+	}
+	return store
 }
 
 // addTiers adds the fetches and saves to the header values for an endpoint with a weight version, and records the saves. It
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -15,6 +15,7 @@
 	"primrosecourse/internal/event"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/tiering"
 )
 
 // request is the state of one request of a caller.
@@ -46,6 +47,8 @@
 	retryTaken bool
 	// awaitedRoom is how long the last attempt waited for an endpoint with room for the prompt.
 	awaitedRoom time.Duration
+	// avoidedFetches is the number of parts that were not fetched since their store delivers late, as counted since the last choice.
+	avoidedFetches int
 	// fallback is the last server error of an endpoint that was not sent to the caller because the request was to be retried. It is
 	// sent if the request is given up.
 	fallback *bufferedAnswer
@@ -178,13 +181,16 @@
 	req.tried = append(req.tried, e.ID)
 	req.attempts++
 	event.Debug(req.handler.Log, event.RequestSent, "request", req.meta.ID, "route", req.route.Name, "endpoint", e.ID,
-		"reason", choice.Reason.String(), "waitMs", choice.Wait.Milliseconds(), "roomMs", req.awaitedRoom.Milliseconds(), "unread", choice.PrefillTokens, "shared", placementRequest.Shared, "stored", placementRequest.Stored,
+		"reason", choice.Reason.String(), "waitMs", choice.Wait.Milliseconds(), "roomMs", req.awaitedRoom.Milliseconds(), "unread", choice.PrefillTokens, "shared", placementRequest.Shared, "stored", placementRequest.Stored, "avoided", req.avoidedFetches,
 		"considered", choice.Considered, "attempt", req.attempts, "configuration", req.snapshot.Configuration.Version, "entry", e.Revision)
 	req.handler.observe(req.metricName("Wait"), choice.Wait)
 	req.handler.observe(req.metricName("Room"), req.awaitedRoom)
 	service := req.snapshot.Configuration.Services[req.service]
 	a := &attempt{req: req, endpoint: e, placed: placementRequest, prefillTokens: choice.PrefillTokens, started: now}
-	call := req.endpointCall(e, service)
+	call, tiers := req.endpointCall(e, service)
+	if service != nil && service.Engine != nil && choice.Reason != placement.Home && choice.Reason != placement.Holder {
+		a.observesLink, a.fetchedFrom, a.expected = true, req.longestFetch(service, tiers), choice.FirstToken
+	}
 	ctx, release := context.WithCancelCause(req.ctx)
 	defer release(nil)
 	a.ctx = ctx
@@ -213,8 +219,8 @@
 	return t
 }
 
-// endpointCall builds the request for an endpoint.
-func (req *request) endpointCall(e *site.Endpoint, service *site.Service) *endpoint.Call {
+// endpointCall builds the request for an endpoint, and returns the fetches and saves that it contains.
+func (req *request) endpointCall(e *site.Endpoint, service *site.Service) (call *endpoint.Call, tiers []tiering.Action) {
 	o := &Outgoing{Endpoint: e.ID, TimeLeft: time.Until(req.deadline), Priority: -1, LastEvent: req.meta.LastEvent}
 	if req.organisation != nil {
 		o.Organisation = req.organisation.Name
@@ -235,7 +241,7 @@
 			s := req.handler.Codec.ParseAnswer(status, header)
 			// A refusal without an ID may be a late copy of one to an earlier request on the connection.
 			return s.ID == id || (s.ID == "" && s.NotRun && first)
-		}}
+		}}, o.Tiers
 }
 
 // shortPromptTokens is the prompt length up to which a request goes ahead of those with longer prompts and the same configured
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -259,6 +259,13 @@
 	return changed
 }
 
+// PrefillRate returns the estimated rate at which one engine of a service prefills prompts, in tokens per second.
+func (t *Table) PrefillRate(service string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.prefillRate(service).tokensPerSecond
+}
+
 // prefillRate is the estimated rate at which one engine of a service prefills prompts.
 type prefillRate struct {
 	tokensPerSecond float64
