Load new weights in waves of a fifth, the oldest versions first

Change: a fifth at a time (at least 2) for 3.5 s after a version was named, then a quarter, so that a change of the lease does not delay the end; the oldest versions first.

--- a/internal/version/weights/rollout.go
+++ b/internal/version/weights/rollout.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/pkg/site"
 )
 
@@ -139,18 +140,27 @@
 	// an order within milliseconds. After an unanswered order, a report shows whether it was accepted.
 	callTimeout  = 800 * time.Millisecond
 	orderTimeout = 300 * time.Millisecond
-	// concurrencyDivisor limits the endpoints that change at the same time to a quarter of the endpoints of a service,
-	// rounded up, but never to fewer than 2: few enough for the others to carry the load, and enough for all to be
-	// updated in time.
-	concurrencyDivisor = 4
+	// hurryAfter is the time since a version was named after which more endpoints change at the same time, so that all are
+	// updated in time even if the lease changed hands.
+	hurryAfter = 3500 * time.Millisecond
 )
 
-// pendingUpdate is an endpoint that does not have the named version of a model yet. maxConcurrent is the concurrency
+// waveSize returns how many of n endpoints of a service may change at the same time: a fifth, which leaves enough for the load while all
+// caches are empty, and a quarter, rounded up, once the version has been named for hurryAfter; but never fewer than 2.
+func waveSize(n int, namedFor time.Duration) int {
+	if namedFor < hurryAfter {
+		return max(2, n/5)
+	}
+	return max(2, (n+3)/4)
+}
+
+// pendingUpdate is an endpoint that does not have the named version of a model yet but an older one, from. maxConcurrent is the concurrency
 // limit derived from the size of its service.
 type pendingUpdate struct {
 	endpoint      *site.Endpoint
 	model         string
 	version       uint64
+	from          uint64
 	maxConcurrent int
 }
 
@@ -227,7 +237,8 @@
 }
 
 // pendingUpdates returns an update for each ready endpoint and each of its models that lacks the named version, whether
-// the model is cold or loaded, sorted by endpoint ID.
+// the model is cold or loaded. Those with the oldest versions come first: while versions follow each other, they skip the ones between,
+// and are not the last to give up a version that was replaced long ago.
 func (r *Rollout) pendingUpdates() (list []pendingUpdate) {
 	snapshot := r.View.Current()
 	if snapshot.Configuration == nil {
@@ -248,11 +259,13 @@
 					continue
 				}
 				list = append(list, pendingUpdate{endpoint: e, model: m.Model, version: named,
-					maxConcurrent: max(2, (len(endpoints)+concurrencyDivisor-1)/concurrencyDivisor)})
+					from: m.Version, maxConcurrent: waveSize(len(endpoints), bootclock.Now()-snapshot.NamedAt[m.Model])})
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b pendingUpdate) int { return cmp.Compare(a.endpoint.ID, b.endpoint.ID) })
+	slices.SortFunc(list, func(a, b pendingUpdate) int {
+		return cmp.Or(cmp.Compare(a.from, b.from), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
+	})
 	return list
 }
 
