Don't let slow engines hold up new weights

Change: an engine counts for 2.5 s after it accepted an order; half of the engines may change once a version has been named for 6 s.

--- a/internal/version/weights/rollout.go
+++ b/internal/version/weights/rollout.go
@@ -104,6 +104,8 @@
 	// LeaseTime is the time after an order within which no other holder may send orders to the same endpoint.
 	// Default 3 s.
 	LeaseTime time.Duration
+	// Clock returns the time since the machine booted, in which Snapshot.NamedAt is given. Default bootclock.Now.
+	Clock func() time.Duration
 
 	// updates are the updates in progress, by endpoint ID.
 	updates map[string]*endpointUpdate
@@ -140,18 +142,23 @@
 	// an order within milliseconds. After an unanswered order, a report shows whether it was accepted.
 	callTimeout  = 800 * time.Millisecond
 	orderTimeout = 300 * time.Millisecond
-	// hurryAfter is the time since a version was named after which more endpoints change at the same time, so that all are
-	// updated in time even if the lease changed hands.
+	// hurryAfter and lateAfter are the times since a version was named after which more endpoints change at the same time, so that all
+	// are updated in time even if the lease changed hands or endpoints are slow.
 	hurryAfter = 3500 * time.Millisecond
+	lateAfter  = 6 * time.Second
 )
 
 // waveSize returns how many of n endpoints of a service may change at the same time: a fifth, which leaves enough for the load while all
-// caches are empty, and a quarter, rounded up, once the version has been named for hurryAfter; but never fewer than 2.
+// caches are empty; a quarter, rounded up, once the version has been named for hurryAfter; and half of them, rounded up, for lateAfter. It
+// is never fewer than 2.
 func waveSize(n int, namedFor time.Duration) int {
-	if namedFor < hurryAfter {
+	switch {
+	case namedFor < hurryAfter:
 		return max(2, n/5)
+	case namedFor < lateAfter:
+		return max(2, (n+3)/4)
 	}
-	return max(2, (n+3)/4)
+	return max(2, (n+1)/2)
 }
 
 // pendingUpdate is an endpoint that does not have the named version of a model yet but an older one, from. maxConcurrent is the concurrency
@@ -259,7 +266,7 @@
 					continue
 				}
 				list = append(list, pendingUpdate{endpoint: e, model: m.Model, version: named,
-					from: m.Version, maxConcurrent: waveSize(len(endpoints), bootclock.Now()-snapshot.NamedAt[m.Model])})
+					from: m.Version, maxConcurrent: waveSize(len(endpoints), r.now()-snapshot.NamedAt[m.Model])})
 			}
 		}
 	}
@@ -269,6 +276,13 @@
 	return list
 }
 
+func (r *Rollout) now() time.Duration {
+	if r.Clock != nil {
+		return r.Clock()
+	}
+	return bootclock.Now()
+}
+
 // confirmationKey identifies a model on one incarnation of an endpoint.
 func confirmationKey(e *site.Endpoint, model string) string {
 	return e.ID + "/" + e.StartedAt.String() + "/" + model
--- a/internal/version/weights/update.go
+++ b/internal/version/weights/update.go
@@ -14,17 +14,30 @@
 	endpoint  *site.Endpoint
 	model     string
 	startedAt time.Time
-	// accepted is set once the endpoint has accepted an order or reported that one is in progress.
-	accepted atomic.Bool
+	// acceptedAt is when the endpoint accepted an order or first reported that one is in progress; nil before that.
+	acceptedAt atomic.Pointer[time.Time]
 	// result receives the version of the endpoint when the update ends, 0 if it is unknown.
 	result chan uint64
 }
 
+// changeTime is how long after it accepted an order an endpoint counts towards the concurrency limit. Most have finished their runs and
+// loaded the version by then. One that is slow still works on its runs, and must not block the updates of others.
+const changeTime = 2500 * time.Millisecond
+
 // isChanging reports whether the update counts towards the concurrency limit. An endpoint that is not known to have
 // accepted an order within orderTimeout of the start probably continues to serve, and must not block the updates of
 // others.
 func (u *endpointUpdate) isChanging(now time.Time) bool {
-	return u.accepted.Load() || now.Sub(u.startedAt) < orderTimeout
+	if at := u.acceptedAt.Load(); at != nil {
+		return now.Sub(*at) < changeTime
+	}
+	return now.Sub(u.startedAt) < orderTimeout
+}
+
+// accept records that the endpoint has accepted an order.
+func (u *endpointUpdate) accept() {
+	now := time.Now()
+	u.acceptedAt.CompareAndSwap(nil, &now)
 }
 
 // updateEndpoint updates one endpoint to the named version and returns the version of the endpoint, 0 if it is unknown.
@@ -41,7 +54,7 @@
 		case report.Versions[u.model] >= named && !report.Busy:
 			return report.Versions[u.model]
 		case report.Busy:
-			u.accepted.Store(true)
+			u.accept()
 		default:
 			result, err := r.order(ctx, u, named, report.AcceptedOrders)
 			switch {
@@ -50,7 +63,7 @@
 			case result == UpToDate:
 				return named
 			case result == Accepted:
-				u.accepted.Store(true)
+				u.accept()
 			case result != Busy:
 				return 0
 			}
@@ -59,7 +72,7 @@
 			return 0
 		}
 	}
-	event.Info(r.Log, event.OrderSent, "endpoint", u.endpoint.ID, "outcome", "version not reached in time", "carried", u.accepted.Load())
+	event.Info(r.Log, event.OrderSent, "endpoint", u.endpoint.ID, "outcome", "version not reached in time", "carried", u.acceptedAt.Load() != nil)
 	return 0
 }
 
