Let each connection decide whether a request has arrived

Cause: TestArrivedRequestsAreAnswered failed once beside load ('unexpected EOF'): bytes that the connection's goroutine had just read were in neither the kernel nor the hands of the handler when CloseIdle looked, and the connection was closed. Change: CloseIdle interrupts the reads, and the goroutine of each connection closes it unless bytes have arrived.

--- a/internal/connection/front/server.go
+++ b/internal/connection/front/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -108,22 +109,20 @@
 // Drain makes the server close each connection after the response to the next request that it reads on it.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes the connections without a request in progress. A connection on which bytes of a request have arrived is left open
-// until that request is answered.
+// CloseIdle makes the connections without a request in progress close. A connection on which bytes of a request have arrived stays open
+// until that request is answered: whether there are any is decided by the goroutine that reads the connection, since bytes that it
+// has just read would be missed by any other.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.idle {
-		if hasArrived(c) {
-			continue
-		}
-		// serveNext drops a request that arrives on a connection that is no longer in the set. Otherwise the request would be
-		// handled although its response can't be sent.
-		delete(s.idle, c)
-		_ = c.Close()
+		_ = c.SetReadDeadline(interrupted)
 	}
 }
 
+// interrupted is a deadline in the past, which interrupts a read.
+var interrupted = time.Unix(1, 0)
+
 // hasArrived reports whether bytes have arrived on a connection that nobody has read yet. The goroutine of the connection reads them as
 // soon as it runs.
 func hasArrived(c net.Conn) bool {
@@ -205,15 +204,6 @@
 	}
 }
 
-// removeIdle removes c from the idle connections. It returns false if CloseIdle has already removed and closed c.
-func (s *Server) removeIdle(c net.Conn) (found bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, found = s.idle[c]
-	delete(s.idle, c)
-	return found
-}
-
 func (s *Server) limits() (l site.Limits) {
 	if s.Limits != nil {
 		l = s.Limits()
@@ -228,10 +218,7 @@
 // serveNext serves one request and reports whether the connection can carry another one.
 func (s *Server) serveNext(ctx context.Context, c net.Conn, br *bufio.Reader, bw *bufio.Writer) bool {
 	limits := s.limits()
-	s.setMember(s.idle, c, true)
-	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	_, err := br.Peek(1)
-	if found := s.removeIdle(c); err != nil || !found {
+	if !s.awaitRequest(c, br, limits) {
 		return false
 	}
 	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
@@ -260,6 +247,19 @@
 	return true
 }
 
+// awaitRequest waits for the first byte of a request and reports whether there is one. It is not interrupted while bytes have arrived.
+func (s *Server) awaitRequest(c net.Conn, br *bufio.Reader, limits site.Limits) bool {
+	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	s.setMember(s.idle, c, true)
+	_, err := br.Peek(1)
+	s.setMember(s.idle, c, false)
+	if errors.Is(err, os.ErrDeadlineExceeded) && hasArrived(c) {
+		_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+		_, err = br.Peek(1)
+	}
+	return err == nil
+}
+
 // read reads a whole request and reports whether the connection may stay open after it.
 func (s *Server) read(c net.Conn, br *bufio.Reader, w *Writer, limits site.Limits, held *reservation) (r *Request, keepAlive bool, err error) {
 	raw, err := readHeader(br, limits.HeaderBytes)
@@ -306,7 +306,7 @@
 	}()
 	s.Handler.Handle(ctx, r, w)
 	// A deadline in the past interrupts Peek; bytes that it has read stay in br.
-	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_ = c.SetReadDeadline(interrupted)
 	<-watchEnded
 	_ = c.SetReadDeadline(time.Time{})
 }
