Let a gateway that the store does not answer learn from other domains

Change: while the store does not answer, a gateway also asks up to three gateways of other domains, and tries the store every 2 s. Fails first: TestCutOffWithoutNeighbours needs OtherLeaders, which the code before does not ask.

--- a/internal/connection/watchrelay/relay.go
+++ b/internal/connection/watchrelay/relay.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -37,6 +38,10 @@
 	servedPeriod = 5 * time.Second
 	// failurePause is how long a gateway that failed to answer is not asked again.
 	failurePause = 2 * time.Second
+	// otherReaders is the number of gateways of other domains that are asked while the store does not answer, and trialWait how long the
+	// store may wait in the calls that find out whether it answers again.
+	otherReaders = 3
+	trialWait    = 200 * time.Millisecond
 	// maxAnswerBytes limits an answer of another gateway.
 	maxAnswerBytes = 8 << 20
 	// maxWaits is the number of calls that may wait here at the same time, more than a domain has gateways and kinds.
@@ -48,6 +53,8 @@
 	// DomainLeaders returns the addresses of the first n gateways of this gateway's failure domain in the rendezvous-hash order
 	// for name, without this gateway. If this gateway is among them, only those before it are returned.
 	DomainLeaders(name string, n int) []netip.Addr
+	// OtherLeaders returns the addresses of the first n of all other gateways in that order.
+	OtherLeaders(name string, n int) []netip.Addr
 }
 
 // Relay reads objects through other gateways and passes on what this one reads. Its exported fields must be set before the first
@@ -79,6 +86,8 @@
 	through netip.Addr
 	// servedAt is when another gateway last asked for this kind.
 	servedAt time.Time
+	// storeFailedAt is when the store last failed to answer, zero if it answered since.
+	storeFailedAt time.Time
 }
 
 // answer is what a gateway answers to another one. The field names are those of its msgpack encoding.
@@ -147,6 +156,12 @@
 	if err == nil {
 		k.own.replace(changes, revision, start)
 		k.received(0, netip.Addr{})
+		return changes, revision, nil
+	}
+	k.storeFailed()
+	if a, list, ok := k.ask(ctx, url.Values{}, 0); ok {
+		k.own.replace(list, a.Revision, 0)
+		return list, a.Revision, nil
 	}
 	return changes, revision, err
 }
@@ -162,7 +177,10 @@
 		k.own.update(after, list, a.Revision, 0)
 		return list, a.Revision, nil
 	}
-	if k.isAsked() {
+	switch {
+	case k.failing():
+		wait = min(wait, trialWait)
+	case k.isAsked():
 		wait = shortWait
 	}
 	asOf := bootclock.Now()
@@ -173,10 +191,43 @@
 		}
 		k.own.update(after, changes, revision, asOf)
 		k.received(0, netip.Addr{})
+	} else if ctx.Err() == nil && !errors.Is(err, platform.ErrWatchGap) {
+		k.storeFailed()
 	}
 	return changes, revision, err
 }
 
+// storeFailed records that the store did not answer.
+func (k *Kind) storeFailed() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.storeFailedAt = time.Now()
+}
+
+// failing reports whether the store did not answer the last call to it.
+func (k *Kind) failing() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.storeFailedAt.IsZero()
+}
+
+// readers returns the gateways to ask before the store. While the store does not answer, these are also gateways of other domains, until it
+// is to be tried again.
+func (k *Kind) readers() []netip.Addr {
+	list := k.relay.Leaders.DomainLeaders(k.name, readers)
+	k.mu.Lock()
+	failedAt := k.storeFailedAt
+	k.mu.Unlock()
+	if !failedAt.IsZero() && time.Since(failedAt) < failurePause {
+		for _, other := range k.relay.Leaders.OtherLeaders(k.name, otherReaders) {
+			if !slices.Contains(list, other) {
+				list = append(list, other)
+			}
+		}
+	}
+	return list
+}
+
 // isAsked reports whether other gateways have asked for this kind recently.
 func (k *Kind) isAsked() bool {
 	k.mu.Lock()
@@ -191,7 +242,7 @@
 		return a, nil, false
 	}
 	query.Set("Kind", k.name)
-	for _, leader := range k.relay.Leaders.DomainLeaders(k.name, readers) {
+	for _, leader := range k.readers() {
 		if !k.relay.mayAsk(leader) {
 			continue
 		}
@@ -216,6 +267,9 @@
 	k.mu.Lock()
 	changed := k.through != through
 	k.age, k.through = age, through
+	if !through.IsValid() {
+		k.storeFailedAt = time.Time{}
+	}
 	k.mu.Unlock()
 	if changed {
 		event.Info(k.relay.Log, event.WatchRelayed, "kind", k.name, "through", text(through), "ageMs", age.Milliseconds())
--- a/internal/connection/watchrelay/relay_test.go
+++ b/internal/connection/watchrelay/relay_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -124,18 +125,36 @@
 	}
 }
 
-// leaders is a fixed order of gateways; each asks those before it.
+// leaders is an order of gateways, which a test may change; each asks those before it, and others while the store fails.
 type leaders struct {
-	before []netip.Addr
+	mu             sync.Mutex
+	before, others []netip.Addr
 }
 
-func (l leaders) DomainLeaders(_ string, n int) []netip.Addr { return l.before[:min(n, len(l.before))] }
+func (l *leaders) DomainLeaders(_ string, n int) []netip.Addr {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.before[:min(n, len(l.before))]
+}
+
+func (l *leaders) OtherLeaders(string, int) []netip.Addr {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.others
+}
+
+func (l *leaders) set(before, others []netip.Addr) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.before, l.others = before, others
+}
 
 // gateway follows the objects through its relay, as the registry's follower does.
 type gateway struct {
-	path  *path
-	relay *Relay
-	kind  *Kind
+	path    *path
+	relay   *Relay
+	kind    *Kind
+	leaders *leaders
 
 	mu       sync.Mutex
 	seen     map[string]string
@@ -163,9 +182,9 @@
 			t.Fatal(err)
 		}
 		port = uint16(l.Addr().(*net.TCPAddr).Port)
-		g := &gateway{path: &path{store: s}, seen: map[string]string{}}
+		g := &gateway{path: &path{store: s}, seen: map[string]string{}, leaders: &leaders{before: slices.Clone(before)}}
 		calls := call.New(call.Settings{IdleConnections: 4})
-		g.relay = &Relay{Leaders: leaders{append([]netip.Addr(nil), before...)}, Port: port, Calls: calls, Log: logr.Discard()}
+		g.relay = &Relay{Leaders: g.leaders, Port: port, Calls: calls, Log: logr.Discard()}
 		g.kind = g.relay.Source("K", maxAge, g.path)
 		before = append(before, host)
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -345,3 +364,25 @@
 		}
 	}
 }
+
+// TestCutOffWithoutNeighbours guards against a gateway that is the only one of its domain, is cut off from the store, and learns nothing
+// although gateways of other domains know; and against one that stays with them when the store answers again.
+func TestCutOffWithoutNeighbours(t *testing.T) {
+	is := is.New(t)
+	s, gateways := start(t, 3)
+	await(t, gateways, "first", `"1"`, 3*time.Second)
+	alone := gateways[2]
+	alone.leaders.set(nil, []netip.Addr{netip.AddrFrom4([4]byte{127, 63, 0, 1})})
+	time.Sleep(2500 * time.Millisecond)
+	alone.path.setCut(true)
+	time.Sleep(300 * time.Millisecond)
+	s.put("a", `"2"`)
+	await(t, gateways, "a", `"2"`, time.Second)
+	time.Sleep(failurePause)
+	s.put("a", `"3"`)
+	await(t, gateways, "a", `"3"`, time.Second)
+	alone.path.setCut(false)
+	for deadline := time.Now().Add(2 * failurePause); alone.kind.failing(); time.Sleep(5 * time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // it reads from the store again
+	}
+}
--- a/internal/version/registry/members.go
+++ b/internal/version/registry/members.go
@@ -147,6 +147,12 @@
 	return r.before(name, n, r.FailureDomain)
 }
 
+// OtherLeaders returns the addresses of the first n of all other gateways, of those present with an address, in the rendezvous-hash order
+// for a name.
+func (r *Registry) OtherLeaders(name string, n int) (addresses []netip.Addr) {
+	return r.inOrder(name, n, "", 0)
+}
+
 // leaders returns the first n gateways of a failure domain, or of all if domain is empty, or self if this gateway is among them.
 func (r *Registry) leaders(name string, n int, domain string) (addresses []netip.Addr, self bool) {
 	if addresses = r.before(name, n, domain); len(addresses) < n {
@@ -158,17 +164,22 @@
 // before returns the addresses of at most n gateways of a failure domain, or of all if domain is empty, that come before this one in the
 // rendezvous-hash order for a name, the first one first.
 func (r *Registry) before(name string, n int, domain string) (addresses []netip.Addr) {
+	return r.inOrder(name, n, domain, xxhash.Sum64String(r.Name+"\n"+name))
+}
+
+// inOrder is before for those whose hash is above the given one.
+func (r *Registry) inOrder(name string, n int, domain string, above uint64) (addresses []netip.Addr) {
 	type leader struct {
 		hash    uint64
 		address netip.Addr
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, own := time.Now(), xxhash.Sum64String(r.Name+"\n"+name)
+	now := time.Now()
 	var candidates []leader
 	for other, m := range r.members {
 		h := xxhash.Sum64String(other + "\n" + name)
-		if other != r.Name && h > own && (domain == "" || m.gateway.FailureDomain == domain) && m.gateway.Address.IsValid() &&
+		if other != r.Name && h > above && (domain == "" || m.gateway.FailureDomain == domain) && m.gateway.Address.IsValid() &&
 			m.isPresent(now, r.membersFailedAt) {
 			candidates = append(candidates, leader{h, m.gateway.Address.Addr()})
 		}
@@ -234,8 +245,8 @@
 		sleep(ctx, delay)
 	}
 	// A planned stop returns this gateway's share of the limits to the others. The timeout limits how long an outage of the
-	// store can delay the stop.
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	// store can delay the stop, of which little time may be left.
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	if err := r.Members.Delete(ctx, r.Name, revision); err != nil {
 		event.Info(r.Log, event.StoreWriteFailed, "name", r.Name, "reason", err.Error())
--- a/internal/version/weights/rollout.go
+++ b/internal/version/weights/rollout.go
@@ -138,10 +138,12 @@
 	// loadTimeout is the time after which an update that has not reached the version ends. The endpoint is tried again
 	// later.
 	loadTimeout = 8 * time.Second
-	// callTimeout limits a report or the final release of the lease, orderTimeout an order. An endpoint accepts or refuses
+	// callTimeout limits a report, releaseTimeout the final release of the lease in a stop, of which little time may be left, and
+	// orderTimeout an order. An endpoint accepts or refuses
 	// an order within milliseconds. After an unanswered order, a report shows whether it was accepted.
-	callTimeout  = 800 * time.Millisecond
-	orderTimeout = 300 * time.Millisecond
+	callTimeout    = 800 * time.Millisecond
+	orderTimeout   = 300 * time.Millisecond
+	releaseTimeout = 300 * time.Millisecond
 	// hurryAfter and lateAfter are the times since a version was named after which more endpoints change at the same time, so that all
 	// are updated in time even if the lease changed hands or endpoints are slow.
 	hurryAfter = 3500 * time.Millisecond
@@ -218,7 +220,7 @@
 		select {
 		case <-ctx.Done():
 			if r.Lease.Held() {
-				releaseCtx, cancelRelease := context.WithTimeout(context.Background(), callTimeout)
+				releaseCtx, cancelRelease := context.WithTimeout(context.Background(), releaseTimeout)
 				defer cancelRelease()
 				r.Lease.Release(releaseCtx)
 			}
