Pass on only what a gateway's link bears

Change: more than 32 KiB are read from the store by each; a gateway that the store does not answer still gets them. Fails first: TestMuchIsNotPassedOn (a reader answered 200 to all of it).

--- a/internal/connection/watchrelay/relay.go
+++ b/internal/connection/watchrelay/relay.go
@@ -42,8 +42,10 @@
 	// store may wait in the calls that find out whether it answers again.
 	otherReaders = 3
 	trialWait    = 200 * time.Millisecond
-	// maxAnswerBytes limits an answer of another gateway.
-	maxAnswerBytes = 8 << 20
+	// maxRelayedBytes is the size of the values above which they are not passed on but read from the store by each: the links of
+	// gateways are narrow, and a domain may have a hundred. maxAnswerBytes limits an answer of another gateway.
+	maxRelayedBytes = 32 << 10
+	maxAnswerBytes  = 1 << 20
 	// maxWaits is the number of calls that may wait here at the same time, more than a domain has gateways and kinds.
 	maxWaits = 1024
 )
@@ -90,6 +92,9 @@
 	storeFailedAt time.Time
 }
 
+// errTooMuch means that a gateway leaves it to the asking one to read from the store, since there is too much to pass on.
+var errTooMuch = errors.New("too much to pass on")
+
 // answer is what a gateway answers to another one. The field names are those of its msgpack encoding.
 type answer struct {
 	// Revision is the revision up to which the changes are complete.
@@ -115,6 +120,14 @@
 	a.Values = append(a.Values, c.Value)
 }
 
+// valueBytes returns the size of the values.
+func (a *answer) valueBytes() (n int) {
+	for _, value := range a.Values {
+		n += len(value)
+	}
+	return n
+}
+
 func (a *answer) changes() (list []Change, err error) {
 	if len(a.Names) != len(a.Revisions) || len(a.Names) != len(a.Values) {
 		return nil, errors.New("lists differ in length")
@@ -242,6 +255,9 @@
 		return a, nil, false
 	}
 	query.Set("Kind", k.name)
+	if k.failing() {
+		query.Set("Much", "1") // The store can't be read instead.
+	}
 	for _, leader := range k.readers() {
 		if !k.relay.mayAsk(leader) {
 			continue
@@ -252,7 +268,7 @@
 			k.received(age, leader)
 			return a, changes, true
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, errTooMuch) {
 			return a, nil, false
 		}
 		if err == nil {
@@ -311,7 +327,11 @@
 	if err != nil {
 		return a, nil, err
 	}
-	if response.Status != http.StatusOK {
+	switch response.Status {
+	case http.StatusOK:
+	case http.StatusRequestEntityTooLarge:
+		return a, nil, errTooMuch
+	default:
 		return a, nil, errors.Newf("status %d", response.Status)
 	}
 	if err = msgpack.Unmarshal(response.Body, &a); err != nil {
@@ -322,7 +342,7 @@
 }
 
 // ServeHTTP answers other gateways: the objects of a kind without After, else the changes after that revision, for which it waits up
-// to WaitMs. It answers 503 if the store has not answered this gateway recently.
+// to WaitMs. It answers 503 if the store has not answered this gateway recently, and 413 if there is more than maxRelayedBytes, unless Much is set.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.mu.Lock()
 	k := r.kinds[request.FormValue("Kind")]
@@ -351,6 +371,10 @@
 		http.Error(w, "kind is not read here", http.StatusServiceUnavailable)
 		return
 	}
+	if a.valueBytes() > maxRelayedBytes && request.FormValue("Much") == "" {
+		http.Error(w, errTooMuch.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
 	a.AgeMs = (bootclock.Now() - a.directAt).Milliseconds()
 	body, err := msgpack.Marshal(&a)
 	if err != nil {
--- a/internal/connection/watchrelay/relay_test.go
+++ b/internal/connection/watchrelay/relay_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -376,8 +377,9 @@
 	time.Sleep(2500 * time.Millisecond)
 	alone.path.setCut(true)
 	time.Sleep(300 * time.Millisecond)
-	s.put("a", `"2"`)
-	await(t, gateways, "a", `"2"`, time.Second)
+	large := `"` + strings.Repeat("x", maxRelayedBytes) + `"`
+	s.put("a", large)
+	await(t, gateways, "a", large, time.Second)
 	time.Sleep(failurePause)
 	s.put("a", `"3"`)
 	await(t, gateways, "a", `"3"`, time.Second)
@@ -386,3 +388,32 @@
 		is.True(time.Now().Before(deadline)) // it reads from the store again
 	}
 }
+
+// TestMuchIsNotPassedOn guards against a reader whose narrow link is filled by a large configuration or a long list for all others of its
+// domain: they read it from the store, and go on asking the reader.
+func TestMuchIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	s, gateways := start(t, 4)
+	await(t, gateways, "first", `"1"`, 3*time.Second)
+	time.Sleep(2500 * time.Millisecond)
+	large := `"` + strings.Repeat("x", maxRelayedBytes) + `"`
+	response := func(after string) *http.Response {
+		r, err := http.Get("http://" + netip.AddrPortFrom(netip.MustParseAddr("127.63.0.1"), gateways[0].relay.Port).String() + Path + "?Kind=K" + after)
+		is.NoErr(err)
+		_ = r.Body.Close()
+		return r
+	}
+	s.put("large", large)
+	await(t, gateways, "large", large, time.Second)
+	is.Equal(response("").StatusCode, http.StatusRequestEntityTooLarge)
+	is.Equal(response("&After=11&WaitMs=1").StatusCode, http.StatusRequestEntityTooLarge)
+	s.mu.Lock()
+	before := s.calls
+	s.mu.Unlock()
+	s.put("small", `"1"`)
+	await(t, gateways, "small", `"1"`, 500*time.Millisecond)
+	time.Sleep(time.Second)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.True(s.calls-before <= 16) // one reader; the others ask it again at once
+}
