--- a/internal/process/gateway/memory_test.go
+++ b/internal/process/gateway/memory_test.go
@@ -32,13 +32,13 @@
 				members := make([]ring.Endpoint, 0, n)
 				for i := range n {
 					id := fmt.Sprintf("i-%010x", i)
-					list = append(list, &site.Endpoint{ID: id, Service: "scribe-pool", FailureDomain: fmt.Sprint("zone", i%3),
+					list = append(list, &site.Endpoint{ID: id, Service: "S", FailureDomain: fmt.Sprint("zone", i%3),
 						Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 8083), StartedAt: now,
 						Models: []site.ModelVersion{{Model: "daka510000", Version: 1}}})
 					members = append(members, ring.Endpoint{Name: id, FailureDomain: list[i].FailureDomain})
 				}
 				table := placement.New()
-				table.SetEndpoints(now, &site.Service{Name: "scribe-pool", ColdRate: 33}, list)
+				table.SetEndpoints(now, &site.Service{Name: "S", ColdRate: 33}, list)
 				for _, e := range list {
 					parts := make([]placement.Part, 6)
 					for i := range parts {
