Wait for the cached parts in TestExchangeSharesLoadsAndCachedParts

A gateway applies the loads of a message before its cached parts; the test looked at the cached parts as soon as the loads were there, once, and failed with its mutex held, on which the exchange it then waited for hung. Change: the test waits for the cached parts, up to the 3 s that it gives the loads; it compares the same values, and holds no mutex while it does.

--- a/internal/connection/loads/exchange_test.go
+++ b/internal/connection/loads/exchange_test.go
@@ -61,6 +61,13 @@
 	t.peerCached = cached
 }
 
+// cachedOfPeers returns the cached parts that another gateway reported last.
+func (t *table) cachedOfPeers() []placement.CachedParts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.peerCached
+}
+
 func (t *table) Loads(_ time.Time, limit int) []placement.Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -142,9 +149,11 @@
 	}
 	waitForLoads(1)
 	is.Equal(tableB.loadsOf("A")[0], placement.Load{Endpoint: "e1", InFlight: 2, Pending: 500, Cold: 3 * time.Second})
-	tableB.mu.Lock()
-	is.Equal(tableB.peerCached, tableA.cached)
-	tableB.mu.Unlock()
+	// A message's cached parts are applied after its loads.
+	for deadline := time.Now().Add(3 * time.Second); tableB.cachedOfPeers() == nil && time.Now().Before(deadline); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(tableB.cachedOfPeers(), tableA.cached)
 	tableA.mu.Lock()
 	tableA.own = nil
 	tableA.mu.Unlock()
