Log what waves of weight updates are based on

Change: the holder logs each wave with the endpoints that it left out, its limit and the time since the naming as it counts it. Result: tests of event, weights and lease pass.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -104,4 +104,7 @@
 	// WatchRelayed is logged when a gateway begins to read a kind of object through another gateway, or from the store again, and, with
 	// the reason, when another gateway could not be read.
 	WatchRelayed
+	// WeightUpdatesAdmitted is logged when the holder of the lease begins to update endpoints, or leaves endpoints out because an earlier
+	// holder may have ordered them recently, with what the decision is based on.
+	WeightUpdatesAdmitted
 )
--- a/internal/version/weights/rollout.go
+++ b/internal/version/weights/rollout.go
@@ -115,6 +115,8 @@
 	pendingSince time.Time
 	// orderedAt is when an endpoint last had an update in progress at a renewal of the lease, by endpoint ID.
 	orderedAt map[string]time.Time
+	// withheld is the number of endpoints that the last call of admitUpdates left out because of an earlier holder.
+	withheld int
 }
 
 const (
@@ -316,11 +318,17 @@
 			changing++
 		}
 	}
+	withheld, limit := 0, 0
 	for _, p := range pending {
+		limit = p.maxConcurrent
 		if changing >= p.maxConcurrent || len(r.updates) >= 2*p.maxConcurrent {
 			break
 		}
-		if r.updates[p.endpoint.ID] != nil || !r.Lease.MayOrder(p.endpoint.ID) {
+		if r.updates[p.endpoint.ID] != nil {
+			continue
+		}
+		if !r.Lease.MayOrder(p.endpoint.ID) {
+			withheld++
 			continue
 		}
 		u := &endpointUpdate{endpoint: p.endpoint, model: p.model, startedAt: now, result: make(chan uint64, 1)}
@@ -328,6 +336,13 @@
 		changing++
 		admitted = append(admitted, u)
 	}
+	if len(admitted) > 0 || withheld > r.withheld {
+		model := pending[0].model
+		event.Info(r.Log, event.WeightUpdatesAdmitted, "model", model, "version", pending[0].version, "admitted", len(admitted), "withheld", withheld,
+			"pending", len(pending), "changing", changing, "limit", limit,
+			"sinceMs", (r.now() - r.View.Current().NamedAt[model]).Milliseconds())
+	}
+	r.withheld = withheld
 	return admitted
 }
 
