Pass on when an endpoint was ordered, so that the wait ends once

Cause: a new holder of the lease leaves the endpoints that the one before it ordered alone for 4.3 s. It passed all of them on as ordered just now, with those that the holders before had ordered, so the 4.3 s began anew with each holder. Change: the lease records who ordered each endpoint and how long ago; a holder that stops waits for its orders in flight and records their true times. A wait follows from the last possible order and is passed on as it is. A restarted holder now also respects what the holder before it ordered: it ignored all of the record if it was the last holder itself. Leases of the builds before are read as open orders.

--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -3,18 +3,18 @@
 //
 // A holder sends orders only within Validity of the start of its last successful renewal, measured by the clock that continues
 // while the machine is suspended. Another gateway takes the lease when it has not changed for Silence, or when it is free and
-// its last holder does not take it again at once. The new holder may send orders at once to endpoints that the previous holder
-// did not record in the lease as ordered, and to the others only when the lease time has passed since the last possible order
-// of the previous holder. A lease that is not needed is not renewed: its holder releases it and has priority in acquiring it
-// again, so that the holder seldom changes.
+// its last holder does not take it again at once. The new holder may send orders at once to endpoints that no earlier holder
+// recorded in the lease as ordered, and to each of the others when the lease time has passed since the last possible order to it.
+// Holders pass on the times of these orders, so that the wait for an endpoint does not begin anew with each holder. A lease that is not
+// needed is not renewed: its holder releases it and has priority in acquiring it again, so that the holder seldom changes.
 //
 // # Usage
 //
 //	l := lease.New("Gateway1", leases, "Orders")
 //	l.Publish, l.PublishName = shared, registry.UpdatingName()
 //	held, err := l.Acquire(ctx)
-//	if l.Renew(ctx, updating, ordered) && l.MayOrder(endpoint) { order }
-//	l.Release(ctx)
+//	if l.Renew(ctx, updating, lastOrders) && l.MayOrder(endpoint) { order }
+//	l.Release(ctx, lastOrders)
 package lease
 
 import (
@@ -81,10 +81,8 @@
 	revision uint64
 	// renewedAt is when the last successful renewal, or the acquisition, began.
 	renewedAt time.Duration
-	// previousOrdered are the endpoints to which earlier holders may have sent orders. They get none before
-	// previousOrderedUntil.
-	previousOrdered      map[string]bool
-	previousOrderedUntil time.Duration
+	// earlier is, by endpoint, the last order that an earlier holder may have sent.
+	earlier map[string]earlierOrder
 	// published are the endpoints published last; publishedRevision is the revision of that object.
 	published         []string
 	publishedRevision uint64
@@ -97,6 +95,12 @@
 	wantedSince time.Duration
 }
 
+// earlierOrder is an order by an earlier holder. It was sent at sentAt at the latest.
+type earlierOrder struct {
+	holder string
+	sentAt time.Duration
+}
+
 // New returns a Lease for the gateway with the given name. The lease is stored in the given object of objects.
 func New(name string, objects Objects, object string) *Lease {
 	return &Lease{Time: DefaultTime, Silence: DefaultSilence, Validity: DefaultValidity, Clock: bootclock.Now, name: name, objects: objects, object: object}
@@ -134,7 +138,8 @@
 func (l *Lease) MayOrder(endpoint string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.valid() && (!l.previousOrdered[endpoint] || l.Clock() >= l.previousOrderedUntil)
+	earlier, ok := l.earlier[endpoint]
+	return l.valid() && (!ok || l.Clock() >= earlier.sentAt+l.Time+l.ThawTime)
 }
 
 // MarkWanted records that this gateway has orders to send. Calls after the first have no effect until ClearWanted is called.
@@ -172,8 +177,9 @@
 	if !l.canAcquire(now, current) {
 		return false, nil
 	}
-	next := registry.Lease{Holder: l.name, Token: current.Token + 1, Renewal: current.Renewal + 1, Last: l.name,
-		Ordered: current.Ordered}
+	earlier := l.earlierOrders(current)
+	next := registry.Lease{Holder: l.name, Token: current.Token + 1, Renewal: current.Renewal + 1, Last: l.name}
+	l.record(&next, now, nil, nil, earlier)
 	revision, err = l.objects.Put(ctx, l.object, revision, next)
 	if errors.Is(err, platform.ErrConflict) {
 		return false, nil
@@ -183,17 +189,55 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.held, l.value, l.revision, l.renewedAt = true, next, revision, now
+	l.held, l.value, l.revision, l.renewedAt, l.earlier = true, next, revision, now, earlier
 	l.published = nil
-	if current.Last != "" && current.Last != l.name {
-		l.previousOrdered = make(map[string]bool, len(current.Ordered))
-		for _, id := range current.Ordered {
-			l.previousOrdered[id] = true
+	event.Info(l.Log, event.LeaseGained, "token", next.Token, "before", current.Last, "ordered", next.Ordered, "agoMs", next.OrderedMs)
+	return true, nil
+}
+
+// earlierOrders returns the orders of other gateways that a lease records, which was first read at observedAt.
+func (l *Lease) earlierOrders(current registry.Lease) map[string]earlierOrder {
+	earlier := map[string]earlierOrder{}
+	complete := len(current.OrderedBy) == len(current.Ordered) && len(current.OrderedMs) == len(current.Ordered)
+	for i, id := range current.Ordered {
+		holder, ago := current.Last, int64(registry.OrderOpen)
+		if complete {
+			holder, ago = current.OrderedBy[i], current.OrderedMs[i]
+		}
+		order := earlierOrder{holder: holder, sentAt: l.observedAt - time.Duration(ago)*time.Millisecond}
+		if ago == registry.OrderOpen {
+			order.sentAt = l.observedAt + l.Validity
+		}
+		if holder != l.name { // An earlier incarnation of this gateway is the same holder.
+			earlier[id] = order
+		}
+	}
+	return earlier
+}
+
+// record sets the orders that a lease records: those that may be sent to the endpoints in updating, those that this gateway sent, with the
+// time since, and those of earlier holders.
+func (l *Lease) record(next *registry.Lease, now time.Duration, updating []string, sent map[string]time.Duration, earlier map[string]earlierOrder) {
+	next.Ordered, next.OrderedBy, next.OrderedMs = nil, nil, nil
+	add := func(id, holder string, ago int64) {
+		next.Ordered, next.OrderedBy, next.OrderedMs = append(next.Ordered, id), append(next.OrderedBy, holder), append(next.OrderedMs, ago)
+	}
+	open := make(map[string]bool, len(updating))
+	for _, id := range updating {
+		open[id] = true
+		add(id, l.name, registry.OrderOpen)
+	}
+	for _, id := range slices.Sorted(maps.Keys(sent)) {
+		if !open[id] {
+			add(id, l.name, sent[id].Milliseconds())
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(earlier)) {
+		order := earlier[id]
+		if _, again := sent[id]; !again && !open[id] && now < order.sentAt+l.Time+l.ThawTime {
+			add(id, order.holder, max(0, now-order.sentAt).Milliseconds())
 		}
-		l.previousOrderedUntil = l.observedAt + l.Time + l.Validity + l.ThawTime
 	}
-	event.Info(l.Log, event.LeaseGained, "token", next.Token, "before", current.Last, "ordered", current.Ordered)
-	return true, nil
 }
 
 // canAcquire reports whether this gateway may take the lease. It may if the lease is free and this gateway was the last holder,
@@ -211,19 +255,16 @@
 	return now-l.observedAt >= l.Silence
 }
 
-// Renew publishes the endpoints that are about to change their weights, renews the lease, and records in it the endpoints that
-// got an order recently. It reports whether the store has confirmed both; only then may the endpoints get orders.
-func (l *Lease) Renew(ctx context.Context, updating, ordered []string) (confirmed bool) {
+// Renew publishes the endpoints that are about to change their weights, renews the lease, and records in it these endpoints and those that
+// this gateway ordered recently, with the time since. It reports whether the store has confirmed both; only then may the endpoints get orders.
+func (l *Lease) Renew(ctx context.Context, updating []string, sent map[string]time.Duration) (confirmed bool) {
 	start := l.Clock()
 	if !l.publish(ctx, updating) {
 		return false
 	}
 	next := l.value
 	next.Renewal++
-	next.Ordered = ordered
-	if start < l.previousOrderedUntil {
-		next.Ordered = append(slices.Clone(ordered), slices.Sorted(maps.Keys(l.previousOrdered))...)
-	}
+	l.record(&next, start, updating, sent, l.earlier)
 	revision, err := l.objects.Put(ctx, l.object, l.revision, next)
 	if err != nil {
 		return l.resolveRenewal(ctx, err, next, start)
@@ -300,9 +341,9 @@
 	l.held = false
 }
 
-// Release gives the lease up in the store. This gateway has priority in acquiring it again. The lease is no longer held even if
-// the write fails.
-func (l *Lease) Release(ctx context.Context) {
+// Release gives the lease up in the store and records in it the endpoints that this gateway ordered recently, with the time since. No order
+// may be in flight. This gateway has priority in acquiring the lease again. The lease is no longer held even if the write fails.
+func (l *Lease) Release(ctx context.Context, sent map[string]time.Duration) {
 	if !l.Held() {
 		return
 	}
@@ -310,6 +351,7 @@
 	next := l.value
 	next.Holder = ""
 	next.Renewal++
+	l.record(&next, l.Clock(), nil, sent, l.earlier)
 	_, err := l.objects.Put(ctx, l.object, l.revision, next)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -53,8 +53,16 @@
 	Renewal uint64
 	// Ordered lists the endpoints that were sent an order within the lease time or may be sent one.
 	Ordered []string
+	// OrderedBy and OrderedMs state, for each endpoint of Ordered, which gateway sent the order or may send one, and how long before this
+	// write it sent the last one, in milliseconds. OrderOpen stands for an endpoint that the holder may order until the lease expires.
+	// If their length differs from that of Ordered, all orders count as those of Last, and as open.
+	OrderedBy []string `json:",omitempty"`
+	OrderedMs []int64  `json:",omitempty"`
 }
 
+// OrderOpen stands in Lease.OrderedMs for an endpoint that may be sent orders until the lease expires.
+const OrderOpen = -1
+
 // Updating is the shared object that lists the endpoints that are about to change or are changing their weights. It is separate
 // from the lease because all gateways watch it and the lease changes often.
 type Updating struct {
--- a/internal/version/weights/rollout.go
+++ b/internal/version/weights/rollout.go
@@ -81,13 +81,13 @@
 	MayOrder(endpoint string) bool
 	// Token returns the fencing token of the last acquisition by this gateway.
 	Token() uint64
-	// Renew publishes the endpoints that are being updated, renews the lease and records in it the endpoints that were
-	// ordered recently. It reports whether the store has confirmed both.
-	Renew(ctx context.Context, updating, ordered []string) (confirmed bool)
+	// Renew publishes the endpoints that are being updated, renews the lease and records in it these endpoints and those that
+	// were ordered recently, with the time since. It reports whether the store has confirmed both.
+	Renew(ctx context.Context, updating []string, sent map[string]time.Duration) (confirmed bool)
 	// Abandon gives the lease up without writing to the store if its token is still the given one; Release gives it up in the
-	// store.
+	// store, while no order is in flight, and records the endpoints that were ordered recently.
 	Abandon(token uint64, reason string)
-	Release(ctx context.Context)
+	Release(ctx context.Context, sent map[string]time.Duration)
 	// MarkWanted records that this gateway has orders to send; ClearWanted records that it has none.
 	MarkWanted()
 	ClearWanted()
@@ -113,7 +113,8 @@
 	confirmed map[string]uint64
 	// pendingSince is when this gateway, without the lease, first saw pending updates; zero if there are none.
 	pendingSince time.Time
-	// orderedAt is when an endpoint last had an update in progress at a renewal of the lease, by endpoint ID.
+	// orderedAt is when the last order to an endpoint had been answered or given up, by endpoint ID.
+	orderedMu sync.Mutex
 	orderedAt map[string]time.Time
 	// withheld is the number of endpoints that the last call of admitUpdates left out because of an earlier holder.
 	withheld int
@@ -180,9 +181,6 @@
 func (r *Rollout) Run(ctx context.Context) error {
 	r.updates, r.confirmed, r.orderedAt = map[string]*endpointUpdate{}, map[string]uint64{}, map[string]time.Time{}
 	var updaters sync.WaitGroup
-	defer updaters.Wait()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	var renewedAt time.Time
 	for {
 		pending := r.pendingUpdates()
@@ -190,7 +188,7 @@
 		switch {
 		case len(pending) == 0 && len(r.updates) == 0:
 			r.Lease.ClearWanted()
-			r.Lease.Release(ctx)
+			r.Lease.Release(ctx, r.recentOrders())
 			r.pendingSince = time.Time{}
 		case !r.Lease.Held():
 			r.Lease.MarkWanted()
@@ -210,7 +208,7 @@
 			admitted := r.admitUpdates(pending)
 			if len(admitted) > 0 || time.Since(renewedAt) > renewInterval {
 				renewedAt = time.Now()
-				if !r.Lease.Renew(ctx, r.updatingIDs(), r.recentlyOrdered()) {
+				if !r.Lease.Renew(ctx, r.updatingIDs(), r.recentOrders()) {
 					r.removeUpdates(admitted)
 					break
 				}
@@ -221,10 +219,11 @@
 		}
 		select {
 		case <-ctx.Done():
+			updaters.Wait()
 			if r.Lease.Held() {
 				releaseCtx, cancelRelease := context.WithTimeout(context.Background(), releaseTimeout)
 				defer cancelRelease()
-				r.Lease.Release(releaseCtx)
+				r.Lease.Release(releaseCtx, r.recentOrders())
 			}
 			return nil
 		case <-time.After(interval):
@@ -353,22 +352,26 @@
 	}
 }
 
-// recentlyOrdered returns the sorted IDs of the endpoints with an update in progress, now or at a renewal of the lease
-// within the last LeaseTime.
-func (r *Rollout) recentlyOrdered() (list []string) {
-	now := time.Now()
-	for id := range r.updates {
-		r.orderedAt[id] = now
-	}
+// recordOrder records that an order to an endpoint has been answered or given up.
+func (r *Rollout) recordOrder(id string) {
+	r.orderedMu.Lock()
+	defer r.orderedMu.Unlock()
+	r.orderedAt[id] = time.Now()
+}
+
+// recentOrders returns the time since the last order to each endpoint that was ordered within the last LeaseTime.
+func (r *Rollout) recentOrders() map[string]time.Duration {
+	r.orderedMu.Lock()
+	defer r.orderedMu.Unlock()
+	now, sent := time.Now(), map[string]time.Duration{}
 	for id, at := range r.orderedAt {
 		if now.Sub(at) > cmp.Or(r.LeaseTime, 3*time.Second) {
 			delete(r.orderedAt, id)
 			continue
 		}
-		list = append(list, id)
+		sent[id] = now.Sub(at)
 	}
-	slices.Sort(list)
-	return list
+	return sent
 }
 
 // updatingIDs returns the sorted IDs of the endpoints with an update in progress.
--- a/internal/version/weights/update.go
+++ b/internal/version/weights/update.go
@@ -86,6 +86,7 @@
 	defer cancel()
 	result, err = r.Engines.Order(callCtx, u.endpoint, Order{Model: u.model, Version: version, Holder: r.Name, Token: token,
 		ExpectedOrders: expected})
+	r.recordOrder(u.endpoint.ID)
 	outcome := result.String()
 	if err != nil {
 		outcome = "no answer: " + err.Error()
