Count the time since weights were named across restarts

Cause: the gateway that gives the orders takes the moment at which it first read a version for that of its naming. One that restarts counts from its start, so its waves stay at a fifth of the endpoints; killed every 2.3 s it ordered two endpoints each time, the last one 10.7 s after the naming. Ruled out: the wait after a change of the holder (the same machine took the lease each time). Class: a bound that is counted from what one process has seen, not from the event itself. Change: pkg/staleness counts the age of a version as an upper bound of the time since its naming: from the last time at which the store did not have it, without outages of the store; gateways tell each other the ages; one that does not know it assumes an age at which waves are large. The bound is a setting now (VersionTime). Result: TestHoldersThatRestart fails if the age begins with each holder (1 of 12 endpoints or more left on the old version after 8 s), passes now; TestAge, TestExchangeSharesAges pass.

--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -18,6 +18,7 @@
 	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/staleness"
 	"primrosecourse/pkg/tiering"
 )
 
@@ -111,6 +112,8 @@
 	Floors Floors
 	Log    logr.Logger
 
+	// Ages holds the ages of weight versions to exchange; it may be nil.
+	Ages *staleness.Ages
 	// Links holds the delays of stores to exchange; it may be nil.
 	Links *tiering.Links
 	// View provides the endpoints that the keys in messages stand for.
@@ -218,6 +221,7 @@
 		if s.exchange.Links != nil {
 			m.setLinks(s.exchange.Links.Reports(now, nil))
 		}
+		s.exchange.setAges(m)
 	}
 	s.exchange.broadcast(s.conn, same, m)
 	s.lastSent, s.lastIdle = now, idle
@@ -239,11 +243,18 @@
 		if e.Links != nil {
 			m.setLinks(e.Links.Reports(now, members))
 		}
+		e.setAges(m)
 	}
 	e.broadcast(s.conn, draw(others), m)
 	s.lastSummary = now
 }
 
+func (e *Exchange) setAges(m *message) {
+	if e.Ages != nil {
+		m.setAges(e.Ages.Stated(bootclock.Now()))
+	}
+}
+
 // memberNames returns the names of the other gateways of this domain that sent a message.
 func (e *Exchange) memberNames() map[string]bool {
 	e.mu.Lock()
@@ -420,6 +431,11 @@
 	if e.Links != nil && len(m.Links) > 0 {
 		e.Links.SetPeer(now, source, m.links())
 	}
+	if e.Ages != nil {
+		for model, a := range m.Ages {
+			e.Ages.SetPeer(model, staleness.Age{Version: a.Version, Age: time.Duration(a.AgeMs) * time.Millisecond}, bootclock.Now())
+		}
+	}
 	if e.Floors != nil {
 		if m.Floors != nil {
 			e.Floors.SetPeer(m.Name, m.Incarnation, m.Floors, bootclock.Now())
--- a/internal/connection/loads/exchange_test.go
+++ b/internal/connection/loads/exchange_test.go
@@ -14,8 +14,10 @@
 	"github.com/matryer/is"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/staleness"
 	"primrosecourse/pkg/tiering"
 )
 
@@ -160,6 +162,43 @@
 	waitForLoads(0)
 }
 
+// TestExchangeSharesAges guards against a gateway that started after a weight version was named and does not learn its age, within a domain
+// and from another one.
+func TestExchangeSharesAges(t *testing.T) {
+	for name, domain := range map[string]string{"same domain": "D1", "other domain": "D2"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, b := freeAddress(t), freeAddress(t)
+			agesA, agesB := &staleness.Ages{}, &staleness.Ages{}
+			now := bootclock.Now()
+			agesA.Named("M", 2, now, 7*time.Second, true)
+			agesB.Named("M", 2, now, 0, false)
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan error, 2)
+			for _, e := range []*Exchange{
+				{Name: "A", Address: a, Domain: "D1", Peers: gateways{{Address: b, FailureDomain: domain}}, Table: &table{}, Ages: agesA, View: view{}, Log: logr.Discard()},
+				{Name: "B", Address: b, Domain: domain, Peers: gateways{{Address: a, FailureDomain: "D1"}}, Table: &table{}, Ages: agesB, View: view{}, Log: logr.Discard()}} {
+				go func() { ended <- e.Run(ctx) }()
+			}
+			defer func() {
+				cancel()
+				is.NoErr(<-ended)
+				is.NoErr(<-ended)
+			}()
+			for deadline := time.Now().Add(3 * time.Second); agesB.Age("M", 2, bootclock.Now()) < 7*time.Second; time.Sleep(5 * time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatal("B has not learned the age within 3 s")
+				}
+			}
+		})
+	}
+}
+
+// gateways are the other gateways with their domains.
+type gateways []site.Gateway
+
+func (g gateways) Peers() []site.Gateway { return g }
+
 // TestUrgentLoadsAreSentAtOnce guards against an urgent load change that waits for the next full message, and against one datagram
 // per change when there are many changes.
 func TestUrgentLoadsAreSentAtOnce(t *testing.T) {
--- a/internal/connection/loads/message.go
+++ b/internal/connection/loads/message.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"primrosecourse/pkg/placement"
+	"primrosecourse/pkg/staleness"
 	"primrosecourse/pkg/tiering"
 )
 
@@ -37,6 +38,8 @@
 	Floors map[string]uint64 `msgpack:",omitempty"`
 	// GroupFloors are, in a summary, the floors of the gateways of the domain by their names.
 	GroupFloors map[string]incarnationFloors `msgpack:",omitempty"`
+	// Ages are, by model, the ages of the weight versions that the sender knows.
+	Ages map[string]versionAge `msgpack:",omitempty"`
 	// Links are the delays of first tokens after fetches, by store, as the sender or the gateways of its domain observed them.
 	Links map[string]linkReport `msgpack:",omitempty"`
 	// Kept lists, by endpoint, the long prompt parts cached by the endpoints that the sender, or a gateway of its domain, follows.
@@ -49,6 +52,22 @@
 	Floors      map[string]uint64
 }
 
+// versionAge is a staleness.Age, with the time in milliseconds.
+type versionAge struct {
+	Version uint64
+	AgeMs   int64
+}
+
+// setAges fills Ages.
+func (m *message) setAges(ages map[string]staleness.Age) {
+	if len(ages) > 0 {
+		m.Ages = make(map[string]versionAge, len(ages))
+	}
+	for model, a := range ages {
+		m.Ages[model] = versionAge{Version: a.Version, AgeMs: a.Age.Milliseconds()}
+	}
+}
+
 // linkReport is a tiering.LinkReport, with the sum in milliseconds.
 type linkReport struct {
 	SumMs int64
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -203,7 +203,7 @@
 	}
 	exchange := &loads.Exchange{Name: g.Settings.Name, Incarnation: rand.Uint64(), Address: g.Settings.LoadAddress(),
 		Domain: g.Settings.FailureDomain, Peers: g.Registry, Table: g.table,
-		Floors: g.Tiers.Floors, Links: g.links, View: g.Registry, Log: g.Log}
+		Floors: g.Tiers.Floors, Ages: g.Registry.Ages, Links: g.links, View: g.Registry, Log: g.Log}
 	run(exchange.Run)
 	for _, c := range g.Components {
 		run(c.Run)
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -40,6 +40,8 @@
 	// is added to the time for which a gateway that takes over the lease waits, to allow for a previous holder that was suspended.
 	LeaseTime time.Duration
 	ThawTime  time.Duration
+	// VersionTime is the time since a weight version was named from which no request may begin on an older one.
+	VersionTime time.Duration
 }
 
 // LoadAddress returns the address at which the gateway receives the load reports of other gateways.
@@ -79,6 +81,7 @@
 		StopTime:        r.duration("Bounds", "StopTime"),
 		LeaseTime:       r.duration("Bounds", "LeaseTime"),
 		ThawTime:        r.duration("Bounds", "ThawTime"),
+		VersionTime:     r.duration("Bounds", "VersionTime"),
 	}
 	return s, r.err
 }
--- a/internal/process/gateway/settings_test.go
+++ b/internal/process/gateway/settings_test.go
@@ -32,6 +32,7 @@
 StopTime = 8s
 LeaseTime = 3000ms
 ThawTime = 300ms
+VersionTime = 10s
 `
 
 // readText returns the settings in text, by way of a file.
--- a/internal/version/registry/follower.go
+++ b/internal/version/registry/follower.go
@@ -44,6 +44,8 @@
 	// onDisruption is called when the store has lost its history, when a call fails and the call before it did not, and when
 	// calls succeed again. Calls that began before the given time may never get a response.
 	onDisruption func(before time.Time)
+	// onLost and onRegained are called when a call fails and the call before it did not, and when calls succeed again. They may be nil.
+	onLost, onRegained func()
 
 	revision uint64
 	// revisions maps the name of each object to the revision that was applied last.
@@ -88,6 +90,9 @@
 				down = false
 				event.Info(f.log, event.StoreRegained, "kind", f.kind, "revision", f.revision)
 				f.onDisruption(start)
+				if f.onRegained != nil {
+					f.onRegained()
+				}
 			}
 			if remaining := f.minInterval - time.Since(start); remaining > 0 {
 				sleep(ctx, remaining)
@@ -107,6 +112,9 @@
 		if !down {
 			down = true
 			f.onDisruption(time.Now())
+			if f.onLost != nil {
+				f.onLost()
+			}
 			event.Info(f.log, event.StoreLost, "kind", f.kind, "revision", f.revision, "reason", err.Error())
 		}
 		sleep(ctx, backoff/2+rand.N(backoff))
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -16,6 +16,7 @@
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/staleness"
 )
 
 const (
@@ -61,6 +62,8 @@
 	Evacuations    Source[struct{}]
 	Versions       Source[site.ModelVersion]
 	Shared         Objects
+	// Ages counts the time since weight versions were named. Default: a new staleness.Ages.
+	Ages *staleness.Ages
 	// Members are the heartbeat objects of the gateways. Their lists may be seconds old.
 	Members Objects
 	Log     logr.Logger
@@ -98,6 +101,9 @@
 func (r *Registry) init() {
 	r.initOnce.Do(func() {
 		r.done = make(chan struct{})
+		if r.Ages == nil {
+			r.Ages = &staleness.Ages{}
+		}
 		r.endpoints, r.missingUntil = map[string]*site.Endpoint{}, map[string]time.Time{}
 		r.members, r.sharedChanges = map[string]member{}, map[string]observedChange{}
 		r.next = site.Snapshot{Endpoints: map[string][]*site.Endpoint{}, Evacuated: map[string]bool{},
@@ -110,7 +116,9 @@
 		r.endpointFollower = &follower[*site.Endpoint]{kind: "Endpoint", source: r.Endpoints,
 			watchTimeout: endpointWatchTimeout, minInterval: endpointMinInterval, log: r.Log, apply: r.applyEndpoints}
 		r.versionFollower = &follower[site.ModelVersion]{kind: "Version", source: r.Versions,
-			watchTimeout: versionsWatchTimeout, log: r.Log, apply: r.applyVersions}
+			watchTimeout: versionsWatchTimeout, log: r.Log, apply: r.applyVersions,
+			onLost:     func() { r.Ages.StoreLost(bootclock.Now()) },
+			onRegained: func() { r.Ages.StoreRegained(bootclock.Now()) }}
 		r.sharedFollower = &follower[json.RawMessage]{kind: "Shared", source: r.Shared,
 			watchTimeout: sharedWatchTimeout, minInterval: sharedMinInterval, log: r.Log, apply: r.applyShared}
 	})
@@ -141,6 +149,12 @@
 	return bootclock.Now() - r.versionFollower.lastContact()
 }
 
+// VersionAge returns the time since the version of a model that is to be served was named, as staleness.Ages counts it.
+func (r *Registry) VersionAge(model string) time.Duration {
+	r.init()
+	return r.Ages.Age(model, r.Current().Versions[model], bootclock.Now())
+}
+
 // Done returns a channel that is closed when Run has ended.
 func (r *Registry) Done() <-chan struct{} {
 	r.init()
@@ -304,9 +318,10 @@
 		}
 		versions, namedAt, unnamedAt := maps.Clone(r.next.Versions), maps.Clone(r.next.NamedAt), maps.Clone(r.next.UnnamedAt)
 		// lastContact is the time of the last successful call before this one; that call did not return this version.
-		versions[c.Value.Model], namedAt[c.Value.Model] = c.Value.Version, bootclock.Now()
-		unnamedAt[c.Value.Model] = r.versionFollower.lastContact()
-		if unnamedAt[c.Value.Model] == 0 {
+		now, contact := bootclock.Now(), r.versionFollower.lastContact()
+		versions[c.Value.Model], namedAt[c.Value.Model], unnamedAt[c.Value.Model] = c.Value.Version, now, contact
+		r.Ages.Named(c.Value.Model, c.Value.Version, now, now-contact, contact != 0)
+		if contact == 0 {
 			// The first read of the store returned the version, so it may have been named at any earlier time.
 			unnamedAt[c.Value.Model] = -unnamedBeforeBoot
 		}
--- a/internal/version/weights/rollout.go
+++ b/internal/version/weights/rollout.go
@@ -10,7 +10,6 @@
 	"github.com/go-logr/logr"
 
 	"primrosecourse/internal/event"
-	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/pkg/site"
 )
 
@@ -65,6 +64,8 @@
 // View provides the gateway's snapshot of the site.
 type View interface {
 	Current() *site.Snapshot
+	// VersionAge returns the time since the version of a model that is to be served was named.
+	VersionAge(model string) time.Duration
 	// Rank returns the number of gateways that precede this one in the rendezvous-hash order for a name.
 	Rank(name string) int
 }
@@ -104,8 +105,6 @@
 	// LeaseTime is the time after an order within which no other holder may send orders to the same endpoint.
 	// Default 3 s.
 	LeaseTime time.Duration
-	// Clock returns the time since the machine booted, in which Snapshot.NamedAt is given. Default bootclock.Now.
-	Clock func() time.Duration
 
 	// updates are the updates in progress, by endpoint ID.
 	updates map[string]*endpointUpdate
@@ -269,7 +268,7 @@
 					continue
 				}
 				list = append(list, pendingUpdate{endpoint: e, model: m.Model, version: named,
-					from: m.Version, maxConcurrent: waveSize(len(endpoints), r.now()-snapshot.NamedAt[m.Model])})
+					from: m.Version, maxConcurrent: waveSize(len(endpoints), r.View.VersionAge(m.Model))})
 			}
 		}
 	}
@@ -279,13 +278,6 @@
 	return list
 }
 
-func (r *Rollout) now() time.Duration {
-	if r.Clock != nil {
-		return r.Clock()
-	}
-	return bootclock.Now()
-}
-
 // confirmationKey identifies a model on one incarnation of an endpoint.
 func confirmationKey(e *site.Endpoint, model string) string {
 	return e.ID + "/" + e.StartedAt.String() + "/" + model
@@ -339,7 +331,7 @@
 		model := pending[0].model
 		event.Info(r.Log, event.WeightUpdatesAdmitted, "model", model, "version", pending[0].version, "admitted", len(admitted), "withheld", withheld,
 			"pending", len(pending), "changing", changing, "limit", limit,
-			"sinceMs", (r.now() - r.View.Current().NamedAt[model]).Milliseconds())
+			"sinceMs", r.View.VersionAge(model).Milliseconds())
 	}
 	r.withheld = withheld
 	return admitted
--- a/internal/version/weights/rollout_test.go
+++ b/internal/version/weights/rollout_test.go
@@ -15,6 +15,7 @@
 
 	"primrosecourse/internal/version/weights"
 	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/staleness"
 )
 
 // fakeEngines simulates endpoints that load an ordered version in one second.
@@ -123,18 +124,19 @@
 type fakeView struct {
 	snapshot *site.Snapshot
 	rank     int
+	namedAt  time.Time
 }
 
+func (v fakeView) VersionAge(string) time.Duration { return time.Since(v.namedAt) }
+
 func (v fakeView) Current() *site.Snapshot { return v.snapshot }
 func (v fakeView) Rank(string) int         { return v.rank }
 
-// runRollout runs a rollout of version 2 to n endpoints for d of virtual time, and then waits for unanswered orders to
-// take effect.
-func runRollout(t *testing.T, n int, e *fakeEngines, d time.Duration) {
-	t.Helper()
+// newSnapshot returns a snapshot with n endpoints, which e simulates, and whose version 1 is replaced by version 2.
+func newSnapshot(n int, e *fakeEngines) *site.Snapshot {
 	service := site.Service{Name: "S", Engine: &site.Engine{}}
 	snapshot := &site.Snapshot{Configuration: site.NewConfiguration(1, nil, []site.Service{service}, nil, site.Limits{}),
-		Versions: map[string]uint64{"M": 2}, NamedAt: map[string]time.Duration{"M": 0}, Endpoints: map[string][]*site.Endpoint{}}
+		Versions: map[string]uint64{"M": 2}, Endpoints: map[string][]*site.Endpoint{}}
 	e.versions, e.orders, e.busy = map[string]uint64{}, map[string]uint64{}, map[string]bool{}
 	for i := range n {
 		id := fmt.Sprintf("e%02d", i)
@@ -142,11 +144,18 @@
 		snapshot.Endpoints["S"] = append(snapshot.Endpoints["S"], &site.Endpoint{ID: id, Service: "S",
 			Models: []site.ModelVersion{{Model: "M", Version: 1}}})
 	}
-	started := time.Now()
+	return snapshot
+}
+
+// runRollout runs a rollout of version 2 to n endpoints for d of virtual time, and then waits for unanswered orders to
+// take effect.
+func runRollout(t *testing.T, n int, e *fakeEngines, d time.Duration) {
+	t.Helper()
+	snapshot := newSnapshot(n, e)
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
-	r := &weights.Rollout{Name: "G", View: fakeView{snapshot: snapshot, rank: e.rank}, Lease: &fakeLease{e: e}, Engines: e, Log: logr.Discard(),
-		Clock: func() time.Duration { return time.Since(started) }}
+	r := &weights.Rollout{Name: "G", View: fakeView{snapshot: snapshot, rank: e.rank, namedAt: time.Now()}, Lease: &fakeLease{e: e}, Engines: e,
+		Log: logr.Discard()}
 	if err := r.Run(ctx); err != nil {
 		t.Fatal(err)
 	}
@@ -206,6 +215,46 @@
 	})
 }
 
+// TestHoldersThatRestart guards against a rollout that exceeds the 10 s limit of the platform because each holder counts the time since the
+// version was named from its own start.
+func TestHoldersThatRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &fakeEngines{versions: map[string]uint64{}, orders: map[string]uint64{}, busy: map[string]bool{}}
+		snapshot := newSnapshot(12, e)
+		started := time.Now()
+		for i := range 4 {
+			ages := &staleness.Ages{StartAge: staleness.Rule{Limit: 10 * time.Second}.StartAge()}
+			ages.Named("M", 2, time.Since(started), 0, i == 0)
+			ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+			r := &weights.Rollout{Name: "G", View: agesView{snapshot: snapshot, ages: ages, started: started}, Lease: &fakeLease{e: e},
+				Engines: e, Log: logr.Discard()}
+			is.NoErr(r.Run(ctx))
+			cancel()
+			time.Sleep(1300 * time.Millisecond) // until the next holder has the lease
+		}
+		is.True(time.Since(started) < 10*time.Second)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, v := range e.versions {
+			is.Equal(v, uint64(2))
+		}
+	})
+}
+
+// agesView is a View of the ages that one incarnation of a gateway knows.
+type agesView struct {
+	snapshot *site.Snapshot
+	ages     *staleness.Ages
+	started  time.Time
+}
+
+func (v agesView) Current() *site.Snapshot { return v.snapshot }
+func (v agesView) Rank(string) int         { return 0 }
+func (v agesView) VersionAge(model string) time.Duration {
+	return v.ages.Age(model, v.snapshot.Versions[model], time.Since(v.started))
+}
+
 // TestManyLateOrders guards against endpoints that leave orders unanswered and thereby block the updates of others. The
 // version must be on all endpoints within the 10 s limit of the platform.
 func TestManyLateOrders(t *testing.T) {
--- /dev/null
+++ b/pkg/staleness/staleness_test.go
@@ -0,0 +1,111 @@
+package staleness_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"primrosecourse/pkg/staleness"
+)
+
+const model = "M"
+
+// TestRule guards against requests that are sent so late that they begin on replaced weights after the limit.
+func TestRule(t *testing.T) {
+	rule := staleness.Rule{Limit: 10 * time.Second}
+	for _, test := range []struct {
+		name       string
+		rule       staleness.Rule
+		age, begin time.Duration
+		want       bool
+	}{
+		{"just named", rule, 0, time.Second, true},
+		{"begins before the slack", rule, 7 * time.Second, time.Second, true},
+		{"waits into the slack", rule, 7 * time.Second, 1100 * time.Millisecond, false},
+		{"in the slack", rule, 8100 * time.Millisecond, 0, false},
+		{"after the limit", rule, time.Hour, 0, false},
+		{"negative wait", rule, 8100 * time.Millisecond, -time.Hour, false},
+		{"no limit", staleness.Rule{}, time.Hour, time.Hour, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is.New(t).Equal(test.rule.MayBegin(test.age, test.begin), test.want)
+		})
+	}
+}
+
+// TestAge guards against an age that is less than the time since a version was named.
+func TestAge(t *testing.T) {
+	const start, now = time.Hour, time.Hour + 5*time.Second
+	for _, test := range []struct {
+		name  string
+		steps func(a *staleness.Ages)
+		want  time.Duration
+	}{
+		{"seen", func(a *staleness.Ages) { a.Named(model, 2, start, time.Second, true) }, 6 * time.Second},
+		{"named before the start", func(a *staleness.Ages) { a.Named(model, 2, start, 0, false) }, 9 * time.Second},
+		{"not named", func(*staleness.Ages) {}, 0},
+		{"stated by another gateway after the start", func(a *staleness.Ages) {
+			a.Named(model, 2, start, 0, false)
+			a.SetPeer(model, staleness.Age{Version: 2, Age: time.Second}, start)
+		}, 6 * time.Second},
+		{"stated by another gateway before the first read", func(a *staleness.Ages) {
+			a.SetPeer(model, staleness.Age{Version: 2, Age: time.Second}, start-time.Second)
+			a.Named(model, 2, start, 0, false)
+		}, 7 * time.Second},
+		{"higher age of another gateway", func(a *staleness.Ages) {
+			a.Named(model, 2, start, 0, true)
+			a.SetPeer(model, staleness.Age{Version: 2, Age: 4 * time.Second}, start)
+		}, 9 * time.Second},
+		{"lower age of another gateway", func(a *staleness.Ages) {
+			a.Named(model, 2, start, time.Second, true)
+			a.SetPeer(model, staleness.Age{Version: 2}, start)
+		}, 6 * time.Second},
+		{"negative age of another gateway", func(a *staleness.Ages) {
+			a.Named(model, 2, start, 0, false)
+			a.SetPeer(model, staleness.Age{Version: 2, Age: -time.Hour}, start)
+		}, 9 * time.Second},
+		{"replaced", func(a *staleness.Ages) {
+			a.Named(model, 1, start-time.Minute, 0, true)
+			a.Named(model, 2, start, 0, true)
+			a.SetPeer(model, staleness.Age{Version: 1, Age: time.Hour}, start)
+		}, 5 * time.Second},
+		{"store lost for 3 s", func(a *staleness.Ages) {
+			a.Named(model, 2, start, 0, true)
+			a.StoreLost(start + time.Second)
+			a.StoreRegained(start + 4*time.Second)
+		}, 2 * time.Second},
+		{"store lost until now", func(a *staleness.Ages) {
+			a.Named(model, 2, start, 0, true)
+			a.StoreLost(start + time.Second)
+		}, time.Second},
+		{"connection lost for half a second", func(a *staleness.Ages) {
+			a.Named(model, 2, start, 0, true)
+			a.StoreLost(start + time.Second)
+			a.StoreRegained(start + 1500*time.Millisecond)
+		}, 5 * time.Second},
+		{"store lost by this gateway only", func(a *staleness.Ages) {
+			a.Named(model, 2, start, 0, true)
+			a.StoreLost(start + time.Second)
+			a.SetPeer(model, staleness.Age{Version: 2, Age: 4 * time.Second}, start+4*time.Second)
+			a.StoreRegained(start + 4*time.Second)
+		}, 5 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			a := &staleness.Ages{StartAge: 4 * time.Second}
+			test.steps(a)
+			is.New(t).Equal(a.Age(model, 2, now), test.want)
+		})
+	}
+}
+
+// TestStated guards against assumed ages that other gateways take for known ones.
+func TestStated(t *testing.T) {
+	is := is.New(t)
+	a := &staleness.Ages{StartAge: time.Second}
+	a.Named(model, 2, time.Hour, 0, false)
+	is.Equal(len(a.Stated(time.Hour)), 0)
+	a.SetPeer(model, staleness.Age{Version: 2, Age: 3 * time.Second}, time.Hour)
+	is.Equal(a.Stated(time.Hour + time.Second)[model], staleness.Age{Version: 2, Age: 4 * time.Second})
+	is.Equal(len(a.Stated(time.Hour+2*time.Minute)), 0)
+}
