Stop requests for replaced weights before the bound

What callers saw: requests began on a weight version long after a newer one was named (VERSION). Change: a gateway sends no request to an endpoint with replaced weights if the request is not expected to begin there before four fifths of the bound, by the age of the version (pkg/staleness). One that waits at such an endpoint until the bound is cancelled, goes on elsewhere if it may, and ends with 502 if not.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"primrosecourse/internal/version/registry"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/staleness"
 	"primrosecourse/pkg/tiering"
 )
 
@@ -103,6 +104,7 @@
 		g.crashes = &forward.CrashWatch{Marks: g.Registry, Endpoints: g.pool, Log: g.Log, Dropped: func() { discarded.Inc(1) }}
 		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table,
 			Endpoints: g.pool, Crashes: g.crashes, Tiers: g.Tiers, Links: g.links, Log: g.Log, Metrics: g.Metrics,
+			Staleness: staleness.Rule{Limit: g.Settings.VersionTime},
 			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
 				RepeatSpan: g.Settings.RepeatSpan}}
 		if g.Engines != nil {
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,8 @@
 	expected     time.Duration
 	// flight is the attempt's entry in the silence watch, nil without one.
 	flight *flight
+	// begun is set once the answer has begun.
+	begun atomic.Bool
 }
 
 // bufferedAnswer is an answer that has been read completely.
@@ -65,6 +68,8 @@
 	switch {
 	case errors.Is(context.Cause(a.ctx), errSilent):
 		return placement.Silent
+	case errors.Is(context.Cause(a.ctx), errOldWeights):
+		return placement.Abandoned
 	case a.req.caller.Err() != nil:
 		return placement.Abandoned
 	case a.req.ctx.Err() != nil:
@@ -76,6 +81,7 @@
 // handleSendError handles an attempt that ended without an answer.
 func (a *attempt) handleSendError(err error) verdict {
 	req := a.req
+	err = a.cause(err)
 	v := mayHaveRun
 	switch {
 	case errors.Is(err, endpoint.ErrNoConnection):
@@ -182,6 +188,7 @@
 // stored as the fallback instead if the request is idempotent and its route allows it to run once more.
 func (a *attempt) relayBuffered(answer *endpoint.Answer) verdict {
 	req := a.req
+	a.begun.Store(true)
 	if answer.Length > maxBufferedBytes {
 		return a.relayLong(answer)
 	}
@@ -278,6 +285,7 @@
 // an event.
 func (a *attempt) relayEvents(answer *endpoint.Answer, p []byte) (relayed, tooLong bool) {
 	req := a.req
+	a.begun.Store(true)
 	if a.prefillTokens > 0 {
 		took := time.Since(a.started)
 		req.handler.Table.Prefilled(a.endpoint, a.prefillTokens, took)
@@ -341,6 +349,6 @@
 // handleBrokenStream records and logs a stream that broke off or ended in the middle of an event.
 func (a *attempt) handleBrokenStream(err error) verdict {
 	a.recordBrokenConnection()
-	a.logFailedAttempt(err.Error(), a.req.status)
+	a.logFailedAttempt(a.cause(err).Error(), a.req.status)
 	return mayHaveRun
 }
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -28,7 +28,7 @@
 type codec struct{}
 
 func (codec) ParseRequest(h http.Header) (m forward.Meta, err error) {
-	m = forward.Meta{ID: h.Get("Id"), Credential: h.Get("Credential"), LastEvent: h.Get("After")}
+	m = forward.Meta{ID: h.Get("Id"), Credential: h.Get("Credential"), LastEvent: h.Get("After"), Model: h.Get("Model")}
 	if ms, err := strconv.Atoi(h.Get("Deadline")); err == nil {
 		m.Timeout = time.Duration(ms) * time.Millisecond
 	}
@@ -61,12 +61,30 @@
 	handler  *forward.Handler
 	age      time.Duration // the result of ConfigurationAge
 	addr     string
+	// replaced is the snapshot from replacedAt on, nil if it is not replaced. versionAge is the result of VersionAge at the start of the
+	// fixture, or at replacedAt.
+	replaced   *site.Snapshot
+	replacedAt time.Time
+	versionAge time.Duration
 
 	mu       sync.Mutex
 	arrivals []string // the endpoint of each request
 }
 
-func (f *fixture) Current() *site.Snapshot         { return f.snapshot }
+func (f *fixture) Current() *site.Snapshot {
+	if f.replaced != nil && time.Now().After(f.replacedAt) {
+		return f.replaced
+	}
+	return f.snapshot
+}
+
+func (f *fixture) VersionAge(string) time.Duration {
+	if f.replaced != nil {
+		return f.versionAge + time.Since(f.replacedAt)
+	}
+	return f.versionAge
+}
+
 func (f *fixture) ConfigurationAge() time.Duration { return f.age }
 func (f *fixture) VersionsAge() time.Duration      { return 0 }
 
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -21,6 +21,7 @@
 	"primrosecourse/pkg/retry"
 	"primrosecourse/pkg/ring"
 	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/staleness"
 	"primrosecourse/pkg/tiering"
 )
 
@@ -32,6 +33,8 @@
 	ConfigurationAge() time.Duration
 	// VersionsAge returns how long ago the platform's store last confirmed which weight version of each model is to be served.
 	VersionsAge() time.Duration
+	// VersionAge returns the time since the weight version of a model that is to be served was named.
+	VersionAge(model string) time.Duration
 }
 
 // Tiers provides the KV stores of the site. kvstore.Catalog implements it.
@@ -82,9 +85,11 @@
 	// Tiers may be nil.
 	Tiers Tiers
 	// Links finds stores that deliver late. It may be nil.
-	Links  *tiering.Links
-	Limits Limits
-	Log    logr.Logger
+	Links *tiering.Links
+	// Staleness bounds for how long requests may begin on replaced weights. The zero value allows it.
+	Staleness staleness.Rule
+	Limits    Limits
+	Log       logr.Logger
 	// Metrics may be nil.
 	Metrics metrics.Registry
 
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -22,6 +22,7 @@
 		Domain: req.handler.Domain, Tokens: req.meta.PromptTokens}
 	if service != nil && service.Engine != nil {
 		placementRequest.Memory = service.Engine.MemoryTokens
+		placementRequest.MayBegin = req.mayBegin()
 	}
 	if shared := req.sharedParts(); service != nil && service.Engine != nil && len(shared) > 0 {
 		for _, p := range shared {
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -197,6 +197,8 @@
 	if service != nil && service.Engine != nil {
 		a.flight = req.handler.Silence.begin(a, now, choice.FirstToken, release)
 		defer req.handler.Silence.end(a.flight)
+		stop := a.releaseAtLimit(release)
+		defer stop()
 	}
 	answer, err := req.handler.Endpoints.Send(ctx, req.target(e, service), call)
 	if !errors.Is(err, endpoint.ErrNotSent) {
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -29,6 +29,8 @@
 	AllCold
 	// NoMemory means that no endpoint that can take the request has room for its prompt.
 	NoMemory
+	// OldWeights means that the endpoints that can take the request serve replaced weights for too long already.
+	OldWeights
 	// TooLate means that the expected wait at the endpoint with the lowest cost exceeds the remaining time of the request.
 	TooLate
 )
@@ -55,6 +57,9 @@
 	Memory int
 	// Tried are the endpoints to which this request was already sent.
 	Tried []string
+	// MayBegin reports whether the request may be sent to an endpoint at which its first token is expected after firstToken. The field is nil if
+	// it may be sent to all.
+	MayBegin func(e *site.Endpoint, firstToken time.Duration) bool
 	// Domain is the failure domain of this gateway. Endpoints in it are preferred when all else is equal.
 	Domain string
 
@@ -103,6 +108,8 @@
 	// sampleSize is about the mean number of endpoints that are considered in addition to those that probably have a part of the prompt
 	// cached. If there are no more candidates than this, all are considered.
 	sampleSize = 4
+	// oldWeightsWait is about the time that an endpoint takes to load weights.
+	oldWeightsWait = time.Second
 	// probeShare is the share of requests for which suspectCost is not added once the back-off time of a suspect endpoint is over.
 	probeShare = 0.1
 )
@@ -133,7 +140,7 @@
 	best := Choice{}
 	bestCost := time.Duration(1<<62 - 1)
 	meanErrorShare := t.meanErrorShare(candidates)
-	coldLimited, memoryLimited, unsampled, considered := false, false, false, 0
+	coldLimited, memoryLimited, oldWeights, unsampled, considered := false, false, false, false, 0
 	timeToProbe := maxSuspectPause
 	probability := t.sampleShare(r, len(candidates))
 	for _, e := range candidates {
@@ -161,8 +168,12 @@
 				continue
 			}
 		}
-		considered++
 		cost, choice := t.cost(now, r, e, s, prefix, meanErrorShare)
+		if r.MayBegin != nil && !r.MayBegin(e, choice.FirstToken) {
+			oldWeights = true
+			continue
+		}
+		considered++
 		if cost < bestCost {
 			best, bestCost = choice, cost
 		}
@@ -180,6 +191,8 @@
 		return best, nil
 	case memoryLimited:
 		return best, &Refusal{Reason: NoMemory, RetryAfter: t.spread(minMemoryWait)}
+	case oldWeights:
+		return best, &Refusal{Reason: OldWeights, RetryAfter: t.spread(oldWeightsWait)}
 	case coldLimited:
 		return best, &Refusal{Reason: AllCold, RetryAfter: t.spread(300 * time.Millisecond)}
 	}
--- a/pkg/placement/enum_string.go
+++ b/pkg/placement/enum_string.go
@@ -42,12 +42,13 @@
 	_ = x[NoEndpoint-5]
 	_ = x[AllCold-6]
 	_ = x[NoMemory-7]
-	_ = x[TooLate-8]
+	_ = x[OldWeights-8]
+	_ = x[TooLate-9]
 }
 
-const _Reason_name = "HomeHolderSpillLeastLoadProbeNoEndpointAllColdNoMemoryTooLate"
+const _Reason_name = "HomeHolderSpillLeastLoadProbeNoEndpointAllColdNoMemoryOldWeightsTooLate"
 
-var _Reason_index = [...]uint8{0, 4, 10, 15, 24, 29, 39, 46, 54, 61}
+var _Reason_index = [...]uint8{0, 4, 10, 15, 24, 29, 39, 46, 54, 64, 71}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/staleness/rule.go
+++ b/pkg/staleness/rule.go
@@ -22,10 +22,8 @@
 	return r.Limit == 0 || age+max(0, begin) <= r.lastSend()
 }
 
-// Remaining returns the time until the limit, at least 0, or false if there is no limit.
-func (r Rule) Remaining(age time.Duration) (remaining time.Duration, limited bool) {
-	return max(0, r.Limit-age), r.Limit > 0
-}
+// Remaining returns the time until the limit, at least 0. It must not be called without a limit.
+func (r Rule) Remaining(age time.Duration) time.Duration { return max(0, r.Limit-age) }
 
 // StartAge returns the age that a gateway assumes of a version that it did not see named.
 func (r Rule) StartAge() time.Duration {
