Keep a restarted holder's own orders in the lease

A holder that restarts takes the lease again and knows nothing of the orders of its earlier incarnation, which it may give itself; its next renewal dropped them from the lease, so the next holder could order these endpoints at once. Change: they stay in the record as its own. Result: TestRestartedHolderPassesOnItsOrders fails without the change (the second holder may order e1), passes now.

--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -81,7 +81,7 @@
 	revision uint64
 	// renewedAt is when the last successful renewal, or the acquisition, began.
 	renewedAt time.Duration
-	// earlier is, by endpoint, the last order that an earlier holder may have sent.
+	// earlier is, by endpoint, the last order that an earlier holder may have sent, or an earlier incarnation of this gateway.
 	earlier map[string]earlierOrder
 	// published are the endpoints published last; publishedRevision is the revision of that object.
 	published         []string
@@ -95,7 +95,7 @@
 	wantedSince time.Duration
 }
 
-// earlierOrder is an order by an earlier holder. It was sent at sentAt at the latest.
+// earlierOrder is an order by an earlier holder, or by an earlier incarnation of this one. It was sent at sentAt at the latest.
 type earlierOrder struct {
 	holder string
 	sentAt time.Duration
@@ -139,7 +139,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	earlier, ok := l.earlier[endpoint]
-	return l.valid() && (!ok || l.Clock() >= earlier.sentAt+l.Time+l.ThawTime)
+	return l.valid() && (!ok || earlier.holder == l.name || l.Clock() >= earlier.sentAt+l.Time+l.ThawTime)
 }
 
 // MarkWanted records that this gateway has orders to send. Calls after the first have no effect until ClearWanted is called.
@@ -195,7 +195,7 @@
 	return true, nil
 }
 
-// earlierOrders returns the orders of other gateways that a lease records, which was first read at observedAt.
+// earlierOrders returns the orders that a lease records, which was first read at observedAt.
 func (l *Lease) earlierOrders(current registry.Lease) map[string]earlierOrder {
 	earlier := map[string]earlierOrder{}
 	complete := len(current.OrderedBy) == len(current.Ordered) && len(current.OrderedMs) == len(current.Ordered)
@@ -208,9 +208,7 @@
 		if ago == registry.OrderOpen {
 			order.sentAt = l.observedAt + l.Validity
 		}
-		if holder != l.name { // An earlier incarnation of this gateway is the same holder.
-			earlier[id] = order
-		}
+		earlier[id] = order
 	}
 	return earlier
 }
--- a/internal/process/lease/lease_test.go
+++ b/internal/process/lease/lease_test.go
@@ -197,6 +197,30 @@
 	is.True(!restarted.MayOrder("e1"))
 }
 
+// TestRestartedHolderPassesOnItsOrders guards against orders of a second holder to an endpoint that a holder ordered before it restarted.
+func TestRestartedHolderPassesOnItsOrders(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	ctx := context.Background()
+	is.True(acquire(t, f.a))
+	is.True(f.a.Renew(ctx, []string{"e1"}, nil))
+	restarted := lease.New("A", &f.store, "Lease")
+	restarted.Clock, restarted.ThawTime = f.a.Clock, f.a.ThawTime
+	is.True(acquire(t, restarted))
+	is.True(restarted.Renew(ctx, []string{"e2"}, nil))
+	is.True(restarted.MayOrder("e1"))
+	restarted.Release(ctx, nil)
+	f.b.MarkWanted()
+	f.now += 800 * time.Millisecond
+	is.True(acquire(t, f.b))
+	is.True(f.b.Renew(ctx, nil, nil))
+	is.True(f.b.MayOrder("e2")) // released without an order
+	is.True(!f.b.MayOrder("e1"))
+	f.now += 800 * time.Millisecond
+	is.True(f.b.Renew(ctx, nil, nil))
+	is.True(!f.b.MayOrder("e1"))
+}
+
 // TestLostAnswer guards against giving up the lease, or sending orders without it, after a response of the store was lost.
 func TestLostAnswer(t *testing.T) {
 	is := is.New(t)
