Count the age of a version from the first gateway that learned of it

Cause: the age was counted from the last time at which the store did not have the version. Change: from the first gateway that learned of it; a gateway whose watch was late is told by the others, and the slack of a fifth covers the rest.

--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -320,7 +320,7 @@
 		// lastContact is the time of the last successful call before this one; that call did not return this version.
 		now, contact := bootclock.Now(), r.versionFollower.lastContact()
 		versions[c.Value.Model], namedAt[c.Value.Model], unnamedAt[c.Value.Model] = c.Value.Version, now, contact
-		r.Ages.Named(c.Value.Model, c.Value.Version, now, now-contact, contact != 0)
+		r.Ages.Named(c.Value.Model, c.Value.Version, now, contact != 0)
 		if contact == 0 {
 			// The first read of the store returned the version, so it may have been named at any earlier time.
 			unnamedAt[c.Value.Model] = -unnamedBeforeBoot
--- a/pkg/staleness/ages.go
+++ b/pkg/staleness/ages.go
@@ -48,9 +48,9 @@
 	return now - a.uncounted
 }
 
-// Named records at now that a version of a model is named and replaces all lower ones. It was not named yet unnamedFor ago; seen is false if
-// that is unknown, because it was already named when the versions were first read.
-func (a *Ages) Named(model string, version uint64, now, unnamedFor time.Duration, seen bool) {
+// Named records at now that a version of a model is named and replaces all lower ones. seen is false if it was already named when the
+// versions were first read.
+func (a *Ages) Named(model string, version uint64, now time.Duration, seen bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.init()
@@ -63,10 +63,11 @@
 			delete(a.versions[model], other)
 		}
 	}
+	since := a.counted(now)
 	if !seen {
-		unnamedFor = a.StartAge
+		since -= a.StartAge
 	}
-	a.add(model, version, namedVersion{since: a.counted(now) - unnamedFor, known: seen})
+	a.add(model, version, namedVersion{since: since, known: seen})
 }
 
 func (a *Ages) init() {
--- a/pkg/staleness/doc.go
+++ b/pkg/staleness/doc.go
@@ -4,9 +4,9 @@
 // done so continue to serve the old one. However long that takes, no request may begin on the old version once Rule.Limit has passed
 // since the new one was named. Rule decides whether an endpoint may still get a request; Ages counts the time since versions were named.
 //
-// The age of a version must not be less than the time since it was named. A gateway knows an upper bound if it has followed the versions
-// since before; one that started later learns it from other gateways, and assumes Ages.StartAge until then. Time in which the platform's store
-// does not answer is not counted, since endpoints cannot be updated meanwhile.
+// The age of a version is the time since the first gateway learned of it: gateways state to each other the ages that they know, and the highest
+// counts. A gateway that started later assumes Ages.StartAge until it is told. Time in which the platform's store does not answer is not
+// counted, since endpoints cannot be updated meanwhile.
 //
 // The package neither reads a clock nor communicates. Times are durations since the start of the machine.
 //
@@ -14,6 +14,6 @@
 //
 //	rule := staleness.Rule{Limit: 10 * time.Second}
 //	ages := &staleness.Ages{StartAge: rule.StartAge()}
-//	ages.Named("Model1", 2, now, now-lastSeenUnnamed, true)
+//	ages.Named("Model1", 2, now, true)
 //	if rule.MayBegin(ages.Age("Model1", 2, now), expectedWait) { send }
 package staleness
