Count the bound of an endpoint from the first version above its own

Cause: version 3 was named 7.7 s after version 2, and the age of the newest version was the one that counted, so the bound began anew with each version. Change: the ages of the last four versions are kept and exchanged; the first one above the endpoint's version counts, for requests and for waves. Result: with the newest alone TestReplacedFor fails in the cases of several newer versions; the tests of staleness, loads, weights and forward pass.

--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -432,8 +432,10 @@
 		e.Links.SetPeer(now, source, m.links())
 	}
 	if e.Ages != nil {
-		for model, a := range m.Ages {
-			e.Ages.SetPeer(model, staleness.Age{Version: a.Version, Age: time.Duration(a.AgeMs) * time.Millisecond}, bootclock.Now())
+		for model, list := range m.Ages {
+			for _, a := range list {
+				e.Ages.SetPeer(model, staleness.Age{Version: a.Version, Age: time.Duration(a.AgeMs) * time.Millisecond}, bootclock.Now())
+			}
 		}
 	}
 	if e.Floors != nil {
--- a/internal/connection/loads/exchange_test.go
+++ b/internal/connection/loads/exchange_test.go
@@ -185,7 +185,7 @@
 				is.NoErr(<-ended)
 				is.NoErr(<-ended)
 			}()
-			for deadline := time.Now().Add(3 * time.Second); agesB.Age("M", 2, bootclock.Now()) < 7*time.Second; time.Sleep(5 * time.Millisecond) {
+			for deadline := time.Now().Add(3 * time.Second); agesB.ReplacedFor("M", 1, bootclock.Now()) < 7*time.Second; time.Sleep(5 * time.Millisecond) {
 				if time.Now().After(deadline) {
 					t.Fatal("B has not learned the age within 3 s")
 				}
--- a/internal/connection/loads/message.go
+++ b/internal/connection/loads/message.go
@@ -38,8 +38,8 @@
 	Floors map[string]uint64 `msgpack:",omitempty"`
 	// GroupFloors are, in a summary, the floors of the gateways of the domain by their names.
 	GroupFloors map[string]incarnationFloors `msgpack:",omitempty"`
-	// Ages are, by model, the ages of the weight versions that the sender knows.
-	Ages map[string]versionAge `msgpack:",omitempty"`
+	// Ages are, by model, the ages of the last weight versions, as far as the sender knows them.
+	Ages map[string][]versionAge `msgpack:",omitempty"`
 	// Links are the delays of first tokens after fetches, by store, as the sender or the gateways of its domain observed them.
 	Links map[string]linkReport `msgpack:",omitempty"`
 	// Kept lists, by endpoint, the long prompt parts cached by the endpoints that the sender, or a gateway of its domain, follows.
@@ -59,12 +59,14 @@
 }
 
 // setAges fills Ages.
-func (m *message) setAges(ages map[string]staleness.Age) {
+func (m *message) setAges(ages map[string][]staleness.Age) {
 	if len(ages) > 0 {
-		m.Ages = make(map[string]versionAge, len(ages))
+		m.Ages = make(map[string][]versionAge, len(ages))
 	}
-	for model, a := range ages {
-		m.Ages[model] = versionAge{Version: a.Version, AgeMs: a.Age.Milliseconds()}
+	for model, list := range ages {
+		for _, a := range list {
+			m.Ages[model] = append(m.Ages[model], versionAge{Version: a.Version, AgeMs: a.Age.Milliseconds()})
+		}
 	}
 }
 
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -61,7 +61,7 @@
 	handler  *forward.Handler
 	age      time.Duration // the result of ConfigurationAge
 	addr     string
-	// replaced is the snapshot from replacedAt on, nil if it is not replaced. versionAge is the result of VersionAge at the start of the
+	// replaced is the snapshot from replacedAt on, nil if it is not replaced. versionAge is the result of ReplacedFor at the start of the
 	// fixture, or at replacedAt.
 	replaced   *site.Snapshot
 	replacedAt time.Time
@@ -78,7 +78,7 @@
 	return f.snapshot
 }
 
-func (f *fixture) VersionAge(string) time.Duration {
+func (f *fixture) ReplacedFor(string, uint64) time.Duration {
 	if f.replaced != nil {
 		return f.versionAge + time.Since(f.replacedAt)
 	}
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -33,8 +33,8 @@
 	ConfigurationAge() time.Duration
 	// VersionsAge returns how long ago the platform's store last confirmed which weight version of each model is to be served.
 	VersionsAge() time.Duration
-	// VersionAge returns the time since the weight version of a model that is to be served was named.
-	VersionAge(model string) time.Duration
+	// ReplacedFor returns the time since the first weight version of a model above the given one was named.
+	ReplacedFor(model string, version uint64) time.Duration
 }
 
 // Tiers provides the KV stores of the site. kvstore.Catalog implements it.
--- a/internal/request/forward/oldweights.go
+++ b/internal/request/forward/oldweights.go
@@ -16,21 +16,17 @@
 // mayBegin returns placement.Request.MayBegin: whether the request may be sent to an endpoint, by the weights that the endpoint serves. It
 // returns nil if no version of the model is named.
 func (req *request) mayBegin() func(e *site.Endpoint, firstToken time.Duration) bool {
-	if _, named := req.snapshot.Versions[req.meta.Model]; !named {
+	named, ok := req.snapshot.Versions[req.meta.Model]
+	if !ok {
 		return nil
 	}
-	age := req.handler.View.VersionAge(req.meta.Model)
+	view := req.handler.View
 	return func(e *site.Endpoint, firstToken time.Duration) bool {
-		return !req.isReplaced(e) || req.handler.Staleness.MayBegin(age, firstToken)
+		version, ok := e.Version(req.meta.Model)
+		return !ok || version >= named || req.handler.Staleness.MayBegin(view.ReplacedFor(req.meta.Model, version), firstToken)
 	}
 }
 
-// isReplaced reports whether an endpoint serves the request with an older weight version than the one that is to be served.
-func (req *request) isReplaced(e *site.Endpoint) bool {
-	version, ok := e.Version(req.meta.Model)
-	return ok && version < req.snapshot.Versions[req.meta.Model]
-}
-
 // releaseAtLimit cancels the attempt by release once no request may begin on the weights of its endpoint, unless the answer has begun. stop
 // ends the wait for that.
 func (a *attempt) releaseAtLimit(release context.CancelCauseFunc) (stop func() bool) {
@@ -41,7 +37,7 @@
 	// The version may be replaced while the attempt waits.
 	remaining := func() time.Duration {
 		if version, ok := a.endpoint.Version(model); ok && version < view.Current().Versions[model] {
-			return rule.Remaining(view.VersionAge(model))
+			return rule.Remaining(view.ReplacedFor(model, version))
 		}
 		return rule.Limit
 	}
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -149,10 +149,10 @@
 	return bootclock.Now() - r.versionFollower.lastContact()
 }
 
-// VersionAge returns the time since the version of a model that is to be served was named, as staleness.Ages counts it.
-func (r *Registry) VersionAge(model string) time.Duration {
+// ReplacedFor returns the time since the first version of a model above the given one was named, as staleness.Ages counts it.
+func (r *Registry) ReplacedFor(model string, version uint64) time.Duration {
 	r.init()
-	return r.Ages.Age(model, r.Current().Versions[model], bootclock.Now())
+	return r.Ages.ReplacedFor(model, version, bootclock.Now())
 }
 
 // Done returns a channel that is closed when Run has ended.
--- a/internal/version/weights/rollout.go
+++ b/internal/version/weights/rollout.go
@@ -64,8 +64,8 @@
 // View provides the gateway's snapshot of the site.
 type View interface {
 	Current() *site.Snapshot
-	// VersionAge returns the time since the version of a model that is to be served was named.
-	VersionAge(model string) time.Duration
+	// ReplacedFor returns the time since the first version of a model above the given one was named.
+	ReplacedFor(model string, version uint64) time.Duration
 	// Rank returns the number of gateways that precede this one in the rendezvous-hash order for a name.
 	Rank(name string) int
 }
@@ -146,20 +146,20 @@
 	callTimeout    = 800 * time.Millisecond
 	orderTimeout   = 300 * time.Millisecond
 	releaseTimeout = 300 * time.Millisecond
-	// hurryAfter and lateAfter are the times since a version was named after which more endpoints change at the same time, so that all
+	// hurryAfter and lateAfter are the times since a version was replaced after which more endpoints change at the same time, so that all
 	// are updated in time even if the lease changed hands or endpoints are slow.
 	hurryAfter = 3500 * time.Millisecond
 	lateAfter  = 6 * time.Second
 )
 
 // waveSize returns how many of n endpoints of a service may change at the same time: a fifth, which leaves enough for the load while all
-// caches are empty; a quarter, rounded up, once the version has been named for hurryAfter; and half of them, rounded up, for lateAfter. It
-// is never fewer than 2.
-func waveSize(n int, namedFor time.Duration) int {
+// caches are empty; a quarter, rounded up, once the oldest version has been replaced for hurryAfter; and half of them, rounded up, for
+// lateAfter. It is never fewer than 2.
+func waveSize(n int, replacedFor time.Duration) int {
 	switch {
-	case namedFor < hurryAfter:
+	case replacedFor < hurryAfter:
 		return max(2, n/5)
-	case namedFor < lateAfter:
+	case replacedFor < lateAfter:
 		return max(2, (n+3)/4)
 	}
 	return max(2, (n+1)/2)
@@ -268,7 +268,7 @@
 					continue
 				}
 				list = append(list, pendingUpdate{endpoint: e, model: m.Model, version: named,
-					from: m.Version, maxConcurrent: waveSize(len(endpoints), r.View.VersionAge(m.Model))})
+					from: m.Version, maxConcurrent: waveSize(len(endpoints), r.View.ReplacedFor(m.Model, m.Version))})
 			}
 		}
 	}
@@ -328,10 +328,10 @@
 		admitted = append(admitted, u)
 	}
 	if len(admitted) > 0 || withheld > r.withheld {
-		model := pending[0].model
-		event.Info(r.Log, event.WeightUpdatesAdmitted, "model", model, "version", pending[0].version, "admitted", len(admitted), "withheld", withheld,
+		first := pending[0]
+		event.Info(r.Log, event.WeightUpdatesAdmitted, "model", first.model, "from", first.from, "version", first.version, "admitted", len(admitted), "withheld", withheld,
 			"pending", len(pending), "changing", changing, "limit", limit,
-			"sinceMs", r.View.VersionAge(model).Milliseconds())
+			"sinceMs", r.View.ReplacedFor(first.model, first.from).Milliseconds())
 	}
 	r.withheld = withheld
 	return admitted
--- a/internal/version/weights/rollout_test.go
+++ b/internal/version/weights/rollout_test.go
@@ -127,7 +127,7 @@
 	namedAt  time.Time
 }
 
-func (v fakeView) VersionAge(string) time.Duration { return time.Since(v.namedAt) }
+func (v fakeView) ReplacedFor(string, uint64) time.Duration { return time.Since(v.namedAt) }
 
 func (v fakeView) Current() *site.Snapshot { return v.snapshot }
 func (v fakeView) Rank(string) int         { return v.rank }
@@ -251,8 +251,8 @@
 
 func (v agesView) Current() *site.Snapshot { return v.snapshot }
 func (v agesView) Rank(string) int         { return 0 }
-func (v agesView) VersionAge(model string) time.Duration {
-	return v.ages.Age(model, v.snapshot.Versions[model], time.Since(v.started))
+func (v agesView) ReplacedFor(model string, version uint64) time.Duration {
+	return v.ages.ReplacedFor(model, version, time.Since(v.started))
 }
 
 // TestManyLateOrders guards against endpoints that leave orders unanswered and thereby block the updates of others. The
--- a/internal/version/weights/wave_test.go
+++ b/internal/version/weights/wave_test.go
@@ -28,9 +28,9 @@
 // pendingView is a View of engines of which some have been left behind by two versions.
 type pendingView struct{ snapshot *site.Snapshot }
 
-func (v pendingView) Current() *site.Snapshot         { return v.snapshot }
-func (v pendingView) Rank(string) int                 { return 0 }
-func (v pendingView) VersionAge(string) time.Duration { return 0 }
+func (v pendingView) Current() *site.Snapshot                  { return v.snapshot }
+func (v pendingView) Rank(string) int                          { return 0 }
+func (v pendingView) ReplacedFor(string, uint64) time.Duration { return 0 }
 
 // TestOldestFirst guards against engines that load two versions in a row while others still have the oldest.
 func TestOldestFirst(t *testing.T) {
--- a/pkg/staleness/ages.go
+++ b/pkg/staleness/ages.go
@@ -1,6 +1,8 @@
 package staleness
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -10,9 +12,9 @@
 	// StartAge is the age that is assumed of a version that was not seen named, until another gateway states it.
 	StartAge time.Duration
 
-	mu       sync.Mutex
-	versions map[string]map[uint64]namedVersion
-	newest   map[string]uint64
+	mu sync.Mutex
+	// versions are the last versions of each model, in ascending order; there are at most maxVersions.
+	versions map[string][]namedVersion
 	// uncounted is the time in which the store did not answer before; lostAt is when it last stopped, if lost is set.
 	uncounted time.Duration
 	lostAt    time.Duration
@@ -27,14 +29,15 @@
 
 // namedVersion is a version that was named at since, in counted time. known is false if that is an assumption.
 type namedVersion struct {
-	since time.Duration
-	known bool
+	version uint64
+	since   time.Duration
+	known   bool
 }
 
 const (
 	// minOutage is the shortest time without an answer of the store that is not counted. A shorter one is a lost connection.
 	minOutage = time.Second
-	// maxVersions limits the versions of a model that other gateways state, of which this one may not have learned yet.
+	// maxVersions limits the versions of a model that are recorded. Older ones were named before.
 	maxVersions = 4
 	// maxStated is the age above which a version is not stated to other gateways.
 	maxStated = time.Minute
@@ -48,80 +51,71 @@
 	return now - a.uncounted
 }
 
-// Named records at now that a version of a model is named and replaces all lower ones. seen is false if it was already named when the
-// versions were first read.
+// Named records at now that a version of a model is named. seen is false if it was already named when the versions were first read.
 func (a *Ages) Named(model string, version uint64, now time.Duration, seen bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.init()
-	if version <= a.newest[model] {
-		return
-	}
-	a.newest[model] = version
-	for other := range a.versions[model] {
-		if other < version {
-			delete(a.versions[model], other)
-		}
-	}
 	since := a.counted(now)
 	if !seen {
 		since -= a.StartAge
 	}
-	a.add(model, version, namedVersion{since: since, known: seen})
+	a.add(model, namedVersion{version: version, since: since, known: seen})
 }
 
-func (a *Ages) init() {
-	if a.versions == nil {
-		a.versions, a.newest = map[string]map[uint64]namedVersion{}, map[string]uint64{}
+// SetPeer records the age that another gateway states of a version.
+func (a *Ages) SetPeer(model string, stated Age, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if stated.Age >= 0 {
+		a.add(model, namedVersion{version: stated.Version, since: a.counted(now) - stated.Age, known: true})
 	}
 }
 
-// add records a version, or merges it with what is recorded: a known time replaces an assumed one, and an earlier one a later one.
-func (a *Ages) add(model string, version uint64, v namedVersion) {
-	if a.versions[model] == nil {
-		a.versions[model] = map[uint64]namedVersion{}
-	}
-	old, ok := a.versions[model][version]
+// add records a version, or merges it with what is recorded: a known time replaces an assumed one, and an earlier one a later one. The caller
+// must hold mu.
+func (a *Ages) add(model string, v namedVersion) {
+	list := a.versions[model]
+	i, recorded := slices.BinarySearchFunc(list, v.version, func(old namedVersion, version uint64) int { return cmp.Compare(old.version, version) })
 	switch {
-	case ok && old.known && !v.known:
-	case ok && old.known == v.known && old.since <= v.since:
-	default:
-		a.versions[model][version] = v
+	case !recorded:
+		list = slices.Insert(list, i, v)
+	case v.known != list[i].known && v.known, v.known == list[i].known && v.since < list[i].since:
+		list[i] = v
 	}
-}
-
-// SetPeer records the age that another gateway states of a version.
-func (a *Ages) SetPeer(model string, stated Age, now time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.init()
-	_, recorded := a.versions[model][stated.Version]
-	if stated.Version < a.newest[model] || stated.Age < 0 || (!recorded && len(a.versions[model]) >= maxVersions) {
-		return
+	if len(list) > maxVersions {
+		// Versions below the dropped one have been replaced since it was named.
+		list[1].since = min(list[1].since, list[0].since)
+		list = list[1:]
+	}
+	if a.versions == nil {
+		a.versions = map[string][]namedVersion{}
 	}
-	a.add(model, stated.Version, namedVersion{since: a.counted(now) - stated.Age, known: true})
+	a.versions[model] = list
 }
 
-// Age returns the counted time since a version was named, 0 if the version is not recorded.
-func (a *Ages) Age(model string, version uint64, now time.Duration) time.Duration {
+// ReplacedFor returns the counted time since a version of a model was replaced: since the first of the versions above it was named. It returns
+// 0 if none is recorded.
+func (a *Ages) ReplacedFor(model string, version uint64, now time.Duration) (age time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	v, ok := a.versions[model][version]
-	if !ok {
-		return 0
+	for _, v := range a.versions[model] {
+		if v.version > version {
+			age = max(age, a.counted(now)-v.since)
+		}
 	}
-	return a.counted(now) - v.since
+	return age
 }
 
-// Stated returns the ages to be sent to other gateways, by model: those of the newest versions, if they are known and recent.
-func (a *Ages) Stated(now time.Duration) map[string]Age {
+// Stated returns the ages to be sent to other gateways, by model: those that are known and recent.
+func (a *Ages) Stated(now time.Duration) map[string][]Age {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	stated := map[string]Age{}
-	for model, version := range a.newest {
-		v := a.versions[model][version]
-		if age := a.counted(now) - v.since; v.known && age < maxStated {
-			stated[model] = Age{Version: version, Age: age}
+	stated := map[string][]Age{}
+	for model, list := range a.versions {
+		for _, v := range list {
+			if age := a.counted(now) - v.since; v.known && age < maxStated {
+				stated[model] = append(stated[model], Age{Version: v.version, Age: age})
+			}
 		}
 	}
 	return stated
--- a/pkg/staleness/staleness_test.go
+++ b/pkg/staleness/staleness_test.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// TestAge guards against an age that is less than the time since a version was named.
-func TestAge(t *testing.T) {
+// TestReplacedFor guards against a time that is less than the time since a version was replaced.
+func TestReplacedFor(t *testing.T) {
 	const start, now = time.Hour, time.Hour + 5*time.Second
 	for _, test := range []struct {
 		name  string
@@ -65,11 +65,24 @@
 			a.Named(model, 2, start, false)
 			a.SetPeer(model, staleness.Age{Version: 2, Age: -time.Hour}, start)
 		}, 9 * time.Second},
-		{"replaced", func(a *staleness.Ages) {
+		{"version itself", func(a *staleness.Ages) {
 			a.Named(model, 1, start-time.Minute, true)
 			a.Named(model, 2, start, true)
 			a.SetPeer(model, staleness.Age{Version: 1, Age: time.Hour}, start)
 		}, 5 * time.Second},
+		{"two newer versions", func(a *staleness.Ages) {
+			a.Named(model, 2, start, true)
+			a.Named(model, 3, start+3*time.Second, true)
+		}, 5 * time.Second},
+		{"started between two newer versions", func(a *staleness.Ages) {
+			a.Named(model, 3, start, true)
+			a.SetPeer(model, staleness.Age{Version: 2, Age: 3 * time.Second}, start)
+		}, 8 * time.Second},
+		{"many newer versions", func(a *staleness.Ages) {
+			for version := range uint64(10) {
+				a.Named(model, 2+version, start+time.Duration(version)*time.Millisecond, true)
+			}
+		}, 5 * time.Second},
 		{"store lost for 3 s", func(a *staleness.Ages) {
 			a.Named(model, 2, start, true)
 			a.StoreLost(start + time.Second)
@@ -94,7 +107,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			a := &staleness.Ages{StartAge: 4 * time.Second}
 			test.steps(a)
-			is.New(t).Equal(a.Age(model, 2, now), test.want)
+			is.New(t).Equal(a.ReplacedFor(model, 1, now), test.want)
 		})
 	}
 }
@@ -106,6 +119,6 @@
 	a.Named(model, 2, time.Hour, false)
 	is.Equal(len(a.Stated(time.Hour)), 0)
 	a.SetPeer(model, staleness.Age{Version: 2, Age: 3 * time.Second}, time.Hour)
-	is.Equal(a.Stated(time.Hour + time.Second)[model], staleness.Age{Version: 2, Age: 4 * time.Second})
+	is.Equal(a.Stated(time.Hour + time.Second)[model], []staleness.Age{{Version: 2, Age: 4 * time.Second}})
 	is.Equal(len(a.Stated(time.Hour+2*time.Minute)), 0)
 }
