Don't wait for the body of a refusal

Cause: a refusal of an endpoint ("not executed") was read to the end of its body, so that its connection can be used again. With a body that ends with its connection, or does not come, the request waited until its deadline, and callers got 503 then, though no other endpoint had been asked. Ruled out: the reading of answers that are delivered, and of late copies before them; there the request has nothing else to wait for. Change: Answer.Discard reads no body without length and chunks, and otherwise waits 50 ms at most. Framed refusals keep the connection. Before, go test ./internal/request/forward -run TestUnframedRefusal: unframed_test.go:210: 503 != 200 --- FAIL: TestUnframedRefusal/without_length,_kept_open (2.00s) --- FAIL: TestUnframedRefusal/with_a_length,_never_sent (2.00s) --- FAIL: TestUnframedRefusal/chunked,_never_ended (2.00s) After: go test ./internal/request/forward ./internal/connection/endpoint passes (TestUnframedRefusal in 0.1 s).

--- a/internal/connection/endpoint/pool.go
+++ b/internal/connection/endpoint/pool.go
@@ -27,6 +27,12 @@
 	ErrBroken = errors.New("connection broke during the request")
 )
 
+// discardTimeout and maxDiscardedBytes limit the rest of a body that Discard reads. A short body usually arrives with its head.
+const (
+	discardTimeout    = 50 * time.Millisecond
+	maxDiscardedBytes = 256 << 10
+)
+
 // Target is the endpoint to which a request is sent.
 type Target struct {
 	ID      string
@@ -98,6 +104,17 @@
 	return n, err
 }
 
+// Discard reads the rest of the body so that the connection can be used again. It gives up if the rest is long or late, and does not read
+// a body that ends with the connection.
+func (a *Answer) Discard() {
+	if a.Length < 0 && len(a.response.TransferEncoding) == 0 {
+		return
+	}
+	// If this replaces the deadline by which ctx interrupts the exchange, the read takes discardTimeout longer.
+	_ = a.exchange.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, a.Body, maxDiscardedBytes)
+}
+
 type readerFunc func(p []byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -161,8 +161,7 @@
 // handleRefusal handles an answer that states that the endpoint did not run the request.
 func (a *attempt) handleRefusal(answer *endpoint.Answer, info AnswerInfo) verdict {
 	req := a.req
-	// The body is read so that the connection can be reused.
-	_, _ = io.CopyN(io.Discard, answer.Body, maxBufferedBytes)
+	answer.Discard()
 	o := placement.Full
 	if info.Misdirected {
 		o = placement.Misdirected
