Take a stream that closes before its first event for broken off

Cause: an answer without length and chunks is complete when its connection closes. An endpoint that went down after the head of a stream was taken for one that had ended it; callers got 200 and a complete stream without events, also where it may be resumed. Ruled out by the same table: a reset, an end inside an event, HTTP/1.0 callers, answers that are not streams. Change: a stream without announced end that has no event is broken off, unless its caller resumes one and may have all of it, or a former attempt relayed events. Before, go test ./internal/request/forward -run TestUnframedStreams: unframed_test.go:88: not true: err != nil || status == http.StatusBadGateway unframed_test.go:84: != id: 9 --- FAIL: TestUnframedStreams/closed_before_the_first_event_HTTP/1.1/stream/ (0.02s) --- FAIL: TestUnframedStreams/closed_before_the_first_event_HTTP/1.1/resume/ (0.02s) (and the same two of HTTP/1.0) After: go test ./internal/request/forward ./internal/connection/endpoint passes. The other new cases passed before as well.

--- a/internal/connection/endpoint/pool.go
+++ b/internal/connection/endpoint/pool.go
@@ -104,10 +104,15 @@
 	return n, err
 }
 
+// Unframed reports whether there is a body with neither a length nor chunks, so that it ends with the connection.
+func (a *Answer) Unframed() bool {
+	return a.Length < 0 && len(a.response.TransferEncoding) == 0 && a.response.Request.Method != http.MethodHead
+}
+
 // Discard reads the rest of the body so that the connection can be used again. It gives up if the rest is long or late, and does not read
 // a body that ends with the connection.
 func (a *Answer) Discard() {
-	if a.Length < 0 && len(a.response.TransferEncoding) == 0 {
+	if a.Unframed() {
 		return
 	}
 	// If this replaces the deadline by which ctx interrupts the exchange, the read takes discardTimeout longer.
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -324,8 +324,11 @@
 // finishStream ends the caller's stream after the endpoint has ended its own.
 func (a *attempt) finishStream(answer *endpoint.Answer) verdict {
 	req := a.req
-	if len(req.stream.partial) > 0 {
+	switch {
+	case len(req.stream.partial) > 0:
 		return a.handleBrokenStream(errors.New("stream ended in the middle of an event"))
+	case answer.Unframed() && !req.w.Started() && req.meta.LastEvent == "":
+		return a.handleBrokenStream(errors.New("stream without an announced end has no event"))
 	}
 	a.recordOutcome(placement.Answered)
 	if !a.startStream(answer) {
