Don't take a blank line at the end of a stream for a torn event

Cause: bytes after the last whole event counted as a part of an event. A stream that ended with a blank line more, whole by every reading of the format, was broken off for its caller, and where it may be resumed run once more. Ruled out: the framing; it happened with and without an announced end. Change: line ends after the last event are relayed as the rest of the body. Before, go test ./internal/request/forward -run TestUnframedStreams: unframed_test.go:77: err: unexpected EOF --- FAIL: TestUnframedStreams/closed_after_a_blank_line_more_HTTP/1.1/stream/ (0.02s) --- FAIL: TestUnframedStreams/closed_after_a_blank_line_more_HTTP/1.1/resume/ (0.04s) (and the same two of HTTP/1.0) After: go test ./internal/request/forward passes.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -324,8 +324,9 @@
 // finishStream ends the caller's stream after the endpoint has ended its own.
 func (a *attempt) finishStream(answer *endpoint.Answer) verdict {
 	req := a.req
+	rest := req.stream.partial
 	switch {
-	case len(req.stream.partial) > 0:
+	case len(bytes.Trim(rest, "\r\n")) > 0:
 		return a.handleBrokenStream(errors.New("stream ended in the middle of an event"))
 	case answer.Unframed() && !req.w.Started() && req.meta.LastEvent == "":
 		return a.handleBrokenStream(errors.New("stream without an announced end has no event"))
@@ -334,7 +335,8 @@
 	if !a.startStream(answer) {
 		return done
 	}
-	if err := req.w.End(); err != nil {
+	// Blank lines after the last event are a part of the body.
+	if _, err := req.w.Write(rest); err != nil || req.w.End() != nil {
 		req.reason = "CallerLeft"
 	}
 	return done
--- a/internal/request/forward/unframed_test.go
+++ b/internal/request/forward/unframed_test.go
@@ -45,6 +45,7 @@
 		"closed before the empty line":    {sent: event1 + "id: 2\ndata: b\n", relayed: event1, resumableAfter: "1"},
 		"closed inside the first event":   {sent: "id: 1\nda"},
 		"closed before the first event":   {},
+		"closed after a blank line more":  {sent: event1 + event2 + "\n", complete: true, relayed: event1 + event2 + "\n"},
 		"closed after events with CR LF":  {sent: "id: 1\r\ndata: a\r\n\r\n", complete: true, relayed: "id: 1\r\ndata: a\r\n\r\n"},
 		"closed inside a line end":        {sent: event1 + "id: 2\r\ndata: b\r\n\r", relayed: event1, resumableAfter: "1"},
 		"closed inside a long event":      {sent: event1 + event2 + long[:len(long)-1], relayed: event1 + event2, resumableAfter: "2"},
