Don't blame an endpoint for callers that leave

Cause: an answer of more than 256 KiB is relayed as it arrives. A caller that reset its connection meanwhile made the write fail, which was recorded as a connection that the endpoint broke; some such callers made every endpoint suspect, and the next callers got 503 (NoEndpoint). A caller whose leaving was noticed before the write was counted rightly, so were streams and short answers. Change: only the error of the endpoint's connection is taken for its break. Before, go test ./internal/request/forward -run TestCallerLeavesLongAnswer (30 callers one after the other, 3 of 3 runs): suspicion_test.go:89: 503 != 200 After: 10 of 10 runs pass.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -228,11 +228,17 @@
 		return done
 	}
 	_, err := io.Copy(req.w, answer.Body)
-	if err != nil {
+	switch {
+	case errors.Is(err, endpoint.ErrBroken):
 		req.reason = "Cut"
 		req.w.Abort()
 		a.recordOutcome(a.failureOutcome(placement.Broken))
 		return done
+	case err != nil:
+		req.reason = "CallerLeft"
+		req.w.Abort()
+		a.recordOutcome(placement.Abandoned)
+		return done
 	}
 	a.recordOutcome(placement.Answered)
 	if err := req.w.End(); err != nil {
