Look for a crash also when a long answer breaks off

Cause: the break of an answer that was relayed as it arrived (over 256 KiB) was recorded for the placement, but no crash was looked for: a request that crashes engines while they write a long answer was never marked, and repeats of it crashed the next ones. No log line told of the attempt either. Short answers and streams were reported. Change: the same record and log line as for those. Before, go test ./internal/request/forward -run 'TestSuspicions$': suspicion_test.go:67: 0 != 1 --- FAIL: TestSuspicions/long_answer_with_a_length,_cut (0.04s) --- FAIL: TestSuspicions/long_answer_in_chunks,_cut (0.04s) --- FAIL: TestSuspicions/long_answer,_reset (0.04s) After: go test ./internal/request/forward passes. The cases where nothing may be suspected (an answer that ends with its connection, callers that leave) passed before and after.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -232,7 +232,8 @@
 	case errors.Is(err, endpoint.ErrBroken):
 		req.reason = "Cut"
 		req.w.Abort()
-		a.recordOutcome(a.failureOutcome(placement.Broken))
+		a.recordBrokenConnection()
+		a.logFailedAttempt(err.Error(), answer.Status)
 		return done
 	case err != nil:
 		req.reason = "CallerLeft"
