Take a resumed stream that closes without an event for broken off

Change: what counts is whether this attempt has brought an event; comments and blank lines are none. A resumed stream of which nothing is left, without announced end, is broken off too: it cannot be told from a crash. Before, go test ./internal/request/forward -run TestResumedWithoutEvents: unframed_test.go:127: true != false --- FAIL: TestResumedWithoutEvents/nothing (0.04s) --- FAIL: TestResumedWithoutEvents/blank_lines (0.04s) --- FAIL: TestResumedWithoutEvents/a_comment (0.04s) --- FAIL: TestResumedWithoutEvents/a_comment_with_CR_LF (0.04s) After: go test ./internal/request/forward passes.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -254,7 +254,7 @@
 	if req.stream == nil {
 		req.stream = newEventSplitter(req.meta.LastEvent)
 	}
-	req.stream.partial = nil
+	req.stream.begin()
 	buffer := make([]byte, 4096)
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -335,7 +335,7 @@
 	switch {
 	case len(bytes.Trim(rest, "\r\n")) > 0:
 		return a.handleBrokenStream(errors.New("stream ended in the middle of an event"))
-	case answer.Unframed() && !req.w.Started() && req.meta.LastEvent == "":
+	case answer.Unframed() && !req.stream.hasEvents:
 		return a.handleBrokenStream(errors.New("stream without an announced end has no event"))
 	}
 	a.recordOutcome(placement.Answered)
--- a/internal/request/forward/events.go
+++ b/internal/request/forward/events.go
@@ -16,8 +16,14 @@
 	lastNumber int64
 	// lastID is the ID, as the endpoint wrote it, of the last complete event that has an ID and was not dropped.
 	lastID string
+	// hasEvents is set once the current attempt has brought a complete event, also one that the caller already has. Comments and blank
+	// lines are no events.
+	hasEvents bool
 }
 
+// begin prepares for the stream of the next attempt.
+func (e *eventSplitter) begin() { e.partial, e.hasEvents = nil, false }
+
 // maxEventBytes bounds the buffered bytes of an incomplete event. Many streams at a time may reach it, when endpoints send bytes
 // without end that are no events.
 const maxEventBytes = 128 << 10
@@ -34,6 +40,7 @@
 		}
 		event := e.partial[end : end+n]
 		end += n
+		e.hasEvents = e.hasEvents || hasField(event)
 		id, found := eventID(event)
 		if found {
 			if number, err := strconv.ParseInt(id, 10, 64); err == nil {
@@ -62,6 +69,16 @@
 	return lf + 2
 }
 
+// hasField reports whether an event has a line that is neither blank nor a comment.
+func hasField(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if line = bytes.Trim(line, "\r"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the value of the id field of an event.
 func eventID(event []byte) (id string, found bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
--- a/internal/request/forward/unframed_test.go
+++ b/internal/request/forward/unframed_test.go
@@ -99,6 +99,39 @@
 
 const maxTestEvent = 20_000
 
+// TestResumedWithoutEvents guards against a stream that looks complete because the endpoint that resumes it closes before any event.
+func TestResumedWithoutEvents(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent     string
+		complete bool
+	}{
+		"nothing":                        {},
+		"blank lines":                    {sent: "\n\n\n"},
+		"a comment":                      {sent: ": still here\n\n"},
+		"a comment with CR LF":           {sent: ": still here\r\n\r\n"},
+		"an event that the caller has":   {sent: event1, complete: true},
+		"another event":                  {sent: event2, complete: true},
+		"another event and then comment": {sent: event2 + ": end\n\n", complete: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, func(n int, id string, _ *http.Request, c net.Conn) bool {
+				if n == 0 {
+					_, _ = io.WriteString(c, unframedHead(id)+event1+"id: 2\nda")
+					return end(c, false)
+				}
+				_, _ = io.WriteString(c, unframedHead(id)+test.sent)
+				return end(c, false)
+			})
+			status, _, err := f.send(t, http.MethodPost, "/resume/")
+			is.Equal(err == nil && status == http.StatusOK, test.complete)
+			is.Equal(f.arrivalCount(), 2)
+			status, _, err = f.send(t, http.MethodPost, "/stream/", "After: 1") // the caller itself resumes
+			is.Equal(err == nil && status == http.StatusOK, test.complete)
+		})
+	}
+}
+
 // TestUnframedAnswers guards against answers without length and chunks that a reset broke off and that are delivered as complete.
 func TestUnframedAnswers(t *testing.T) {
 	long := strings.Repeat("0123456789abcdef", 40_000) // longer than what is read before the first byte is relayed
