Bound the memory that a msgpack message of another process takes up

Cause: package msgpack allocates a list with the length that its head claims (its limit for lists never applies: a flag is compared with 1). A datagram of 16 bytes to the port of the gateways' load exchange, from anyone who reaches it, makes a gateway allocate 4 bytes for each of up to 2^32 claimed elements; so do answers of 15 bytes to relayed reads. Ruled out: lists of texts, byte strings and maps, which msgpack bounds; JSON, which is bounded by its text. Change: pkg/bounded checks that the input has the elements that it claims, without recursion and 64 levels deep at most, before it is decoded; the six decoders of messages use it. A relayed listing may have 2^20 values: of 1,000 parts it has 7,011 in 57,065 bytes.

--- a/internal/connection/kvstore/relay.go
+++ b/internal/connection/kvstore/relay.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"primrosecourse/internal/connection/call"
+	"primrosecourse/pkg/bounded"
 )
 
 // A store serves only a few event polls concurrently. The first gateways in the store's rendezvous-hash order read its events, and the
@@ -30,6 +31,9 @@
 	readerShare = 0.6
 	// maxRelayResponseBytes limits a response of another gateway.
 	maxRelayResponseBytes = 8 << 20
+	// maxRelayedValues limits the values in it. A part takes up 7 values and about 60 bytes, but a value may be a single byte that is
+	// decoded into 80.
+	maxRelayedValues = 1 << 20
 )
 
 // changeLog holds the recent changes of a store for the gateways that poll this one. The mu of the catalog guards it.
@@ -210,5 +214,5 @@
 	if response.Status != http.StatusOK {
 		return errors.Newf("status %d", response.Status)
 	}
-	return msgpack.Unmarshal(response.Body, into)
+	return bounded.UnmarshalMax(response.Body, maxRelayedValues, into)
 }
--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -16,6 +16,7 @@
 
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/bootclock"
+	"primrosecourse/pkg/bounded"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
 	"primrosecourse/pkg/tiering"
@@ -386,7 +387,7 @@
 // there is none.
 func (e *Exchange) handle(b []byte, from netip.AddrPort, now time.Time) (passOn *message) {
 	var m message
-	err := msgpack.Unmarshal(b, &m)
+	err := bounded.Unmarshal(b, &m)
 	ids := e.endpointIDs()
 	loads, loadsOK := m.loads(ids)
 	cached, cachedOK := m.cached(ids)
--- a/internal/connection/watchrelay/relay.go
+++ b/internal/connection/watchrelay/relay.go
@@ -21,6 +21,7 @@
 	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/internal/process/platform"
 	"primrosecourse/internal/version/registry"
+	"primrosecourse/pkg/bounded"
 )
 
 // Path is the path at which a Relay serves the other gateways.
@@ -334,7 +335,7 @@
 	default:
 		return a, nil, errors.Newf("status %d", response.Status)
 	}
-	if err = msgpack.Unmarshal(response.Body, &a); err != nil {
+	if err = bounded.Unmarshal(response.Body, &a); err != nil {
 		return a, nil, err
 	}
 	changes, err = a.changes()
--- a/internal/version/config/delta.go
+++ b/internal/version/config/delta.go
@@ -6,6 +6,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"primrosecourse/pkg/bounded"
 )
 
 // maxJSONBytes limits the JSON of a configuration, which takes 2.2 MB at full size.
@@ -142,7 +144,7 @@
 // applyDeltas applies encoded deltas to base, the JSON of version. It returns the JSON of target and the decoded deltas.
 func applyDeltas(base []byte, version uint64, content []byte, target uint64) (next []byte, deltas chain, err error) {
 	defer func() { err = errors.Wrapf(err, "delta from version %d to %d", version, target) }()
-	if err = msgpack.Unmarshal(content, &deltas); err != nil {
+	if err = bounded.Unmarshal(content, &deltas); err != nil {
 		return nil, nil, errors.Mark(err, errMalformedDelta)
 	}
 	if len(deltas) == 0 || len(deltas) > maxChainLength {
--- a/pkg/claim/segment.go
+++ b/pkg/claim/segment.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"primrosecourse/pkg/bounded"
 )
 
 // ObjectKind is the kind of the platform objects that contain segments.
@@ -60,7 +62,7 @@
 
 // Decode decodes a segment. Any error is marked as ErrMalformed.
 func Decode(value []byte) (s Segment, err error) {
-	if err = msgpack.Unmarshal(value, &s); err != nil {
+	if err = bounded.Unmarshal(value, &s); err != nil {
 		return Segment{}, errors.Mark(errors.Wrap(err, "claim: decode segment"), ErrMalformed)
 	}
 	return s, nil
--- a/pkg/wire/conn.go
+++ b/pkg/wire/conn.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"primrosecourse/pkg/bounded"
 )
 
 // MaxFrameBytes is the maximum size of a frame without its length field. It bounds the memory that a peer can make the
@@ -155,7 +157,7 @@
 
 func decode[T Message](body []byte) (Message, error) {
 	var m T
-	if err := msgpack.Unmarshal(body, &m); err != nil {
+	if err := bounded.Unmarshal(body, &m); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "malformed body"), ErrMalformed)
 	}
 	return m, nil
