--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -12,6 +12,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -118,18 +120,22 @@
 }
 
 // copy forwards data from one connection to the other, unless drops returns true for the condition at the time of the
-// read. It closes both connections when a read or write fails, but not before the path stops dropping data.
+// read. It closes both connections when a read or write fails, but not before the path stops dropping data. The connection to is reset if
+// from was, or if data for it was dropped, so that nothing looks complete that is not.
 func (l *Link) copy(to, from *net.TCPConn, drops func(Condition) bool) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, 16<<10)
+	dropped := false
 	for {
 		n, err := from.Read(buffer)
 		c := l.currentCondition()
 		if c.Delay > 0 {
 			time.Sleep(c.Delay)
 		}
-		if n > 0 && !drops(c) {
+		if n > 0 && drops(c) {
+			dropped = true
+		} else if n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				return
 			}
@@ -140,6 +146,9 @@
 			for drops(l.currentCondition()) && l.isOpen(to) {
 				time.Sleep(10 * time.Millisecond)
 			}
+			if dropped || !errors.Is(err, io.EOF) {
+				_ = to.SetLinger(0)
+			}
 			return
 		}
 	}
