--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -167,8 +167,7 @@
 // handleRefusal handles an answer that states that the endpoint did not run the request.
 func (a *attempt) handleRefusal(answer *endpoint.Answer, info AnswerInfo) verdict {
 	req := a.req
-	// The body is read so that the connection can be reused.
-	_, _ = io.CopyN(io.Discard, answer.Body, maxBufferedBytes)
+	answer.Discard()
 	o := placement.Full
 	if info.Misdirected {
 		o = placement.Misdirected
@@ -236,10 +235,17 @@
 		return done
 	}
 	_, err := io.Copy(req.w, answer.Body)
-	if err != nil {
+	switch {
+	case errors.Is(err, endpoint.ErrBroken):
 		req.reason = "Cut"
 		req.w.Abort()
-		a.recordOutcome(a.failureOutcome(placement.Broken))
+		a.recordBrokenConnection()
+		a.logFailedAttempt(err.Error(), answer.Status)
+		return done
+	case err != nil:
+		req.reason = "CallerLeft"
+		req.w.Abort()
+		a.recordOutcome(placement.Abandoned)
 		return done
 	}
 	a.recordOutcome(placement.Answered)
@@ -255,7 +261,7 @@
 	if req.stream == nil {
 		req.stream = newEventSplitter(req.meta.LastEvent)
 	}
-	req.stream.partial = nil
+	req.stream.begin()
 	buffer := make([]byte, 4096)
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -333,14 +339,19 @@
 // finishStream ends the caller's stream after the endpoint has ended its own.
 func (a *attempt) finishStream(answer *endpoint.Answer) verdict {
 	req := a.req
-	if len(req.stream.partial) > 0 {
+	rest := req.stream.partial
+	switch {
+	case len(bytes.Trim(rest, "\r\n")) > 0:
 		return a.handleBrokenStream(errors.New("stream ended in the middle of an event"))
+	case answer.Unframed() && !req.stream.hasEvents:
+		return a.handleBrokenStream(errors.New("stream without an announced end has no event"))
 	}
 	a.recordOutcome(placement.Answered)
 	if !a.startStream(answer) {
 		return done
 	}
-	if err := req.w.End(); err != nil {
+	// Blank lines after the last event are a part of the body.
+	if _, err := req.w.Write(rest); err != nil || req.w.End() != nil {
 		req.reason = "CallerLeft"
 	}
 	return done
