Tell callers that a request released before it was sent did not run

What callers saw: nothing yet; found by the review. Cause: a request that still waited for a connection when it was taken from an endpoint with replaced weights was judged by that cause instead of the error of the send, and ended with 502, outcome unknown. Change: the cause is for the log only. Result: TestUnsentRequestAtLimitDidNotRun, the reviewer's, failed before (502 != 503), passes now.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -81,7 +81,6 @@
 // handleSendError handles an attempt that ended without an answer.
 func (a *attempt) handleSendError(err error) verdict {
 	req := a.req
-	err = a.cause(err)
 	v := mayHaveRun
 	switch {
 	case errors.Is(err, endpoint.ErrNoConnection):
@@ -94,7 +93,7 @@
 		req.possibleRuns++
 		a.recordBrokenConnection()
 	}
-	event.Info(req.handler.Log, event.RequestFailedAttempt, "request", req.meta.ID, "endpoint", a.endpoint.ID, "error", err.Error(),
+	event.Info(req.handler.Log, event.RequestFailedAttempt, "request", req.meta.ID, "endpoint", a.endpoint.ID, "error", a.cause(err).Error(),
 		"mayHaveRun", v == mayHaveRun, "afterMs", time.Since(a.started).Milliseconds())
 	req.handler.count("Attempts.Failed")
 	return v
