Look at waiting requests again while the age of a version may change

What callers saw: nothing yet; found by the review. Cause: a request that waits at an endpoint was looked at once, after the whole bound if its weights were not known to be replaced when it was sent. A gateway that learned of the naming late (a watch without an answer, a restart) let it begin there up to a bound later. Change: a look every 250 ms, by the endpoint's present entry; the release is a twentieth of the bound earlier.

--- a/internal/request/forward/limit_test.go
+++ b/internal/request/forward/limit_test.go
@@ -15,6 +15,25 @@
 	"primrosecourse/pkg/staleness"
 )
 
+// TestWaitingRequestLeavesWhenAgeIsLearnedLate guards against a request that waits at an endpoint beyond the limit, because the gateway learned
+// only after it had sent the request for how long the endpoint's weights had been replaced.
+func TestWaitingRequestLeavesWhenAgeIsLearnedLate(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, func(_ int, _ string, _ *http.Request, c net.Conn) bool {
+		goDark(c)
+		return false
+	})
+	f.snapshot.Configuration.Services["S"].Engine = &site.Engine{}
+	f.snapshot = withVersions(f.snapshot, 1, 1, 1, 1)
+	f.handler.Staleness = staleness.Rule{Limit: 2 * time.Second}
+	f.replaced, f.replacedAt = withVersions(f.snapshot, 2, 1, 1, 1), time.Now().Add(200*time.Millisecond)
+	f.versionAge = 1800 * time.Millisecond // so that the limit is reached 400 ms after the start
+	sentAt := time.Now()
+	_, _, err := f.send(t, "POST", "/stream/1", "Model: M")
+	is.NoErr(err)
+	is.True(time.Since(sentAt) < time.Second)
+}
+
 // unsentSender never gets a connection.
 type unsentSender struct{}
 
--- a/internal/request/forward/oldweights.go
+++ b/internal/request/forward/oldweights.go
@@ -27,35 +27,51 @@
 	}
 }
 
+// limitInterval is the longest time between two looks at a waiting attempt: its endpoint may load other weights, and the gateway may learn
+// late that a version was named.
+const limitInterval = 250 * time.Millisecond
+
 // releaseAtLimit cancels the attempt by release once no request may begin on the weights of its endpoint, unless the answer has begun. stop
 // ends the wait for that.
 func (a *attempt) releaseAtLimit(release context.CancelCauseFunc) (stop func() bool) {
-	model, view, rule := a.req.meta.Model, a.req.handler.View, a.req.handler.Staleness
+	rule := a.req.handler.Staleness
 	if rule.Limit == 0 {
 		return func() bool { return true }
 	}
-	// The version may be replaced while the attempt waits.
-	remaining := func() time.Duration {
-		if version, ok := a.endpoint.Version(model); ok && version < view.Current().Versions[model] {
-			return rule.Remaining(view.ReplacedFor(model, version))
-		}
-		return rule.Limit
-	}
 	var timer *time.Timer
-	timer = time.AfterFunc(time.Hour, func() {
-		left := remaining()
+	timer = time.AfterFunc(time.Hour, func() { // The function uses timer, so that it must not run before the assignment.
+		left := rule.Remaining(a.replacedFor())
 		switch {
 		case a.begun.Load() || a.ctx.Err() != nil:
 		case left > 0:
-			timer.Reset(left)
+			timer.Reset(min(left, limitInterval))
 		default:
 			release(errOldWeights)
 		}
 	})
-	timer.Reset(remaining())
+	timer.Reset(limitInterval)
 	return timer.Stop
 }
 
+// replacedFor returns the time since the weights that the endpoint of the attempt serves now were replaced, 0 if they were not.
+func (a *attempt) replacedFor() time.Duration {
+	view, model := a.req.handler.View, a.req.meta.Model
+	snapshot := view.Current()
+	version, ok := a.endpoint.Version(model)
+	if !ok || version >= snapshot.Versions[model] {
+		return 0
+	}
+	for _, e := range snapshot.Endpoints[a.req.service] {
+		if e.ID == a.endpoint.ID {
+			version, _ = e.Version(model)
+		}
+	}
+	if version >= snapshot.Versions[model] {
+		return 0
+	}
+	return view.ReplacedFor(model, version)
+}
+
 // cause returns err, or errOldWeights if the attempt was cancelled for that.
 func (a *attempt) cause(err error) error {
 	if cause := context.Cause(a.ctx); errors.Is(cause, errOldWeights) {
--- a/pkg/staleness/rule.go
+++ b/pkg/staleness/rule.go
@@ -11,6 +11,8 @@
 const (
 	// slackShare is the share of the limit that must remain when a request is expected to begin, since it may begin later than expected.
 	slackShare = 0.2
+	// releaseShare is the share of the limit that must remain when a request begins.
+	releaseShare = 0.05
 	// startTime is how long a gateway that does not know the age of a version uses endpoints with older ones. Gateways that have just
 	// started learn the age from others within a second; if all have just started, the first endpoints have loaded the version by then.
 	startTime = 2 * time.Second
@@ -22,8 +24,11 @@
 	return r.Limit == 0 || age+max(0, begin) <= r.lastSend()
 }
 
-// Remaining returns the time until the limit, at least 0. It must not be called without a limit.
-func (r Rule) Remaining(age time.Duration) time.Duration { return max(0, r.Limit-age) }
+// Remaining returns the time until a request that has not begun must leave an endpoint with an older version, at least 0: shortly before the
+// limit, since the first gateway learns of a version some time after it was named. It must not be called without a limit.
+func (r Rule) Remaining(age time.Duration) time.Duration {
+	return max(0, r.Limit-time.Duration(releaseShare*float64(r.Limit))-age)
+}
 
 // StartAge returns the age that a gateway assumes of a version that it did not see named.
 func (r Rule) StartAge() time.Duration {
