Count a renewal of the lease from its own write

Cause: a renewal first publishes the endpoints and then writes the lease; its second began before both. With 600 ms a call the lease had expired when the store confirmed it, so no endpoint ever got an order. Change: the time counts from the start of the lease's own write, which cannot take effect earlier. Orders of the builds before, which state no sender, count as another gateway's even if this one was the last holder. Result: TestSlowStore fails with the time from before the publishing, passes now.

--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -200,7 +200,7 @@
 	earlier := map[string]earlierOrder{}
 	complete := len(current.OrderedBy) == len(current.Ordered) && len(current.OrderedMs) == len(current.Ordered)
 	for i, id := range current.Ordered {
-		holder, ago := current.Last, int64(registry.OrderOpen)
+		holder, ago := "", int64(registry.OrderOpen)
 		if complete {
 			holder, ago = current.OrderedBy[i], current.OrderedMs[i]
 		}
@@ -256,10 +256,10 @@
 // Renew publishes the endpoints that are about to change their weights, renews the lease, and records in it these endpoints and those that
 // this gateway ordered recently, with the time since. It reports whether the store has confirmed both; only then may the endpoints get orders.
 func (l *Lease) Renew(ctx context.Context, updating []string, sent map[string]time.Duration) (confirmed bool) {
-	start := l.Clock()
 	if !l.publish(ctx, updating) {
 		return false
 	}
+	start := l.Clock()
 	next := l.value
 	next.Renewal++
 	l.record(&next, start, updating, sent, l.earlier)
--- a/internal/process/lease/lease_test.go
+++ b/internal/process/lease/lease_test.go
@@ -20,6 +20,8 @@
 	revision uint64
 	// reject makes all calls fail without an effect; loseResponses makes writes take effect but return an error.
 	reject, loseResponses bool
+	// slow is called in each write; it may be nil.
+	slow func()
 }
 
 func (s *fakeStore) Get(context.Context, string) (json.RawMessage, uint64, error) {
@@ -33,6 +35,9 @@
 }
 
 func (s *fakeStore) Put(_ context.Context, _ string, revision uint64, value any) (uint64, error) {
+	if s.slow != nil {
+		s.slow()
+	}
 	if s.reject {
 		return 0, platform.ErrRateLimited
 	}
@@ -221,6 +226,21 @@
 	is.True(!f.b.MayOrder("e1"))
 }
 
+// TestSlowStore guards against a lease that expires while a slow store confirms the renewal, so that no endpoint ever gets orders.
+func TestSlowStore(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.store.slow = func() { f.now += 600 * time.Millisecond }
+	var published fakeStore
+	published.slow = f.store.slow
+	f.a.Publish, f.a.PublishName = &published, "Updating"
+	is.True(acquire(t, f.a))
+	is.True(f.a.Renew(context.Background(), []string{"e1"}, nil))
+	is.True(f.a.MayOrder("e1"))
+	f.now += 400 * time.Millisecond
+	is.True(!f.a.MayOrder("e1")) // a second after the start of the write, well before another gateway may take it
+}
+
 // TestLostAnswer guards against giving up the lease, or sending orders without it, after a response of the store was lost.
 func TestLostAnswer(t *testing.T) {
 	is := is.New(t)
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -55,7 +55,7 @@
 	Ordered []string
 	// OrderedBy and OrderedMs state, for each endpoint of Ordered, which gateway sent the order or may send one, and how long before this
 	// write it sent the last one, in milliseconds. OrderOpen stands for an endpoint that the holder may order until the lease expires.
-	// If their length differs from that of Ordered, all orders count as those of Last, and as open.
+	// If their length differs from that of Ordered, all orders count as open and as those of another gateway.
 	OrderedBy []string `json:",omitempty"`
 	OrderedMs []int64  `json:",omitempty"`
 }
