Bound the models with ages; count as ready only with the weight versions read

A gateway was ready before it had read which weight versions are named, and until then used any weights; the models of which others state ages were not bounded. Result: TestModelsAreBounded fails without the bound; registry and platform/standin pass.

--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -130,9 +130,9 @@
 	return r.current.Load()
 }
 
-// Complete reports whether a configuration and the endpoints have been read.
+// Complete reports whether a configuration, the endpoints and the weight versions have been read.
 func (r *Registry) Complete() bool {
-	return r.Current().Configuration != nil && r.endpointFollower.lastContact() > 0
+	return r.Current().Configuration != nil && r.endpointFollower.lastContact() > 0 && r.versionFollower.lastContact() > 0
 }
 
 // ConfigurationAge returns how long ago the store last confirmed the configuration, or the time since the boot of the machine
--- a/pkg/staleness/ages.go
+++ b/pkg/staleness/ages.go
@@ -37,6 +37,8 @@
 const (
 	// minOutage is the shortest time without an answer of the store that is not counted. A shorter one is a lost connection.
 	minOutage = time.Second
+	// maxModels limits the models of which other gateways state ages.
+	maxModels = 256
 	// maxVersions limits the versions of a model that are recorded. Older ones were named before.
 	maxVersions = 4
 	// maxStated is the age above which a version is not stated to other gateways.
@@ -66,7 +68,7 @@
 func (a *Ages) SetPeer(model string, stated Age, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if stated.Age >= 0 {
+	if _, recorded := a.versions[model]; stated.Age >= 0 && (recorded || len(a.versions) < maxModels) {
 		a.add(model, namedVersion{version: stated.Version, since: a.counted(now) - stated.Age, known: true})
 	}
 }
--- a/pkg/staleness/staleness_test.go
+++ b/pkg/staleness/staleness_test.go
@@ -1,6 +1,7 @@
 package staleness_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -122,3 +123,15 @@
 	is.Equal(a.Stated(time.Hour + time.Second)[model], []staleness.Age{{Version: 2, Age: 4 * time.Second}})
 	is.Equal(len(a.Stated(time.Hour+2*time.Minute)), 0)
 }
+
+// TestModelsAreBounded guards against memory that grows with each model that another gateway names.
+func TestModelsAreBounded(t *testing.T) {
+	is := is.New(t)
+	a := &staleness.Ages{}
+	for i := range 10_000 {
+		a.SetPeer(fmt.Sprint(i), staleness.Age{Version: 1}, time.Hour)
+	}
+	is.True(len(a.Stated(time.Hour)) <= 256)
+	a.Named("own", 2, time.Hour, true)
+	is.Equal(a.ReplacedFor("own", 1, time.Hour+time.Second), time.Second)
+}
