Log the shared parts of requests whose connection broke

Change: RequestMarked names the attempt, the parts and whether the answer had begun, and is logged where the endpoint is up. CrashWatch takes a Break; its tests pass the same values.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -69,8 +69,9 @@
 	// OrderSent is logged when an order has been sent to an endpoint, with its outcome, or when an endpoint did not
 	// reach the ordered version in time.
 	OrderSent
-	// RequestMarked is logged when a request is marked as having crashed an endpoint, or a suspected crash is not
-	// investigated because too many others wait.
+	// RequestMarked is logged when a request is marked as having crashed an endpoint, when its connection broke but the endpoint
+	// is up, or when a suspected crash is not investigated because too many others wait; with the shared parts of the prompt and
+	// whether the answer had begun.
 	RequestMarked
 	// CacheStoreListed is logged when a gateway has listed the contents of a KV store.
 	CacheStoreListed
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -34,6 +34,8 @@
 	expected     time.Duration
 	// flight is the attempt's entry in the silence watch, nil without one.
 	flight *flight
+	// begun is set once an event of the answer, or all of an answer that is not a stream, has arrived.
+	begun bool
 }
 
 // bufferedAnswer is an answer that has been read completely.
@@ -101,7 +103,8 @@
 	a.recordOutcome(o)
 	service := a.req.snapshot.Configuration.Services[a.req.service]
 	if o == placement.Broken && service != nil && service.Engine != nil && a.req.handler.Crashes != nil {
-		a.req.handler.Crashes.ConnectionBroke(a.req.meta.ID, a.req.fingerprint, a.req.target(a.endpoint, service))
+		a.req.handler.Crashes.ConnectionBroke(Break{Request: a.req.meta.ID, Attempt: a.req.attempts, Fingerprint: a.req.fingerprint,
+			Target: a.req.target(a.endpoint, service), Parts: a.req.partKeys(), Begun: a.begun})
 	}
 }
 
@@ -291,6 +294,7 @@
 		return true, !ok
 	}
 	a.flight.progress(time.Now())
+	a.begun = true
 	if !a.startStream(answer) {
 		return false, false
 	}
--- a/internal/request/forward/crashes.go
+++ b/internal/request/forward/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -66,12 +67,32 @@
 	down     bool
 }
 
-// suspicion is a request during which the connection to an endpoint broke, so that it may have crashed the endpoint.
+// Break describes an attempt during which the connection to an endpoint broke, so that the request may have crashed the endpoint.
+type Break struct {
+	// Request is the request ID, Attempt the number of the attempt, from 1.
+	Request     string
+	Attempt     int
+	Fingerprint uint64
+	Target      endpoint.Target
+	// Parts are the keys of the shared parts of the prompt, in order.
+	Parts []uint64
+	// Begun is set if an event of the answer, or all of an answer that is not a stream, had arrived in this attempt.
+	Begun bool
+}
+
+// suspicion is a break that is not investigated yet.
 type suspicion struct {
-	request     string
-	fingerprint uint64
-	target      endpoint.Target
-	brokenAt    time.Time
+	Break
+	brokenAt time.Time
+}
+
+// hexKeys formats keys for logs.
+func hexKeys(keys []uint64) string {
+	list := make([]string, 0, len(keys))
+	for _, k := range keys {
+		list = append(list, strconv.FormatUint(k, 16))
+	}
+	return strings.Join(list, ",")
 }
 
 func (w *CrashWatch) init() {
@@ -110,20 +131,24 @@
 	}
 }
 
-// ConnectionBroke queues a request during which the connection to an endpoint broke. It never blocks: if the queue is full, the
-// suspicion is discarded.
-func (w *CrashWatch) ConnectionBroke(request string, fingerprint uint64, target endpoint.Target) {
+// ConnectionBroke queues a break. It never blocks: if the queue is full, the break is discarded.
+func (w *CrashWatch) ConnectionBroke(b Break) {
 	w.init()
 	select {
-	case w.suspicions <- suspicion{request: request, fingerprint: fingerprint, target: target, brokenAt: time.Now()}:
+	case w.suspicions <- suspicion{Break: b, brokenAt: time.Now()}:
 	default:
-		event.Info(w.Log, event.RequestMarked, "request", request, "endpoint", target.ID, "outcome", "not investigated: queue of suspicions is full")
+		w.logBreak(b, "not investigated: queue of suspicions is full")
 		if w.Dropped != nil {
 			w.Dropped()
 		}
 	}
 }
 
+func (w *CrashWatch) logBreak(b Break, outcome string) {
+	event.Info(w.Log, event.RequestMarked, "request", b.Request, "attempt", b.Attempt, "endpoint", b.Target.ID, "outcome", outcome,
+		"fingerprint", strconv.FormatUint(b.Fingerprint, 10), "parts", hexKeys(b.Parts), "begun", b.Begun)
+}
+
 // investigate waits until probeDelay has passed since the break and marks the request if its endpoint is down.
 func (w *CrashWatch) investigate(ctx context.Context, s suspicion) {
 	timer := time.NewTimer(time.Until(s.brokenAt.Add(probeDelay)))
@@ -136,11 +161,12 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	if !w.isDown(ctx, s) {
+		w.logBreak(s.Break, "endpoint is up")
 		return
 	}
-	event.Info(w.Log, event.RequestMarked, "request", s.request, "endpoint", s.target.ID, "fingerprint", strconv.FormatUint(s.fingerprint, 10))
-	if err := w.Marks.RecordCrash(ctx, s.fingerprint, s.target.ID); err != nil {
-		event.Info(w.Log, event.StoreWriteFailed, "request", s.request, "reason", err.Error())
+	w.logBreak(s.Break, "marked")
+	if err := w.Marks.RecordCrash(ctx, s.Fingerprint, s.Target.ID); err != nil {
+		event.Info(w.Log, event.StoreWriteFailed, "request", s.Request, "reason", err.Error())
 	}
 }
 
@@ -148,13 +174,13 @@
 // the connection broke; otherwise it closes the idle connections to the endpoint and probes it.
 func (w *CrashWatch) isDown(ctx context.Context, s suspicion) bool {
 	w.mu.Lock()
-	result, known := w.results[s.target.ID]
+	result, known := w.results[s.Target.ID]
 	w.mu.Unlock()
 	if known && result.probedAt.After(s.brokenAt) {
 		return result.down
 	}
-	w.Endpoints.Drop(s.target)
-	result = probeResult{probedAt: time.Now(), down: refusesConnection(ctx, s.target)}
+	w.Endpoints.Drop(s.Target)
+	result = probeResult{probedAt: time.Now(), down: refusesConnection(ctx, s.Target)}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, old := range w.results {
@@ -162,7 +188,7 @@
 			delete(w.results, id)
 		}
 	}
-	w.results[s.target.ID] = result
+	w.results[s.Target.ID] = result
 	return result.down
 }
 
--- a/internal/request/forward/crashes_test.go
+++ b/internal/request/forward/crashes_test.go
@@ -92,7 +92,7 @@
 			if crash {
 				closeAll()
 			}
-			w.ConnectionBroke("r1", 7, target)
+			w.ConnectionBroke(forward.Break{Request: "r1", Fingerprint: 7, Target: target})
 			time.Sleep(200 * time.Millisecond)
 			is.Equal(m.count() == 1, crash)
 		})
@@ -108,7 +108,7 @@
 	runWatch(t, w)
 	before := runtime.NumGoroutine()
 	for n := range 200 {
-		w.ConnectionBroke("r", uint64(n), target)
+		w.ConnectionBroke(forward.Break{Request: "r", Fingerprint: uint64(n), Target: target})
 	}
 	is.True(runtime.NumGoroutine() <= before+10)
 	time.Sleep(300 * time.Millisecond)
@@ -124,7 +124,7 @@
 	w := &forward.CrashWatch{Marks: &marks{endpoints: map[uint64]string{}}, Endpoints: noIdleConnections{}, Log: logr.Discard(),
 		Dropped: func() { dropped++ }}
 	for n := range 1000 { // Run is not called, so that the queue fills up
-		w.ConnectionBroke("r", uint64(n), target)
+		w.ConnectionBroke(forward.Break{Request: "r", Fingerprint: uint64(n), Target: target})
 	}
 	is.True(dropped > 0 && dropped < 1000)
 }
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -54,8 +54,8 @@
 
 // Crashes investigates connections that broke during a request. CrashWatch implements it.
 type Crashes interface {
-	// ConnectionBroke reports a request during which the connection to an endpoint broke.
-	ConnectionBroke(request string, fingerprint uint64, target endpoint.Target)
+	// ConnectionBroke reports an attempt during which the connection to an endpoint broke.
+	ConnectionBroke(b Break)
 }
 
 // Limits is the retry budget of each service, which all gateways share.
