Quarantine parts of prompts that crash engines

Crashes were counted by the fingerprint of a whole request; no two of these are alike. Each such request was also repeated 10 ms after the crash, before anything was known, so that it ended two engines. Ruled out: late spread of the marks; no mark of these requests was ever used. Change: a crash is recorded with the parts of the prompts there whose answers had not begun; an answer that begins on a part clears it. quarantine.Judge lets one part explain each crash, the deepest in its prompt that suffices, by organisation; forward.PartWatch applies it to the records of all gateways in the platform's store and to its own before they are written. Requests with such a part are refused, 503, not run; one whose engine crashed unbegun is repeated only if none of its parts was at another crash.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -105,4 +105,10 @@
 	// WatchRelayed is logged when a gateway begins to read a kind of object through another gateway, or from the store again, and, with
 	// the reason, when another gateway could not be read.
 	WatchRelayed
+	// PartSuspected is logged when the shared parts of the requests at a crashed endpoint are recorded, or are not, with the reason.
+	PartSuspected
+	// PartCleared is logged when an answer has begun on a part that was recorded at a crash.
+	PartCleared
+	// PartQuarantined is logged when a part of prompts is quarantined or no longer is, with the crashes that it explains.
+	PartQuarantined
 )
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -63,6 +63,7 @@
 	table            *placement.Table
 	pool             *endpoint.Pool
 	crashes          *forward.CrashWatch
+	parts            *forward.PartWatch
 	silence          *forward.SilenceWatch
 	links            *tiering.Links
 	front            *front.Server
@@ -100,9 +101,10 @@
 		dials := metrics.GetOrRegisterCounter("Endpoint.Connections", g.Metrics)
 		g.pool.Dialed = func(string) { dials.Inc(1) }
 		discarded := metrics.GetOrRegisterCounter("Crashes.NotLookedInto", g.Metrics)
-		g.crashes = &forward.CrashWatch{Marks: g.Registry, Endpoints: g.pool, Log: g.Log, Dropped: func() { discarded.Inc(1) }}
+		g.parts = &forward.PartWatch{Records: g.Registry, Log: g.Log}
+		g.crashes = &forward.CrashWatch{Marks: g.Registry, Endpoints: g.pool, Parts: g.parts, Log: g.Log, Dropped: func() { discarded.Inc(1) }}
 		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table,
-			Endpoints: g.pool, Crashes: g.crashes, Tiers: g.Tiers, Links: g.links, Log: g.Log, Metrics: g.Metrics,
+			Endpoints: g.pool, Crashes: g.crashes, Parts: g.parts, Tiers: g.Tiers, Links: g.links, Log: g.Log, Metrics: g.Metrics,
 			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
 				RepeatSpan: g.Settings.RepeatSpan}}
 		if g.Engines != nil {
@@ -193,6 +195,7 @@
 	run(g.Registry.Run)
 	run(g.pool.Run)
 	run(g.crashes.Run)
+	run(g.parts.Run)
 	run(g.Tiers.Run)
 	if g.silence != nil {
 		run(g.silence.Run)
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -34,8 +34,10 @@
 	expected     time.Duration
 	// flight is the attempt's entry in the silence watch, nil without one.
 	flight *flight
-	// begun is set once an event of the answer, or all of an answer that is not a stream, has arrived.
-	begun bool
+	// begunAt is when the first event of the answer arrived; begun is set once the endpoint has lived on for settleTime or the answer has
+	// ended.
+	begunAt time.Time
+	begun   bool
 }
 
 // bufferedAnswer is an answer that has been read completely.
@@ -88,7 +90,7 @@
 		v = notRun
 	default:
 		req.possibleRuns++
-		a.recordBrokenConnection()
+		a.recordBrokenConnection(err)
 	}
 	event.Info(req.handler.Log, event.RequestFailedAttempt, "request", req.meta.ID, "endpoint", a.endpoint.ID, "error", err.Error(),
 		"mayHaveRun", v == mayHaveRun, "afterMs", time.Since(a.started).Milliseconds())
@@ -98,13 +100,14 @@
 
 // recordBrokenConnection records a connection that broke during the attempt, or a stream that ended in the middle of an event. If
 // the endpoint is an engine, the caller is still connected and the deadline has not passed, the endpoint is checked for a crash.
-func (a *attempt) recordBrokenConnection() {
+func (a *attempt) recordBrokenConnection(err error) {
 	o := a.failureOutcome(placement.Broken)
 	a.recordOutcome(o)
 	service := a.req.snapshot.Configuration.Services[a.req.service]
 	if o == placement.Broken && service != nil && service.Engine != nil && a.req.handler.Crashes != nil {
-		a.req.handler.Crashes.ConnectionBroke(Break{Request: a.req.meta.ID, Attempt: a.req.attempts, Fingerprint: a.req.fingerprint,
-			Target: a.req.target(a.endpoint, service), Parts: a.req.partKeys(), Begun: a.begun})
+		b := a.newBreak(service, err)
+		a.req.suspect = a.mayCrashAgain(b)
+		a.req.handler.Crashes.ConnectionBroke(b)
 	}
 }
 
@@ -190,7 +193,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
 	if err != nil {
-		a.recordBrokenConnection()
+		a.recordBrokenConnection(err)
 		a.logFailedAttempt(err.Error(), answer.Status)
 		return mayHaveRun
 	}
@@ -198,6 +201,7 @@
 		answer.Body = io.MultiReader(bytes.NewReader(body), answer.Body)
 		return a.relayLong(answer)
 	}
+	a.recordBegun(true)
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status < 500 {
 		a.recordOutcome(placement.Answered)
@@ -294,7 +298,7 @@
 		return true, !ok
 	}
 	a.flight.progress(time.Now())
-	a.begun = true
+	a.recordBegun(false)
 	if !a.startStream(answer) {
 		return false, false
 	}
@@ -333,6 +337,9 @@
 		return a.handleBrokenStream(errors.New("stream ended in the middle of an event"))
 	}
 	a.recordOutcome(placement.Answered)
+	if !a.begunAt.IsZero() {
+		a.recordBegun(true)
+	}
 	if !a.startStream(answer) {
 		return done
 	}
@@ -344,7 +351,7 @@
 
 // handleBrokenStream records and logs a stream that broke off or ended in the middle of an event.
 func (a *attempt) handleBrokenStream(err error) verdict {
-	a.recordBrokenConnection()
+	a.recordBrokenConnection(err)
 	a.logFailedAttempt(err.Error(), a.req.status)
 	return mayHaveRun
 }
--- a/internal/request/forward/crashes.go
+++ b/internal/request/forward/crashes.go
@@ -49,7 +49,9 @@
 type CrashWatch struct {
 	Marks     Marks
 	Endpoints Dropper
-	Log       logr.Logger
+	// Parts may be nil.
+	Parts *PartWatch
+	Log   logr.Logger
 	// Dropped is called for each suspicion that is discarded because the queue is full. It may be nil.
 	Dropped func()
 
@@ -74,10 +76,18 @@
 	Attempt     int
 	Fingerprint uint64
 	Target      endpoint.Target
-	// Parts are the keys of the shared parts of the prompt, in order.
-	Parts []uint64
-	// Begun is set if an event of the answer, or all of an answer that is not a stream, had arrived in this attempt.
+	// Incarnation identifies the endpoint's incarnation.
+	Incarnation string
+	// Cold is set if the endpoint was cold.
+	Cold bool
+	// Organisation is the key of the organisation, Parts are the keys of the shared parts of the prompt, in order.
+	Organisation uint64
+	Parts        []uint64
+	// Begun is set if the answer had begun: its first event arrived at least settleTime before, and the endpoint lived on.
 	Begun bool
+	// TimedOut is set if the connection broke since nothing came back for long, so that the host or the network path was lost and not
+	// the process alone.
+	TimedOut bool
 }
 
 // suspicion is a break that is not investigated yet.
@@ -146,7 +156,7 @@
 
 func (w *CrashWatch) logBreak(b Break, outcome string) {
 	event.Info(w.Log, event.RequestMarked, "request", b.Request, "attempt", b.Attempt, "endpoint", b.Target.ID, "outcome", outcome,
-		"fingerprint", strconv.FormatUint(b.Fingerprint, 10), "parts", hexKeys(b.Parts), "begun", b.Begun)
+		"fingerprint", strconv.FormatUint(b.Fingerprint, 10), "parts", hexKeys(b.Parts), "begun", b.Begun, "timedOut", b.TimedOut)
 }
 
 // investigate waits until probeDelay has passed since the break and marks the request if its endpoint is down.
@@ -165,6 +175,9 @@
 		return
 	}
 	w.logBreak(s.Break, "marked")
+	if w.Parts != nil {
+		w.Parts.Crashed(s.Break, s.brokenAt)
+	}
 	if err := w.Marks.RecordCrash(ctx, s.Fingerprint, s.Target.ID); err != nil {
 		event.Info(w.Log, event.StoreWriteFailed, "request", s.Request, "reason", err.Error())
 	}
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -77,6 +77,8 @@
 	Endpoints Sender
 	// Crashes may be nil.
 	Crashes Crashes
+	// Parts may be nil.
+	Parts *PartWatch
 	// Silence finds engines that stopped sending. It may be nil.
 	Silence *SilenceWatch
 	// Tiers may be nil.
@@ -168,6 +170,11 @@
 		req.refuse(http.StatusServiceUnavailable, "Quarantined", "the request crashed several endpoints", 30*time.Second)
 		return false
 	}
+	req.parts = req.partKeys()
+	if retryAfter, quarantined := req.quarantinedPart(); quarantined {
+		req.refuse(http.StatusServiceUnavailable, "QuarantinedPart", "a part of the prompt crashed several endpoints", retryAfter)
+		return false
+	}
 	return true
 }
 
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -35,6 +35,10 @@
 	organisation *site.Organisation
 	service      string
 	fingerprint  uint64
+	// parts are the keys of the shared parts of the prompt.
+	parts []uint64
+	// suspect is set if the last attempt may have crashed its endpoint and the request must not crash another one.
+	suspect bool
 
 	// tried lists the IDs of the endpoints of all attempts, attempts is their number, and possibleRuns the number of those in
 	// which the request ran or may have run.
@@ -88,6 +92,10 @@
 			req.giveUp(refusal.Reason.String(), refusal.RetryAfter)
 			return
 		}
+		if retryAfter, quarantined := req.quarantinedPart(); quarantined {
+			req.giveUp("QuarantinedPart", retryAfter)
+			return
+		}
 		if !req.mayRetry() {
 			req.giveUp("RetryBudget", 500*time.Millisecond)
 			return
@@ -102,6 +110,10 @@
 		case req.ctx.Err() != nil:
 			req.giveUp("Deadline", 0)
 			return
+		case v == mayHaveRun && req.suspect:
+			req.handler.count("Parts.NotRepeated")
+			req.giveUp("SuspectPart", 0)
+			return
 		case v == mayHaveRun && (req.route.Repeat == site.Never || req.possibleRuns >= req.route.Attempts):
 			req.giveUp("OutcomeUnknown", 0)
 			return
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -16,9 +16,10 @@
 	"primrosecourse/internal/process/platform"
 )
 
-// The name of a shared object identifies its type: Mark objects by a prefix, the Updating object by its whole name.
+// The name of a shared object identifies its type: Mark and Crash objects by a prefix, the Updating object by its whole name.
 const (
 	markPrefix   = "Mark."
+	crashPrefix  = "Crash."
 	updatingName = "Updating"
 )
 
@@ -31,9 +32,10 @@
 	// gateways.
 	membersListInterval = 4 * time.Second
 	// memberRetention is how long the object of a gateway without heartbeats is kept; markRetention is how long a mark is kept
-	// after its last change.
+	// after its last change, crashRetention how long a crash is.
 	memberRetention = time.Minute
 	markRetention   = 15 * time.Minute
+	crashRetention  = 30 * time.Minute
 )
 
 // Mark is the shared object that records which endpoints a request crashed.
@@ -80,6 +82,8 @@
 		switch {
 		case strings.HasPrefix(c.Name, markPrefix):
 			err = r.applyMark(c)
+		case strings.HasPrefix(c.Name, crashPrefix):
+			err = r.applyCrash(c)
 		case c.Name == updatingName:
 			err = r.applyUpdating(c)
 		}
@@ -187,7 +191,7 @@
 	}
 }
 
-// obsolete returns the objects of the gateways without heartbeats and the old marks, as maps from name to revision. It returns
+// obsolete returns the objects of the gateways without heartbeats and the old marks and crashes, as maps from name to revision. It returns
 // none shortly after a failed call, since heartbeats and changes may have been missed.
 func (r *Registry) obsolete(now time.Time) (members, marks map[string]uint64) {
 	r.mu.Lock()
@@ -202,9 +206,20 @@
 		}
 	}
 	for name, change := range r.sharedChanges {
-		if strings.HasPrefix(name, markPrefix) && now.Sub(change.at) > markRetention {
+		if retention := sharedRetention(name); retention > 0 && now.Sub(change.at) > retention {
 			marks[name] = change.revision
 		}
 	}
 	return members, marks
 }
+
+// sharedRetention returns how long a shared object is kept after its last change, or 0 if it is kept for ever.
+func sharedRetention(name string) time.Duration {
+	switch {
+	case strings.HasPrefix(name, markPrefix):
+		return markRetention
+	case strings.HasPrefix(name, crashPrefix):
+		return crashRetention
+	}
+	return 0
+}
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -166,6 +166,14 @@
 	t.endpointState(e).setCold(now, remaining)
 }
 
+// IsCold reports whether the endpoint is cold by its last statement.
+func (t *Table) IsCold(now time.Time, e *site.Endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.states[e.ID]
+	return s != nil && s.coldUntil.After(now)
+}
+
 func (s *endpointState) setCold(now time.Time, remaining time.Duration) {
 	s.cold.Cold(now, remaining)
 	if until := now.Add(remaining); until.After(s.coldUntil) {
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -8,6 +8,17 @@
 // The table is bounded. When it is full, expired marks are evicted, else the suspect that expires first, and a quarantined
 // fingerprint only if there is no suspect. The package reads no clock and is not safe for concurrent use.
 //
+// # Parts of prompts
+//
+// Requests that crash endpoints need not be alike: they may share one part of their prompts, whatever else they hold. Judge decides
+// which parts are quarantined, from the crashes of endpoints and the parts of the prompts there whose answers had not begun. An answer
+// that begins on a part clears it. Each crash is explained by one part, the deepest of which the crashes suffice, so that the parts
+// that others share with it stay free. Crashes at the same time count once, those of cold endpoints half. A part is quarantined for the
+// organisation whose prompts were there, and for all if those of three organisations were, so that one organisation cannot have a
+// part of another refused. The parts are those that the callers state.
+//
+// Judge considers the latest 128 crashes with 64 candidates each.
+//
 // # Usage
 //
 //	t := quarantine.New(quarantine.Settings{})
--- a/pkg/site/endpoint.go
+++ b/pkg/site/endpoint.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"primrosecourse/pkg/quarantine"
 )
 
 // State is the state that an endpoint reports of itself.
@@ -70,6 +72,9 @@
 	UpdatingAt time.Time
 	// Marks maps the fingerprint of each request that was running when endpoints crashed to the IDs of those endpoints.
 	Marks map[uint64][]string
+	// Crashes are the crashes with parts of prompts that may be the cause, by Crash.Endpoint. CrashesRevision differs after each change.
+	Crashes         map[string]quarantine.Crash
+	CrashesRevision uint64
 }
 
 // Gateway is another gateway of the site.
