Don't quarantine a part whose crashes a deeper part may explain

Cause: a gateway that saw only a sound prompt at the third crash, with the same first part, refused that first part for 0.2 s until the record of another gateway named the deeper part; without that record, as after the loss of that gateway, it would have for 15 minutes. Change: a part is not quarantined while a deeper part of the same organisation explains all of its crashes but one. Test: TestJudge/last_prompt_not_known fails without the change (the first part is quarantined).

--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -268,8 +268,11 @@
 
 // suffices reports whether the crashes that are not explained yet suffice to quarantine the scope. Crashes of a group count as one.
 func (j *judgement) suffices(e *evidence) bool {
-	if _, ok := j.decisive(e); !ok || !e.all {
-		return ok
+	if _, ok := j.decisive(e); !ok || j.hasRival(e) {
+		return false
+	}
+	if !e.all {
+		return true
 	}
 	organisations := map[uint64]bool{}
 	for k, i := range e.crashes {
@@ -280,6 +283,37 @@
 	return len(organisations) >= j.settings.OrganisationThreshold
 }
 
+// hasRival reports whether a deeper part of the same organisation may explain all crashes of the scope but one, of which its candidates
+// are not known: they were there at other processes, whose records come later or not at all.
+func (j *judgement) hasRival(e *evidence) bool {
+	groups, latest := 0, -1
+	// shared has, for each deeper part, the number of groups with it and the last of them.
+	type tally struct{ groups, latest int }
+	shared := map[uint64]tally{}
+	for _, i := range e.crashes {
+		if j.explained[i] {
+			continue
+		}
+		if j.group[i] != latest {
+			groups, latest = groups+1, j.group[i]
+		}
+		for _, o := range j.crashes[i].Candidates {
+			if o.Depth <= e.depth || (!e.all && o.Organisation != e.organisation) || (e.all && o.ClearedElsewhere) {
+				continue
+			}
+			if t := shared[o.Part]; t.groups == 0 || t.latest != latest {
+				shared[o.Part] = tally{t.groups + 1, latest}
+			}
+		}
+	}
+	for _, t := range shared {
+		if t.groups == groups-1 && t.groups >= max(1, j.settings.CrashThreshold-1) {
+			return true
+		}
+	}
+	return false
+}
+
 // decisive returns the index of the crash without which, and without those before it, the others do not suffice.
 func (j *judgement) decisive(e *evidence) (crash int, ok bool) {
 	halves, group, best := 0, -1, 0
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -53,6 +53,8 @@
 		"the first, others after it":     {[]quarantine.Crash{crash(1, 0, []uint64{1, 2}), crash(2, time.Second, []uint64{1, 3}), crash(3, 2*time.Second, []uint64{1, 4})}, []uint64{1}},
 		"a sound part beside it":         {[]quarantine.Crash{crash(1, 0, []uint64{1, 2}, []uint64{3}), crash(2, time.Second, []uint64{1, 2}, []uint64{3}), crash(3, 2*time.Second, []uint64{1, 2}, []uint64{3})}, []uint64{2}},
 		"the first part in more crashes": {[]quarantine.Crash{crash(1, 0, []uint64{1, 2}), crash(2, time.Second, []uint64{1, 2}), crash(3, 2*time.Second, []uint64{1, 2}), crash(4, 3*time.Second, []uint64{1, 4})}, []uint64{2}},
+		"last prompt not known":          {[]quarantine.Crash{crash(1, 0, []uint64{1, 2}), crash(2, time.Second, []uint64{1, 2}), crash(3, 2*time.Second, []uint64{1, 4})}, nil},
+		"first prompt repeated":          {[]quarantine.Crash{crash(1, 0, []uint64{1, 2}), crash(2, time.Second, []uint64{1, 2}), crash(3, 2*time.Second, []uint64{1, 4}), crash(4, 3*time.Second, []uint64{1, 5})}, []uint64{1}},
 		"several endpoints at once":      {[]quarantine.Crash{crash(1, 0, []uint64{1}), crash(2, 10*time.Millisecond, []uint64{1}), crash(3, 90*time.Millisecond, []uint64{1}), crash(4, 2*time.Second, []uint64{1})}, nil},
 		"cold endpoints":                 {[]quarantine.Crash{cold(crash(1, 0, []uint64{1})), cold(crash(2, time.Second, []uint64{1})), crash(3, 2*time.Second, []uint64{1})}, nil},
 		"many cold endpoints":            {[]quarantine.Crash{cold(crash(1, 0, []uint64{1})), cold(crash(2, time.Second, []uint64{1})), crash(3, 2*time.Second, []uint64{1}), crash(4, 3*time.Second, []uint64{1})}, []uint64{1}},
