Treat an unframed stream without an event as broken off

An endpoint that crashed after the header then ended its stream as a complete one would: callers got an empty success, and the crash was not looked into. Change: the answer says whether it is framed; an unframed stream that ends before the first event of a request that does not resume one is a broken connection, so it is retried where the route allows and its endpoint is probed. Test: TestUnframedStreamWithoutEvent on the commit before: 200 != 502. With the change it passes. Not covered: an unframed stream that ends between two events; its end looks the same as a complete one.

--- a/internal/connection/endpoint/pool.go
+++ b/internal/connection/endpoint/pool.go
@@ -75,6 +75,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
+	// Unframed is set if the body ends with the connection, so that its end can also be that of the endpoint.
+	Unframed bool
 	// Body returns io.EOF only after the whole body has been read; a truncated body gives ErrBroken.
 	Body io.Reader
 
@@ -198,7 +200,8 @@
 			p.release(k, c, false)
 			return nil, err
 		}
-		a := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, pool: p, key: k,
+		a := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+			Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0, pool: p, key: k,
 			exchange: x, response: response}
 		a.Body = readerFunc(a.read)
 		return a, nil
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -336,6 +336,9 @@
 	if len(req.stream.partial) > 0 {
 		return a.handleBrokenStream(errors.New("stream ended in the middle of an event"))
 	}
+	if answer.Unframed && !req.w.Started() && req.meta.LastEvent == "" {
+		return a.handleBrokenStream(errors.New("stream ended with its connection before the first event"))
+	}
 	a.recordOutcome(placement.Answered)
 	if !a.begunAt.IsZero() {
 		a.recordBegun(true)
--- a/internal/request/forward/broken_test.go
+++ b/internal/request/forward/broken_test.go
@@ -55,6 +55,23 @@
 	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
 }
 
+// TestUnframedStreamWithoutEvent guards against a stream that looks complete though its endpoint ended before the first event, and against
+// one that is taken for broken off since its end is not announced.
+func TestUnframedStreamWithoutEvent(t *testing.T) {
+	for events, want := range map[string]struct{ arrivals, status int }{"": {2, http.StatusBadGateway}, "id: 1\ndata: a\n\n": {1, http.StatusOK}} {
+		is := is.New(t)
+		f := newFixture(t, func(_ int, id string, _ *http.Request, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSeal: s\r\nConnection: close\r\n\r\n"+events)
+			return false
+		})
+		status, body, err := f.send(t, http.MethodPost, "/resume/")
+		is.NoErr(err)
+		is.Equal(status, want.status)
+		is.Equal(f.arrivalCount(), want.arrivals)
+		is.True(events == "" || body == events)
+	}
+}
+
 // TestRefusedBeforeItWasSent holds the other side: a request of which no byte left the gateway is refused with the promise.
 func TestRefusedBeforeItWasSent(t *testing.T) {
 	is := is.New(t)
