Don't take quick crashes for the loss of a failure domain

Cause: nothing was recorded of four crashes within 100 ms at one gateway. A part in many short prompts crashes endpoints as fast, so that its crashes were taken for the loss of a failure domain and its evidence withdrawn. Change: the span is 20 ms; the connections of a lost failure domain break within a few. Test: TestQuickCrashesAreRecorded fails with 100 ms.

--- a/internal/request/forward/partwatch.go
+++ b/internal/request/forward/partwatch.go
@@ -39,7 +39,7 @@
 	// groupLoss is the number of endpoints that crash at the same time, within groupSpan, from which on no part is suspected: they share
 	// a failure domain, a rollout or a network path.
 	groupLoss = 4
-	groupSpan = 100 * time.Millisecond
+	groupSpan = 20 * time.Millisecond
 	// seenTime is how long this gateway's own changes are applied to the shared records after they were written.
 	seenTime = 5 * time.Second
 	// maxRecords is the number of shared records from which on no more are written.
--- a/internal/request/forward/partwatch_test.go
+++ b/internal/request/forward/partwatch_test.go
@@ -125,3 +125,17 @@
 		})
 	}
 }
+
+// TestQuickCrashesAreRecorded guards against a part that is taken for the loss of a failure domain since it crashes endpoints quickly.
+func TestQuickCrashesAreRecorded(t *testing.T) {
+	runPartWatches(t, func(t *testing.T, records *crashRecords, watches []*forward.PartWatch) {
+		is := is.New(t)
+		for n := range 8 {
+			watches[0].Crashed(forward.Break{Incarnation: fmt.Sprint("e", n), Parts: []uint64{7}}, time.Now())
+			time.Sleep(40 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		_, ok := watches[1].Quarantined(time.Now(), records.snapshot(), 0, []uint64{7})
+		is.True(ok)
+	})
+}
