Repeat requests whose parts were at several crashes at the same time

Cause: a request whose endpoint crashed was not repeated if one of its parts was at the crash of another endpoint, also in the same instant. So a failure domain lost as a whole kept sound requests with common parts from being repeated. Change: crashes of the last 100 ms don't make a part suspect. Test: TestSuspectBesideCrash fails without it.

--- a/internal/request/forward/partwatch.go
+++ b/internal/request/forward/partwatch.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -138,7 +139,8 @@
 	return v, false
 }
 
-// Suspect reports whether one of the parts is a candidate of the organisation in a crash of another endpoint than the given incarnation.
+// Suspect reports whether one of the parts is a candidate of the organisation in a crash of another endpoint than the given incarnation that
+// was not at the same time.
 func (w *PartWatch) Suspect(now time.Time, s *site.Snapshot, organisation uint64, parts []uint64, except string) bool {
 	if w.isIdle(s, parts) {
 		return false
@@ -147,7 +149,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.judge(now, s)
-	return slices.ContainsFunc(parts, func(p uint64) bool { return w.verdicts.Suspect(p, organisation, except) })
+	before := now.Add(-cmp.Or(w.Settings.Apart, quarantine.DefaultApart))
+	return slices.ContainsFunc(parts, func(p uint64) bool { return w.verdicts.Suspect(p, organisation, before, except) })
 }
 
 // Begun clears the parts, since an answer on them has begun and its endpoint lives on.
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -77,16 +77,19 @@
 	// OrganisationThreshold is the number of organisations whose prompts must have been there for a part to be quarantined for all,
 	// by as many crashes. Default 3.
 	OrganisationThreshold int
-	// Apart is the time within which crashes count as one, since they may have a common cause. Default 100 ms.
+	// Apart is the time within which crashes count as one, since they may have a common cause. Default DefaultApart.
 	Apart time.Duration
 	// Lifetime is how long a part is quarantined after the last crash. For as long again it is on probation: one more crash
 	// quarantines it at once, an answer clears it. Default 15 min.
 	Lifetime time.Duration
 }
 
+// DefaultApart is the default of PartSettings.Apart.
+const DefaultApart = 100 * time.Millisecond
+
 func (s PartSettings) withDefaults() PartSettings {
 	s.CrashThreshold, s.OrganisationThreshold = cmp.Or(s.CrashThreshold, 3), cmp.Or(s.OrganisationThreshold, 3)
-	s.Apart, s.Lifetime = cmp.Or(s.Apart, 100*time.Millisecond), cmp.Or(s.Lifetime, 15*time.Minute)
+	s.Apart, s.Lifetime = cmp.Or(s.Apart, DefaultApart), cmp.Or(s.Lifetime, 15*time.Minute)
 	return s
 }
 
@@ -138,14 +141,15 @@
 	return verdict, ok
 }
 
-// Suspect reports whether the part is on probation, or was a candidate of the organisation in a crash of another endpoint than the given
-// one that no other part explains.
-func (v *Verdicts) Suspect(part, organisation uint64, except string) bool {
+// Suspect reports whether the part is on probation, or was a candidate of the organisation in a crash before the given time, of another
+// endpoint than the given one, that no other part explains. The time should be PartSettings.Apart ago, since crashes at the same time may
+// have a common cause.
+func (v *Verdicts) Suspect(part, organisation uint64, before time.Time, except string) bool {
 	if v.probation[scope{part: part, all: true}] || v.probation[scope{part: part, organisation: organisation}] {
 		return true
 	}
 	return slices.ContainsFunc(v.unexplained, func(c Crash) bool {
-		return c.Endpoint != except && slices.ContainsFunc(c.Candidates, func(o Candidate) bool {
+		return c.Endpoint != except && c.At.Before(before) && slices.ContainsFunc(c.Candidates, func(o Candidate) bool {
 			return o.Part == part && o.Organisation == organisation
 		})
 	})
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -88,7 +88,7 @@
 	is.True(crashes[2].Clear(1, 1))
 	v = quarantine.Judge(now, crashes, quarantine.PartSettings{})
 	is.Equal(quarantinedParts(v, 1), nil)
-	is.True(v.Suspect(1, 1, ""))
+	is.True(v.Suspect(1, 1, now, ""))
 }
 
 // TestQuarantineEnds guards against an end that differs from the verdict, and against several crashes each time a quarantine ends.
@@ -105,13 +105,22 @@
 		verdicts := quarantine.Judge(v.Until.Add(after), crashes, quarantine.PartSettings{})
 		_, ok = verdicts.Quarantined(1, 1)
 		is.Equal(ok, want)
-		is.Equal(verdicts.Suspect(1, 1, ""), !want)
+		is.Equal(verdicts.Suspect(1, 1, start.Add(18*time.Minute), ""), !want)
 	}
 	crashes = append(crashes, crash(5, 20*time.Minute, []uint64{1}))
 	_, ok = quarantine.Judge(start.Add(21*time.Minute), crashes, quarantine.PartSettings{}).Quarantined(1, 1)
 	is.True(ok)
 }
 
+// TestSuspectBesideCrash guards against a sound request that is not repeated since its part was at another crash at the same time.
+func TestSuspectBesideCrash(t *testing.T) {
+	is := is.New(t)
+	v := quarantine.Judge(start, []quarantine.Crash{crash(1, 0, []uint64{1})}, quarantine.PartSettings{})
+	is.True(!v.Suspect(1, 1, start.Add(-50*time.Millisecond), "e2"))
+	is.True(v.Suspect(1, 1, start.Add(50*time.Millisecond), "e2"))
+	is.True(!v.Suspect(1, 1, start.Add(50*time.Millisecond), "e1"))
+}
+
 // TestRandomCrashes guards against the quarantine of sound parts beside a part that crashes endpoints, over many seeds.
 func TestRandomCrashes(t *testing.T) {
 	const deadly, first = 1 << 40, 1 << 41
