Quarantine blocks of prompts that crash engines on the own surface

A prompt whose engine crashed is not repeated if one of its blocks was at another crash. Not covered: the records stay in the entry that saw the crashes, and a crash before an engine accepted a prompt is not recorded.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -69,6 +69,7 @@
 	handler      *caller.Handler
 	pool         *agent.Pool
 	marks        *crashMarks
+	blocks       *crashBlocks
 }
 
 // errorEventTimeout bounds the time in which cancelled requests send their error events or refusals to callers, and the
@@ -88,13 +89,13 @@
 				return (&net.ListenConfig{}).Listen(ctx, "tcp", addr.String())
 			}
 		}
-		e.marks = newCrashMarks(e.Marks)
+		e.marks, e.blocks = newCrashMarks(e.Marks), &crashBlocks{}
 		e.Marks.OnMark = func(m wire.Mark) { e.marks.Add(m, time.Now()) }
 		loads := routing.NewLoads()
 		e.pool = &agent.Pool{Name: e.Name, FailureDomain: e.FailureDomain, Incarnation: e.Incarnation, Log: e.Log, Loads: loads,
 			Config: e.Configuration, Marks: e.marks, Metrics: e.Metrics, Dial: e.Dial}
 		e.handler = &caller.Handler{Name: e.Name, FailureDomain: e.FailureDomain, Agents: agentPool{e.pool}, Loads: loads, Log: e.Log,
-			Marks: e.marks, Metrics: e.Metrics}
+			Marks: e.marks, Blocks: e.blocks, Metrics: e.Metrics}
 	})
 }
 
@@ -266,6 +267,7 @@
 func (e *Entry) apply(s *config.Snapshot) {
 	e.handler.Apply(s.Version, s.Deployment)
 	e.marks.setQuarantineTime(s.Deployment.Limits.QuarantineTime)
+	e.blocks.setQuarantineTime(s.Deployment.Limits.QuarantineTime)
 	listed := make(map[string]bool, len(s.Deployment.Endpoints))
 	for _, endpoint := range s.Deployment.Endpoints {
 		listed[endpoint.Name] = true
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -20,6 +20,7 @@
 
 	"primrosecourse/internal/connection/agent"
 	"primrosecourse/internal/event"
+	"primrosecourse/pkg/prefix"
 	"primrosecourse/pkg/retry"
 	"primrosecourse/pkg/routing"
 	"primrosecourse/pkg/settings"
@@ -49,6 +50,18 @@
 	Finished(fingerprint uint64, now time.Time)
 }
 
+// CrashBlocks records the blocks of prompts that may crash endpoints, whatever else the prompts hold.
+type CrashBlocks interface {
+	// Quarantined reports whether prompts with one of the blocks are refused, and for how much longer.
+	Quarantined(chain []prefix.ID, now time.Time) (time.Duration, bool)
+	// Suspect reports whether one of the blocks was there at a crash that no quarantined block explains.
+	Suspect(chain []prefix.ID, now time.Time) bool
+	// Crashed records that an endpoint crashed before it began to answer a prompt with the blocks.
+	Crashed(chain []prefix.ID, endpoint string, now time.Time)
+	// Begun clears the blocks, since an answer to a prompt with them has begun.
+	Begun(chain []prefix.ID)
+}
+
 // ErrStopping is the context cause of the requests that CancelAll cancels.
 var ErrStopping = errors.New("caller: the entry is shutting down")
 
@@ -63,6 +76,8 @@
 	Log           logr.Logger
 	// Marks may be nil; then no request is quarantined because of earlier crashes.
 	Marks CrashMarks
+	// Blocks may be nil; then no prompt is quarantined because of its blocks.
+	Blocks CrashBlocks
 	// Hints, Affinity, Budget and Metrics are created if they are nil.
 	Hints    *routing.Hints
 	Affinity *routing.Affinity
--- a/internal/request/caller/run.go
+++ b/internal/request/caller/run.go
@@ -52,6 +52,9 @@
 	// mayHaveArrived is true once the prompt may have arrived at an agent that did not refuse it.
 	mayHaveArrived bool
 	firstTokenAt   time.Time
+	// begunAt is when the first tokens of the current attempt arrived; cleared is set once its blocks are cleared.
+	begunAt time.Time
+	cleared bool
 	// lastFailure is the failure of the previous attempt.
 	lastFailure *failure
 }
@@ -146,6 +149,11 @@
 		return completed, nil
 	}
 	now := time.Now()
+	if r.h.Blocks != nil {
+		if remaining, ok := r.h.Blocks.Quarantined(in.prompt.Chain, now); ok {
+			return noRetry, &failure{reason: "Quarantined", detail: "a block of the prompt crashed endpoints; for " + remaining.Round(time.Second).String()}
+		}
+	}
 	in.prompt.Tokens = len(r.completion.prompt) + len(r.generated)
 	decision := in.model.router.Route(now, in.prompt, r.excluded)
 	r.logRouted(&decision, in.snapshot.version)
@@ -185,6 +193,7 @@
 // relay writes the tokens of the stream to the caller until the stream ends.
 func (r *promptRun) relay(ctx context.Context, stream Stream, in *routeInput,
 	chosen *routing.Weighed) (attemptResult, *failure) {
+	r.begunAt, r.cleared = time.Time{}, false
 	for {
 		m, err := stream.Next(ctx)
 		if err != nil {
@@ -197,6 +206,7 @@
 			if r.firstTokenAt.IsZero() {
 				r.firstTokenAt = time.Now()
 			}
+			r.clearBlocks(in, false)
 			r.generated = append(r.generated, m.Tokens...)
 			r.writer.writeText(m.Text)
 			if r.writer.err != nil {
@@ -206,7 +216,7 @@
 			r.recordRefused(m, chosen.Endpoint)
 			return handleRefused(m)
 		case wire.End:
-			return r.handleEnd(ctx, m, chosen.Endpoint)
+			return r.handleEnd(ctx, m, in, chosen.Endpoint)
 		}
 	}
 }
@@ -217,13 +227,14 @@
 
 // handleEnd handles the end of an accepted stream. The entry does not read a stream after cancelling it, so FinishCancelled
 // means that the agent reached the deadline or considered the connection lost.
-func (r *promptRun) handleEnd(ctx context.Context, m wire.End, endpoint string) (attemptResult, *failure) {
+func (r *promptRun) handleEnd(ctx context.Context, m wire.End, in *routeInput, endpoint string) (attemptResult, *failure) {
 	switch m.Finish {
 	case wire.FinishStop, wire.FinishLength:
 		r.finish(m.Finish)
 		if r.h.Marks != nil {
 			r.h.Marks.Finished(r.fingerprint, time.Now())
 		}
+		r.clearBlocks(in, true)
 		return completed, nil
 	case wire.FinishCancelled:
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < deadlineTolerance {
@@ -234,11 +245,38 @@
 		if r.h.Marks != nil {
 			r.h.Marks.Crashed(r.fingerprint, endpoint, time.Now())
 		}
+		if r.recordCrashedBlocks(in, endpoint) {
+			return noRetry, &failure{reason: "Quarantined", outcome: wire.Ran, detail: "a block of the prompt was there when another endpoint crashed"}
+		}
 		return chargedRetry, &failure{reason: "EngineDown", outcome: wire.Ran, detail: m.Detail}
 	}
 	return chargedRetry, &failure{reason: ReasonConnectionLost, outcome: wire.Ran, detail: m.Detail}
 }
 
+// settleTime is how long an endpoint must live on after the first tokens of an answer for that answer to have begun.
+const settleTime = 100 * time.Millisecond
+
+// clearBlocks clears the blocks of the prompt once its answer has begun: settleTime after its first tokens, or at its end.
+func (r *promptRun) clearBlocks(in *routeInput, ended bool) {
+	if r.begunAt.IsZero() {
+		r.begunAt = time.Now()
+	}
+	if r.h.Blocks != nil && !r.cleared && (ended || time.Since(r.begunAt) >= settleTime) {
+		r.cleared = true
+		r.h.Blocks.Begun(in.prompt.Chain)
+	}
+}
+
+// recordCrashedBlocks records the blocks of the prompt unless its answer had begun, and reports whether one of them had been there at
+// another crash.
+func (r *promptRun) recordCrashedBlocks(in *routeInput, endpoint string) (suspect bool) {
+	if now := time.Now(); r.h.Blocks != nil && !r.cleared {
+		suspect = r.h.Blocks.Suspect(in.prompt.Chain, now)
+		r.h.Blocks.Crashed(in.prompt.Chain, endpoint, now)
+	}
+	return suspect
+}
+
 func (r *promptRun) finish(end wire.Finish) {
 	r.writer.finish(end, usage{PromptTokens: len(r.completion.prompt), CompletionTokens: len(r.generated),
 		TotalTokens: len(r.completion.prompt) + len(r.generated), Details: usageDetails{CachedTokens: r.cachedTokens}})
