--- a/internal/connection/endpoint/pool.go
+++ b/internal/connection/endpoint/pool.go
@@ -104,7 +104,8 @@
 	return n, err
 }
 
-// Unframed reports whether there is a body with neither a length nor chunks, so that it ends with the connection.
+// Unframed reports whether there is a body with neither a length nor chunks, so that it ends with the connection,
+// and its end can also be that of the endpoint.
 func (a *Answer) Unframed() bool {
 	return a.Length < 0 && len(a.response.TransferEncoding) == 0 && a.response.Request.Method != http.MethodHead
 }
@@ -220,7 +221,8 @@
 			p.release(k, c, false)
 			return nil, err
 		}
-		a := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, pool: p, key: k,
+		a := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+			pool: p, key: k,
 			exchange: x, response: response}
 		a.Body = readerFunc(a.read)
 		return a, nil
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -69,8 +69,9 @@
 	// OrderSent is logged when an order has been sent to an endpoint, with its outcome, or when an endpoint did not
 	// reach the ordered version in time.
 	OrderSent
-	// RequestMarked is logged when a request is marked as having crashed an endpoint, or a suspected crash is not
-	// investigated because too many others wait.
+	// RequestMarked is logged when a request is marked as having crashed an endpoint, when its connection broke but the endpoint
+	// is up, or when a suspected crash is not investigated because too many others wait; with the shared parts of the prompt and
+	// whether the answer had begun.
 	RequestMarked
 	// CacheStoreListed is logged when a gateway has listed the contents of a KV store.
 	CacheStoreListed
@@ -107,4 +108,10 @@
 	// WeightUpdatesAdmitted is logged when the holder of the lease begins to update endpoints, or leaves endpoints out because an earlier
 	// holder may have ordered them recently, with what the decision is based on.
 	WeightUpdatesAdmitted
+	// PartSuspected is logged when the shared parts of the requests at a crashed endpoint are recorded, or are not, with the reason.
+	PartSuspected
+	// PartCleared is logged when an answer has begun on a part that was recorded at a crash.
+	PartCleared
+	// PartQuarantined is logged when a part of prompts is quarantined or no longer is, with the crashes that it explains.
+	PartQuarantined
 )
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -35,8 +35,12 @@
 	expected     time.Duration
 	// flight is the attempt's entry in the silence watch, nil without one.
 	flight *flight
-	// begun is set once the answer has begun.
-	begun atomic.Bool
+	// answering is set once bytes of the answer's body have arrived; an answer that is not a stream then counts as begun.
+	answering atomic.Bool
+	// begunAt is when the first event of the answer arrived; begun is set once the endpoint has lived on for settleTime or the answer has
+	// ended.
+	begunAt time.Time
+	begun   bool
 }
 
 // bufferedAnswer is an answer that has been read completely.
@@ -91,7 +95,7 @@
 		v = notRun
 	default:
 		req.possibleRuns++
-		a.recordBrokenConnection()
+		a.recordBrokenConnection(err)
 	}
 	event.Info(req.handler.Log, event.RequestFailedAttempt, "request", req.meta.ID, "endpoint", a.endpoint.ID, "error", a.cause(err).Error(),
 		"mayHaveRun", v == mayHaveRun, "afterMs", time.Since(a.started).Milliseconds())
@@ -101,12 +105,14 @@
 
 // recordBrokenConnection records a connection that broke during the attempt, or a stream that ended in the middle of an event. If
 // the endpoint is an engine, the caller is still connected and the deadline has not passed, the endpoint is checked for a crash.
-func (a *attempt) recordBrokenConnection() {
+func (a *attempt) recordBrokenConnection(err error) {
 	o := a.failureOutcome(placement.Broken)
 	a.recordOutcome(o)
 	service := a.req.snapshot.Configuration.Services[a.req.service]
 	if o == placement.Broken && service != nil && service.Engine != nil && a.req.handler.Crashes != nil {
-		a.req.handler.Crashes.ConnectionBroke(a.req.meta.ID, a.req.fingerprint, a.req.target(a.endpoint, service))
+		b := a.newBreak(service, err)
+		a.req.suspect = a.mayCrashAgain(b)
+		a.req.handler.Crashes.ConnectionBroke(b)
 	}
 }
 
@@ -186,13 +192,13 @@
 // stored as the fallback instead if the request is idempotent and its route allows it to run once more.
 func (a *attempt) relayBuffered(answer *endpoint.Answer) verdict {
 	req := a.req
-	a.begun.Store(true)
+	a.answering.Store(true)
 	if answer.Length > maxBufferedBytes {
 		return a.relayLong(answer)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
 	if err != nil {
-		a.recordBrokenConnection()
+		a.recordBrokenConnection(err)
 		a.logFailedAttempt(err.Error(), answer.Status)
 		return mayHaveRun
 	}
@@ -200,6 +206,7 @@
 		answer.Body = io.MultiReader(bytes.NewReader(body), answer.Body)
 		return a.relayLong(answer)
 	}
+	a.recordBegun(true)
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status < 500 {
 		a.recordOutcome(placement.Answered)
@@ -238,7 +245,7 @@
 	case errors.Is(err, endpoint.ErrBroken):
 		req.reason = "Cut"
 		req.w.Abort()
-		a.recordBrokenConnection()
+		a.recordBrokenConnection(err)
 		a.logFailedAttempt(err.Error(), answer.Status)
 		return done
 	case err != nil:
@@ -290,7 +297,7 @@
 // an event.
 func (a *attempt) relayEvents(answer *endpoint.Answer, p []byte) (relayed, tooLong bool) {
 	req := a.req
-	a.begun.Store(true)
+	a.answering.Store(true)
 	if a.prefillTokens > 0 {
 		took := time.Since(a.started)
 		req.handler.Table.Prefilled(a.endpoint, a.prefillTokens, took)
@@ -304,6 +311,7 @@
 		return true, !ok
 	}
 	a.flight.progress(time.Now())
+	a.recordBegun(false)
 	if !a.startStream(answer) {
 		return false, false
 	}
@@ -346,6 +354,9 @@
 		return a.handleBrokenStream(errors.New("stream without an announced end has no event"))
 	}
 	a.recordOutcome(placement.Answered)
+	if !a.begunAt.IsZero() {
+		a.recordBegun(true)
+	}
 	if !a.startStream(answer) {
 		return done
 	}
@@ -358,7 +369,7 @@
 
 // handleBrokenStream records and logs a stream that broke off or ended in the middle of an event.
 func (a *attempt) handleBrokenStream(err error) verdict {
-	a.recordBrokenConnection()
+	a.recordBrokenConnection(err)
 	a.logFailedAttempt(a.cause(err).Error(), a.req.status)
 	return mayHaveRun
 }
--- a/internal/request/forward/crashes.go
+++ b/internal/request/forward/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -30,15 +31,16 @@
 const (
 	// probeDelay is the shortest time between the break of a connection and the probe of its endpoint.
 	probeDelay = 30 * time.Millisecond
-	// probeTimeout bounds a probe and the write of the mark together.
+	// probeTimeout bounds a probe, markTimeout the write of a mark.
 	probeTimeout = 2 * time.Second
+	markTimeout  = 2 * time.Second
 	// maxSuspicions bounds the queue of suspicions. An endpoint that crashes breaks all its requests in flight, which are at
 	// most about this many.
 	maxSuspicions = 256
 	// resultRetention is the shortest time for which the result of a probe is retained. It covers the time that a suspicion may
 	// wait in the queue.
 	resultRetention = maxSuspicions / proberCount * probeTimeout
-	// proberCount is the number of concurrent probes.
+	// proberCount is the number of concurrent probes, and of concurrent writes of marks.
 	proberCount = 4
 )
 
@@ -48,13 +50,17 @@
 type CrashWatch struct {
 	Marks     Marks
 	Endpoints Dropper
-	Log       logr.Logger
+	// Parts may be nil.
+	Parts *PartWatch
+	Log   logr.Logger
 	// Dropped is called for each suspicion that is discarded because the queue is full. It may be nil.
 	Dropped func()
 
 	initOnce   sync.Once
 	suspicions chan suspicion
-	done       chan struct{}
+	// confirmed are the breaks whose endpoints were down, until their marks are written.
+	confirmed chan Break
+	done      chan struct{}
 
 	mu      sync.Mutex
 	results map[string]probeResult
@@ -66,17 +72,45 @@
 	down     bool
 }
 
-// suspicion is a request during which the connection to an endpoint broke, so that it may have crashed the endpoint.
+// Break describes an attempt during which the connection to an endpoint broke, so that the request may have crashed the endpoint.
+type Break struct {
+	// Request is the request ID, Attempt the number of the attempt, from 1.
+	Request     string
+	Attempt     int
+	Fingerprint uint64
+	Target      endpoint.Target
+	// Incarnation identifies the endpoint's incarnation.
+	Incarnation string
+	// Cold is set if the endpoint was cold.
+	Cold bool
+	// Organisation is the key of the organisation, Parts are the keys of the shared parts of the prompt, in order.
+	Organisation uint64
+	Parts        []uint64
+	// Begun is set if the answer had begun: its first event arrived at least settleTime before, and the endpoint lived on.
+	Begun bool
+	// TimedOut is set if the connection broke since nothing came back for long, so that the host or the network path was lost and not
+	// the process alone.
+	TimedOut bool
+}
+
+// suspicion is a break that is not investigated yet.
 type suspicion struct {
-	request     string
-	fingerprint uint64
-	target      endpoint.Target
-	brokenAt    time.Time
+	Break
+	brokenAt time.Time
+}
+
+// hexKeys formats keys for logs.
+func hexKeys(keys []uint64) string {
+	list := make([]string, 0, len(keys))
+	for _, k := range keys {
+		list = append(list, strconv.FormatUint(k, 16))
+	}
+	return strings.Join(list, ",")
 }
 
 func (w *CrashWatch) init() {
 	w.initOnce.Do(func() {
-		w.suspicions, w.done = make(chan suspicion, maxSuspicions), make(chan struct{})
+		w.suspicions, w.confirmed, w.done = make(chan suspicion, maxSuspicions), make(chan Break, maxSuspicions), make(chan struct{})
 		w.results = map[string]probeResult{}
 	})
 }
@@ -91,11 +125,12 @@
 func (w *CrashWatch) Run(ctx context.Context) error {
 	w.init()
 	defer close(w.done)
-	var probers sync.WaitGroup
+	var tasks sync.WaitGroup
 	for range proberCount {
-		probers.Go(func() { w.runProber(ctx) })
+		tasks.Go(func() { w.runProber(ctx) })
+		tasks.Go(func() { w.writeMarks(ctx) })
 	}
-	probers.Wait()
+	tasks.Wait()
 	return nil
 }
 
@@ -110,20 +145,24 @@
 	}
 }
 
-// ConnectionBroke queues a request during which the connection to an endpoint broke. It never blocks: if the queue is full, the
-// suspicion is discarded.
-func (w *CrashWatch) ConnectionBroke(request string, fingerprint uint64, target endpoint.Target) {
+// ConnectionBroke queues a break. It never blocks: if the queue is full, the break is discarded.
+func (w *CrashWatch) ConnectionBroke(b Break) {
 	w.init()
 	select {
-	case w.suspicions <- suspicion{request: request, fingerprint: fingerprint, target: target, brokenAt: time.Now()}:
+	case w.suspicions <- suspicion{Break: b, brokenAt: time.Now()}:
 	default:
-		event.Info(w.Log, event.RequestMarked, "request", request, "endpoint", target.ID, "outcome", "not investigated: queue of suspicions is full")
+		w.logBreak(b, "not investigated: queue of suspicions is full")
 		if w.Dropped != nil {
 			w.Dropped()
 		}
 	}
 }
 
+func (w *CrashWatch) logBreak(b Break, outcome string) {
+	event.Info(w.Log, event.RequestMarked, "request", b.Request, "attempt", b.Attempt, "endpoint", b.Target.ID, "outcome", outcome,
+		"fingerprint", strconv.FormatUint(b.Fingerprint, 10), "parts", hexKeys(b.Parts), "begun", b.Begun, "timedOut", b.TimedOut)
+}
+
 // investigate waits until probeDelay has passed since the break and marks the request if its endpoint is down.
 func (w *CrashWatch) investigate(ctx context.Context, s suspicion) {
 	timer := time.NewTimer(time.Until(s.brokenAt.Add(probeDelay)))
@@ -136,11 +175,37 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	if !w.isDown(ctx, s) {
+		w.logBreak(s.Break, "endpoint is up")
 		return
 	}
-	event.Info(w.Log, event.RequestMarked, "request", s.request, "endpoint", s.target.ID, "fingerprint", strconv.FormatUint(s.fingerprint, 10))
-	if err := w.Marks.RecordCrash(ctx, s.fingerprint, s.target.ID); err != nil {
-		event.Info(w.Log, event.StoreWriteFailed, "request", s.request, "reason", err.Error())
+	if w.Parts != nil {
+		w.Parts.Crashed(s.Break, s.brokenAt)
+	}
+	select {
+	case w.confirmed <- s.Break:
+		w.logBreak(s.Break, "marked")
+	default:
+		w.logBreak(s.Break, "not marked: queue of marks is full")
+	}
+}
+
+// writeMarks writes the marks of confirmed breaks until ctx is done. A slow store holds up neither probes nor PartWatch.
+func (w *CrashWatch) writeMarks(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case b := <-w.confirmed:
+			w.writeMark(ctx, b)
+		}
+	}
+}
+
+func (w *CrashWatch) writeMark(ctx context.Context, b Break) {
+	ctx, cancel := context.WithTimeout(ctx, markTimeout)
+	defer cancel()
+	if err := w.Marks.RecordCrash(ctx, b.Fingerprint, b.Target.ID); err != nil {
+		event.Info(w.Log, event.StoreWriteFailed, "request", b.Request, "reason", err.Error())
 	}
 }
 
@@ -148,13 +213,13 @@
 // the connection broke; otherwise it closes the idle connections to the endpoint and probes it.
 func (w *CrashWatch) isDown(ctx context.Context, s suspicion) bool {
 	w.mu.Lock()
-	result, known := w.results[s.target.ID]
+	result, known := w.results[s.Target.ID]
 	w.mu.Unlock()
 	if known && result.probedAt.After(s.brokenAt) {
 		return result.down
 	}
-	w.Endpoints.Drop(s.target)
-	result = probeResult{probedAt: time.Now(), down: refusesConnection(ctx, s.target)}
+	w.Endpoints.Drop(s.Target)
+	result = probeResult{probedAt: time.Now(), down: refusesConnection(ctx, s.Target)}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, old := range w.results {
@@ -162,7 +227,7 @@
 			delete(w.results, id)
 		}
 	}
-	w.results[s.target.ID] = result
+	w.results[s.Target.ID] = result
 	return result.down
 }
 
--- a/internal/request/forward/crashes_test.go
+++ b/internal/request/forward/crashes_test.go
@@ -15,6 +15,7 @@
 
 	"primrosecourse/internal/connection/endpoint"
 	"primrosecourse/internal/request/forward"
+	"primrosecourse/pkg/site"
 )
 
 // marks records the crashed endpoints by the fingerprint of the request.
@@ -92,7 +93,7 @@
 			if crash {
 				closeAll()
 			}
-			w.ConnectionBroke("r1", 7, target)
+			w.ConnectionBroke(forward.Break{Request: "r1", Fingerprint: 7, Target: target})
 			time.Sleep(200 * time.Millisecond)
 			is.Equal(m.count() == 1, crash)
 		})
@@ -108,7 +109,7 @@
 	runWatch(t, w)
 	before := runtime.NumGoroutine()
 	for n := range 200 {
-		w.ConnectionBroke("r", uint64(n), target)
+		w.ConnectionBroke(forward.Break{Request: "r", Fingerprint: uint64(n), Target: target})
 	}
 	is.True(runtime.NumGoroutine() <= before+10)
 	time.Sleep(300 * time.Millisecond)
@@ -124,7 +125,30 @@
 	w := &forward.CrashWatch{Marks: &marks{endpoints: map[uint64]string{}}, Endpoints: noIdleConnections{}, Log: logr.Discard(),
 		Dropped: func() { dropped++ }}
 	for n := range 1000 { // Run is not called, so that the queue fills up
-		w.ConnectionBroke("r", uint64(n), target)
+		w.ConnectionBroke(forward.Break{Request: "r", Fingerprint: uint64(n), Target: target})
 	}
 	is.True(dropped > 0 && dropped < 1000)
 }
+
+// blockedMarks is a store that does not answer.
+type blockedMarks struct{}
+
+func (blockedMarks) RecordCrash(ctx context.Context, _ uint64, _ string) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestPartsWhileStoreIsBlocked guards against parts that become suspect only once the marks of other requests have been written.
+func TestPartsWhileStoreIsBlocked(t *testing.T) {
+	is := is.New(t)
+	target, _, closeAll := listen(t)
+	parts := &forward.PartWatch{Log: logr.Discard()}
+	w := &forward.CrashWatch{Marks: blockedMarks{}, Endpoints: noIdleConnections{}, Parts: parts, Log: logr.Discard()}
+	runWatch(t, w)
+	closeAll()
+	for n := range uint64(50) {
+		w.ConnectionBroke(forward.Break{Request: "r", Fingerprint: n, Target: target, Incarnation: "e/1", Parts: []uint64{n}})
+	}
+	time.Sleep(500 * time.Millisecond)
+	is.True(parts.Suspect(time.Now(), &site.Snapshot{}, 0, []uint64{49}, ""))
+}
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -57,8 +57,8 @@
 
 // Crashes investigates connections that broke during a request. CrashWatch implements it.
 type Crashes interface {
-	// ConnectionBroke reports a request during which the connection to an endpoint broke.
-	ConnectionBroke(request string, fingerprint uint64, target endpoint.Target)
+	// ConnectionBroke reports an attempt during which the connection to an endpoint broke.
+	ConnectionBroke(b Break)
 }
 
 // Limits is the retry budget of each service, which all gateways share.
@@ -80,6 +80,8 @@
 	Endpoints Sender
 	// Crashes may be nil.
 	Crashes Crashes
+	// Parts may be nil.
+	Parts *PartWatch
 	// Silence finds engines that stopped sending. It may be nil.
 	Silence *SilenceWatch
 	// Tiers may be nil.
@@ -173,6 +175,11 @@
 		req.refuse(http.StatusServiceUnavailable, "Quarantined", "the request crashed several endpoints", 30*time.Second)
 		return false
 	}
+	req.parts = req.partKeys()
+	if retryAfter, quarantined := req.quarantinedPart(); quarantined {
+		req.refuse(http.StatusServiceUnavailable, "QuarantinedPart", "a part of the prompt crashed several endpoints", retryAfter)
+		return false
+	}
 	return true
 }
 
--- a/internal/request/forward/oldweights.go
+++ b/internal/request/forward/oldweights.go
@@ -42,7 +42,7 @@
 	timer = time.AfterFunc(time.Hour, func() { // The function uses timer, so that it must not run before the assignment.
 		left := rule.Remaining(a.replacedFor())
 		switch {
-		case a.begun.Load() || a.ctx.Err() != nil:
+		case a.answering.Load() || a.ctx.Err() != nil:
 		case left > 0:
 			timer.Reset(min(left, limitInterval))
 		default:
--- a/internal/request/forward/suspicion_test.go
+++ b/internal/request/forward/suspicion_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"primrosecourse/internal/connection/endpoint"
+	"primrosecourse/internal/request/forward"
 	"primrosecourse/pkg/site"
 )
 
@@ -22,7 +22,7 @@
 	count int
 }
 
-func (s *suspicions) ConnectionBroke(string, uint64, endpoint.Target) {
+func (s *suspicions) ConnectionBroke(forward.Break) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.count++
