Set the ages of weight versions before the gateway's parts start

Only a gateway without preset ages was concerned, as in that test; the program set them. Change: the gateway sets them before anything starts, for the program too; one builder of leases in the lease's tests. Result: go test -race of platform/standin, gateway, version passes.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -38,7 +38,6 @@
 	"primrosecourse/internal/process/logsink"
 	"primrosecourse/internal/version/registry"
 	"primrosecourse/internal/version/weights"
-	"primrosecourse/pkg/staleness"
 	"primrosecourse/platform"
 )
 
@@ -100,8 +99,7 @@
 	store := platform.NewStore(settings.Store)
 	defer store.Close()
 	r := &registry.Registry{Name: settings.Name, LoadAddress: settings.LoadAddress(), FailureDomain: settings.FailureDomain,
-		Members: platform.Members(store), Log: log,
-		Ages: &staleness.Ages{StartAge: staleness.Rule{Limit: settings.VersionTime}.StartAge()}}
+		Members: platform.Members(store), Log: log}
 	relay := &watchrelay.Relay{Leaders: r, Port: settings.RelayAddress().Port(), Calls: call.New(call.Settings{IdleConnections: 8}), Log: log}
 	shared := platform.Shared(store, relay.Source("Shared", slowRelayAge, platform.RawShared(store)))
 	r.Configurations = platform.Configurations(relay.Source("Configuration", fastRelayAge, platform.RawConfigurations(store)))
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -38,6 +38,7 @@
 // Gateway is the gateway process. Its exported fields must be set before Run is called.
 type Gateway struct {
 	Settings Settings
+	// Registry must not be nil. Its Ages are set by Run if they are nil.
 	Registry *registry.Registry
 	Codec    forward.Codec
 	// Tiers is the catalog of the KV stores. It must not be nil. Run also runs it, sets its MaxParts, and its Floors if they are nil.
@@ -93,6 +94,10 @@
 		g.links = &tiering.Links{}
 		g.pool = endpoint.New()
 		g.pool.DialTimeout = dialTimeout
+		rule := staleness.Rule{Limit: g.Settings.VersionTime}
+		if g.Registry.Ages == nil {
+			g.Registry.Ages = &staleness.Ages{StartAge: rule.StartAge()}
+		}
 		if g.Tiers.Floors == nil {
 			g.Tiers.Floors = &tiering.Floors{}
 		}
@@ -106,7 +111,7 @@
 		g.crashes = &forward.CrashWatch{Marks: g.Registry, Endpoints: g.pool, Parts: g.parts, Log: g.Log, Dropped: func() { discarded.Inc(1) }}
 		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table,
 			Endpoints: g.pool, Crashes: g.crashes, Parts: g.parts, Tiers: g.Tiers, Links: g.links, Log: g.Log, Metrics: g.Metrics,
-			Staleness: staleness.Rule{Limit: g.Settings.VersionTime},
+			Staleness: rule,
 			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
 				RepeatSpan: g.Settings.RepeatSpan}}
 		if g.Engines != nil {
--- a/internal/process/lease/lease_test.go
+++ b/internal/process/lease/lease_test.go
@@ -65,13 +65,18 @@
 
 func newFixture() *fixture {
 	f := &fixture{now: time.Hour}
-	clock := func() time.Duration { return f.now }
-	f.a, f.b = lease.New("A", &f.store, "Lease"), lease.New("B", &f.store, "Lease")
-	f.a.Clock, f.b.Clock = clock, clock
-	f.a.ThawTime, f.b.ThawTime = 300*time.Millisecond, 300*time.Millisecond
+	f.a, f.b = f.gateway("A"), f.gateway("B")
 	return f
 }
 
+// gateway returns the lease of a gateway that has just started.
+func (f *fixture) gateway(name string) *lease.Lease {
+	l := lease.New(name, &f.store, "Lease")
+	l.Clock = func() time.Duration { return f.now }
+	l.ThawTime = 300 * time.Millisecond
+	return l
+}
+
 // acquire calls MarkWanted and then Acquire, and reports whether the lease is held.
 func acquire(t *testing.T, l *lease.Lease) bool {
 	t.Helper()
@@ -163,8 +168,7 @@
 			last := f.now
 			f.a.Release(ctx, map[string]time.Duration{"e1": 0})
 			for i := range 20 {
-				holder := lease.New(fmt.Sprint("H", i), &f.store, "Lease")
-				holder.Clock, holder.ThawTime = f.a.Clock, f.a.ThawTime
+				holder := f.gateway(fmt.Sprint("H", i))
 				holder.MarkWanted()
 				for !acquire(t, holder) {
 					f.now += 100 * time.Millisecond
@@ -195,8 +199,7 @@
 	f.now += 800 * time.Millisecond
 	is.True(acquire(t, f.b))
 	is.True(f.b.Renew(ctx, []string{"e2"}, nil))
-	restarted := lease.New("B", &f.store, "Lease")
-	restarted.Clock, restarted.ThawTime = f.a.Clock, f.a.ThawTime
+	restarted := f.gateway("B")
 	is.True(acquire(t, restarted))
 	is.True(restarted.MayOrder("e2"))
 	is.True(!restarted.MayOrder("e1"))
@@ -209,8 +212,7 @@
 	ctx := context.Background()
 	is.True(acquire(t, f.a))
 	is.True(f.a.Renew(ctx, []string{"e1"}, nil))
-	restarted := lease.New("A", &f.store, "Lease")
-	restarted.Clock, restarted.ThawTime = f.a.Clock, f.a.ThawTime
+	restarted := f.gateway("A")
 	is.True(acquire(t, restarted))
 	is.True(restarted.Renew(ctx, []string{"e2"}, nil))
 	is.True(restarted.MayOrder("e1"))
--- a/internal/version/weights/rollout.go
+++ b/internal/version/weights/rollout.go
@@ -112,7 +112,7 @@
 	confirmed map[string]uint64
 	// pendingSince is when this gateway, without the lease, first saw pending updates; zero if there are none.
 	pendingSince time.Time
-	// orderedAt is when the last order to an endpoint had been answered or given up, by endpoint ID.
+	// orderedMu guards orderedAt: when the last order to an endpoint had been answered or given up, by endpoint ID.
 	orderedMu sync.Mutex
 	orderedAt map[string]time.Time
 	// withheld is the number of endpoints that the last call of admitUpdates left out because of an earlier holder.
