Search each byte of a stream for the end of an event once

Cause: found while looking at a new fuzz target that made no progress for seconds (which may as well have been its minimisation). An event that arrives in small pieces was searched, and copied, from its beginning with each piece: an endpoint that sends a long event byte by byte, or garbage up to the limit of 128 KiB, cost a gateway processor time by the square of its length, which the other callers of that gateway lack. Ruled out: reads of many bytes, the usual case. Change: only the new bytes and the three before them are searched, and nothing is copied while no event is complete. FuzzEvents compares the events of a stream as a whole and in pieces, and that none is relayed twice.

--- a/internal/request/forward/events.go
+++ b/internal/request/forward/events.go
@@ -31,15 +31,17 @@
 // add appends p to the stream and returns the events that it completes, without those that the caller already has. It
 // returns false if an incomplete event exceeds maxEventBytes.
 func (e *eventSplitter) add(p []byte) (complete []byte, ok bool) {
+	// The bytes that were there before contain no end of an event, but up to three of them may be the beginning of one.
+	end, searched := 0, max(0, len(e.partial)-3)
 	e.partial = append(e.partial, p...)
-	end := 0
 	for {
-		n := eventEnd(e.partial[end:])
+		n := eventEnd(e.partial[searched:])
 		if n < 0 {
 			break
 		}
-		event := e.partial[end : end+n]
-		end += n
+		event := e.partial[end : searched+n]
+		searched += n
+		end = searched
 		e.hasEvents = e.hasEvents || hasField(event)
 		id, found := eventID(event)
 		if found {
@@ -53,7 +55,9 @@
 		}
 		complete = append(complete, event...)
 	}
-	e.partial = append(e.partial[:0], e.partial[end:]...)
+	if end > 0 {
+		e.partial = append(e.partial[:0], e.partial[end:]...)
+	}
 	return complete, len(e.partial) <= maxEventBytes
 }
 
