--- a/internal/connection/kvstore/endless_test.go
+++ b/internal/connection/kvstore/endless_test.go
@@ -53,7 +53,7 @@
 					t.Fatalf("%s: no error", name)
 				}
 				cancel()
-				is.True(time.Since(started) < 1500*time.Millisecond)
+				is.True(time.Since(started) < time.Second)
 				runtime.ReadMemStats(&after)
 				t.Log(name, (after.TotalAlloc-before.TotalAlloc)>>20, "MiB")
 				is.True(after.TotalAlloc-before.TotalAlloc < 128<<20)
--- a/internal/connection/watchrelay/endless_test.go
+++ b/internal/connection/watchrelay/endless_test.go
@@ -47,7 +47,7 @@
 			changes, _, err := k.List(t.Context())
 			is.NoErr(err)
 			is.Equal(len(changes), 1) // the store's
-			is.True(time.Since(started) < callMargin+time.Second)
+			is.True(time.Since(started) < 2*callMargin)
 			runtime.ReadMemStats(&after)
 			is.True(after.TotalAlloc-before.TotalAlloc < 16*maxAnswerBytes)
 			is.True(!r.mayAsk(s.Address().Addr()))
