--- a/pkg/staleness/ages.go
+++ b/pkg/staleness/ages.go
@@ -81,7 +81,7 @@
 	switch {
 	case !recorded:
 		list = slices.Insert(list, i, v)
-	case v.known != list[i].known && v.known, v.known == list[i].known && v.since < list[i].since:
+	case v.known && !list[i].known, v.known == list[i].known && v.since < list[i].since:
 		list[i] = v
 	}
 	if len(list) > maxVersions {
