Log the request rates that endpoints state

Cause of the gap: no line named the rate that an endpoint states (Server-Limit), so a rate that is not read, one that is not shared and one that is learned too late could not be told apart.

Change: the rate is read into pkg/intake, EndpointRateStated is logged when it begins, changes or ends, and RequestSent names the rate and its age. No decision depends on it yet.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -114,4 +114,7 @@
 	PartCleared
 	// PartQuarantined is logged when a part of prompts is quarantined or no longer is, with the crashes that it explains.
 	PartQuarantined
+	// EndpointRateStated is logged when an endpoint begins or ceases to state the rate of requests that it takes, or states one that differs
+	// by more than a tenth.
+	EndpointRateStated
 )
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/request/forward"
 	"primrosecourse/internal/version/registry"
+	"primrosecourse/pkg/intake"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
 	"primrosecourse/pkg/staleness"
@@ -63,6 +64,7 @@
 	abortOnce        sync.Once
 	initOnce         sync.Once
 	table            *placement.Table
+	intake           *intake.Table
 	pool             *endpoint.Pool
 	crashes          *forward.CrashWatch
 	parts            *forward.PartWatch
@@ -91,6 +93,7 @@
 	g.initOnce.Do(func() {
 		g.abort = make(chan struct{})
 		g.table = placement.New()
+		g.intake = intake.New()
 		g.links = &tiering.Links{}
 		g.pool = endpoint.New()
 		g.pool.DialTimeout = dialTimeout
@@ -109,7 +112,7 @@
 		discarded := metrics.GetOrRegisterCounter("Crashes.NotLookedInto", g.Metrics)
 		g.parts = &forward.PartWatch{Records: g.Registry, Log: g.Log}
 		g.crashes = &forward.CrashWatch{Marks: g.Registry, Endpoints: g.pool, Parts: g.parts, Log: g.Log, Dropped: func() { discarded.Inc(1) }}
-		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table,
+		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table, Intake: g.intake,
 			Endpoints: g.pool, Crashes: g.crashes, Parts: g.parts, Tiers: g.Tiers, Links: g.links, Log: g.Log, Metrics: g.Metrics,
 			Staleness: rule,
 			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
@@ -162,10 +165,12 @@
 		}
 		g.table.SetEndpoints(now, service, endpoints)
 		for _, e := range endpoints {
+			g.intake.Started(e.ID, e.StartedAt)
 			listed[e.ID] = true
 		}
 	}
 	g.table.Retain(func(id string) bool { return listed[id] })
+	g.intake.Retain(func(id string) bool { return listed[id] })
 }
 
 // Abort makes Run end without waiting for requests in flight, once the context of Run is done. It may be called more than once.
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -129,6 +129,9 @@
 	if info.Cold > 0 {
 		req.handler.Table.Cold(now, a.endpoint, info.Cold)
 	}
+	if !info.Misdirected {
+		a.observeIntake(now, info.Intake)
+	}
 	switch {
 	case info.NotRun:
 		return a.handleRefusal(answer, info)
--- a/internal/request/forward/codec.go
+++ b/internal/request/forward/codec.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"primrosecourse/pkg/intake"
 	"primrosecourse/pkg/tiering"
 )
 
@@ -64,6 +65,8 @@
 	Cold time.Duration
 	// Version is the weight version with which the answer begins, 0 if not stated.
 	Version uint64
+	// Intake is what the endpoint states about the requests that it takes.
+	Intake intake.Statement
 }
 
 // Codec reads and writes the headers of requests and answers.
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -192,9 +192,10 @@
 	req.handler.Table.Sent(now, e, placementRequest, choice.PrefillTokens)
 	req.tried = append(req.tried, e.ID)
 	req.attempts++
+	perSecond, agoMs := req.handler.statedRate(now, e.ID)
 	event.Debug(req.handler.Log, event.RequestSent, "request", req.meta.ID, "route", req.route.Name, "endpoint", e.ID,
 		"reason", choice.Reason.String(), "waitMs", choice.Wait.Milliseconds(), "roomMs", req.awaitedRoom.Milliseconds(), "unread", choice.PrefillTokens, "shared", placementRequest.Shared, "stored", placementRequest.Stored, "avoided", req.avoidedFetches,
-		"considered", choice.Considered, "attempt", req.attempts, "configuration", req.snapshot.Configuration.Version, "entry", e.Revision)
+		"considered", choice.Considered, "perSecond", perSecond, "statedAgoMs", agoMs, "attempt", req.attempts, "configuration", req.snapshot.Configuration.Version, "entry", e.Revision)
 	req.handler.observe(req.metricName("Wait"), choice.Wait)
 	req.handler.observe(req.metricName("Room"), req.awaitedRoom)
 	service := req.snapshot.Configuration.Services[req.service]
--- /dev/null
+++ b/pkg/intake/doc.go
@@ -0,0 +1,15 @@
+// Package intake records how many requests endpoints take, by their own statements.
+//
+// An endpoint in need states in the headers of its answers the rate of requests that it takes from all processes together. The statement
+// holds until an answer to a later request states another rate or none, or until the endpoint restarts. Answers may overtake each other,
+// so a statement is replaced by a higher one, or by none, only if the request was sent after the statement had arrived; a lower rate
+// applies at once.
+//
+// The package does no input or output and reads no clock. A Table is safe for concurrent use.
+//
+// # Usage
+//
+//	t := intake.New()
+//	change := t.Observe(now, sentAt, endpointID, intake.Statement{HasRate: true, Rate: 6.4})
+//	rate, ago, limited := t.Rate(now, endpointID)
+package intake
--- /dev/null
+++ b/pkg/intake/table.go
@@ -0,0 +1,125 @@
+package intake
+
+import (
+	"sync"
+	"time"
+)
+
+// Statement is what the header of an answer states about the requests that its endpoint takes.
+type Statement struct {
+	// HasRate is set if the answer states a rate, and Rate is that rate in requests per second from all processes together. It is finite
+	// and not negative.
+	HasRate bool
+	Rate    float64
+	// Invalid is set if the rate cannot be read. Such a statement changes nothing.
+	Invalid bool
+}
+
+// Change is the effect of a statement. Rates are negative if there is no limit.
+type Change struct {
+	Before, After float64
+	// Notable is set if a limit began or ended, or if the rate has changed by more than a tenth since the last notable change, which was at
+	// least notableInterval ago.
+	Notable bool
+}
+
+const (
+	// unlimited stands for no limit.
+	unlimited = -1.0
+	// notableInterval is the shortest time between two notable changes of the rate of a limited endpoint.
+	notableInterval = time.Second
+)
+
+// endpointState is the record of one endpoint.
+type endpointState struct {
+	startedAt time.Time
+	// rate is the stated rate, negative if there is none. statedAt is when the answer with the statement arrived, heardAt when the last
+	// answer of any kind did.
+	rate     float64
+	statedAt time.Time
+	heardAt  time.Time
+	// notableRate and notableAt are the rate and the time of the last notable change.
+	notableRate float64
+	notableAt   time.Time
+}
+
+// Table records the statements of endpoints.
+type Table struct {
+	mu     sync.Mutex
+	states map[string]*endpointState
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{states: map[string]*endpointState{}} }
+
+func (t *Table) state(id string) *endpointState {
+	s := t.states[id]
+	if s == nil {
+		s = &endpointState{rate: unlimited, notableRate: unlimited}
+		t.states[id] = s
+	}
+	return s
+}
+
+// Started records when an endpoint started. What an earlier incarnation stated no longer holds.
+func (t *Table) Started(id string, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(id)
+	if !s.startedAt.Equal(at) {
+		*s = endpointState{startedAt: at, rate: unlimited, notableRate: unlimited}
+	}
+}
+
+// Retain drops the endpoints for which keep returns false.
+func (t *Table) Retain(keep func(id string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.states {
+		if !keep(id) {
+			delete(t.states, id)
+		}
+	}
+}
+
+// Observe records the statement of an answer that arrived at now to a request that was sent at sentAt.
+func (t *Table) Observe(now, sentAt time.Time, id string, statement Statement) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(id)
+	s.heardAt = now
+	before, after := s.rate, unlimited
+	if statement.HasRate {
+		after = max(0, statement.Rate)
+	}
+	tighter := after >= 0 && (before < 0 || after <= before)
+	if statement.Invalid || (!tighter && !sentAt.After(s.statedAt)) {
+		return Change{Before: before, After: before}
+	}
+	s.rate, s.statedAt = after, now
+	return Change{Before: before, After: after, Notable: s.noteChange(now)}
+}
+
+// noteChange reports whether the present rate differs notably from that of the last notable change.
+func (s *endpointState) noteChange(now time.Time) bool {
+	limited, was := s.rate >= 0, s.notableRate >= 0
+	if limited == was {
+		difference := max(s.rate, s.notableRate) - min(s.rate, s.notableRate)
+		if !limited || difference <= s.notableRate/10 || now.Sub(s.notableAt) < notableInterval {
+			return false
+		}
+	}
+	s.notableRate, s.notableAt = s.rate, now
+	return true
+}
+
+// Rate returns the rate that an endpoint stated and how long ago; limited is false if it takes requests without a limit.
+func (t *Table) Rate(now time.Time, id string) (rate float64, ago time.Duration, limited bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.states[id]
+	if s == nil || s.rate < 0 {
+		return 0, 0, false
+	}
+	return s.rate, now.Sub(s.statedAt), true
+}
