Share the request rate that an endpoint states among all gateways

What callers saw: endpoints in need got twice the rate that they had named, became slower, and with them all answers of theirs.

Cause: an endpoint states in its answers how many requests a second it takes from all gateways together. No gateway kept that, so the choice went by cost alone. Class: a limit that holds for all processes and that one of them learns.

Change: pkg/intake keeps the stated rate and two decaying counts for each endpoint, of requests sent and wanted; gateways exchange them with their loads. The choice admits a request with a probability that follows from the sums, and passes over to the next endpoint otherwise. If all that is left is limited, a request waits for a likely place or is refused at once with RateLimited.

Ruled out: equal shares (103 shares of 6 a second leave one request in 16 s each), a burst of one per gateway (103 at once are twice what is allowed).

--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -13,6 +13,7 @@
 
 	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/pkg/bounded"
+	"primrosecourse/pkg/intake"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
 	"primrosecourse/pkg/staleness"
@@ -109,6 +110,8 @@
 	Floors Floors
 	Log    logr.Logger
 
+	// Intake holds the requests sent to endpoints that state the rate that they take; it may be nil.
+	Intake Intake
 	// Ages holds the ages of weight versions to exchange; it may be nil.
 	Ages *staleness.Ages
 	// Links holds the delays of stores to exchange; it may be nil.
@@ -200,7 +203,12 @@
 	ids := e.endpointIDs()
 	loads, loadsOK := m.loads(ids)
 	cached, cachedOK := m.cached(ids)
-	if err != nil || !loadsOK || !cachedOK || m.Name == "" || m.Name == e.Name {
+	var intakes []intake.Report
+	intakeOK := true
+	if m.Intake != nil {
+		intakes, intakeOK = m.Intake.reports(ids)
+	}
+	if err != nil || !loadsOK || !cachedOK || !intakeOK || m.Name == "" || m.Name == e.Name {
 		e.unreadable.Add(1)
 		return nil
 	}
@@ -227,6 +235,9 @@
 	if len(cached) > 0 {
 		e.Table.SetPeerCaches(now, source, cached)
 	}
+	if e.Intake != nil && m.Intake != nil {
+		e.Intake.SetPeer(now, source, m.Intake.Gateways, intakes)
+	}
 	if e.Links != nil && len(m.Links) > 0 {
 		e.Links.SetPeer(now, source, m.links())
 	}
--- a/internal/connection/loads/message.go
+++ b/internal/connection/loads/message.go
@@ -42,6 +42,8 @@
 	Ages map[string][]versionAge `msgpack:",omitempty"`
 	// Links are the delays of first tokens after fetches, by store, as the sender or the gateways of its domain observed them.
 	Links map[string]linkReport `msgpack:",omitempty"`
+	// Intake lists the requests sent to endpoints that state the rate of requests that they take. It is empty in urgent messages.
+	Intake *intakeLists `msgpack:",omitempty"`
 	// Kept lists, by endpoint, the long prompt parts cached by the endpoints that the sender, or a gateway of its domain, follows.
 	Kept map[uint32]cachedParts `msgpack:",omitempty"`
 }
--- a/internal/connection/loads/sender.go
+++ b/internal/connection/loads/sender.go
@@ -67,6 +67,9 @@
 	}
 	m := s.next()
 	m.setLoads(loads)
+	if s.exchange.Intake != nil {
+		m.Intake = newIntakeLists(s.exchange.Intake.Reports(now, maxIntakes, nil))
+	}
 	if now.Sub(s.lastCached) >= cachePeriod {
 		s.lastCached = now
 		if s.exchange.Floors != nil {
@@ -91,6 +94,9 @@
 	m := s.next()
 	m.Domain = e.Domain
 	m.setLoads(e.Table.SumLoads(now, maxSummaryLoads, members))
+	if e.Intake != nil {
+		m.Intake = newIntakeLists(e.Intake.Reports(now, maxSummaryIntakes, members))
+	}
 	if now.Sub(s.lastCachedSummary) >= cachePeriod {
 		s.lastCachedSummary = now
 		m.setCached(e.Table.GroupCaches(now, maxSummaryParts, members))
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -23,7 +23,6 @@
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/request/forward"
 	"primrosecourse/internal/version/registry"
-	"primrosecourse/pkg/intake"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
 	"primrosecourse/pkg/staleness"
@@ -64,7 +63,6 @@
 	abortOnce        sync.Once
 	initOnce         sync.Once
 	table            *placement.Table
-	intake           *intake.Table
 	pool             *endpoint.Pool
 	crashes          *forward.CrashWatch
 	parts            *forward.PartWatch
@@ -93,7 +91,6 @@
 	g.initOnce.Do(func() {
 		g.abort = make(chan struct{})
 		g.table = placement.New()
-		g.intake = intake.New()
 		g.links = &tiering.Links{}
 		g.pool = endpoint.New()
 		g.pool.DialTimeout = dialTimeout
@@ -112,7 +109,7 @@
 		discarded := metrics.GetOrRegisterCounter("Crashes.NotLookedInto", g.Metrics)
 		g.parts = &forward.PartWatch{Records: g.Registry, Log: g.Log}
 		g.crashes = &forward.CrashWatch{Marks: g.Registry, Endpoints: g.pool, Parts: g.parts, Log: g.Log, Dropped: func() { discarded.Inc(1) }}
-		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table, Intake: g.intake,
+		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table,
 			Endpoints: g.pool, Crashes: g.crashes, Parts: g.parts, Tiers: g.Tiers, Links: g.links, Log: g.Log, Metrics: g.Metrics,
 			Staleness: rule,
 			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
@@ -165,12 +162,10 @@
 		}
 		g.table.SetEndpoints(now, service, endpoints)
 		for _, e := range endpoints {
-			g.intake.Started(e.ID, e.StartedAt)
 			listed[e.ID] = true
 		}
 	}
 	g.table.Retain(func(id string) bool { return listed[id] })
-	g.intake.Retain(func(id string) bool { return listed[id] })
 }
 
 // Abort makes Run end without waiting for requests in flight, once the context of Run is done. It may be called more than once.
@@ -218,7 +213,7 @@
 	}
 	exchange := &loads.Exchange{Name: g.Settings.Name, Incarnation: rand.Uint64(), Address: g.Settings.LoadAddress(),
 		Domain: g.Settings.FailureDomain, Peers: g.Registry, Table: g.table,
-		Floors: g.Tiers.Floors, Ages: g.Registry.Ages, Links: g.links, View: g.Registry, Log: g.Log}
+		Floors: g.Tiers.Floors, Intake: g.table.Intake, Ages: g.Registry.Ages, Links: g.links, View: g.Registry, Log: g.Log}
 	run(exchange.Run)
 	for _, c := range g.Components {
 		run(c.Run)
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -20,6 +20,7 @@
 	"primrosecourse/internal/connection/endpoint"
 	"primrosecourse/internal/connection/front"
 	"primrosecourse/internal/request/forward"
+	"primrosecourse/pkg/intake"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
 )
@@ -45,7 +46,11 @@
 
 func (codec) ParseAnswer(status int, h http.Header) forward.AnswerInfo {
 	misdirected := status == http.StatusMisdirectedRequest
-	return forward.AnswerInfo{ID: h.Get("Id"), NotRun: misdirected || h.Get("Not-Run") != "", Misdirected: misdirected, Sealed: h.Get("Seal") != "",
+	stated := intake.Statement{}
+	if rate, err := strconv.ParseFloat(h.Get("Rate"), 64); err == nil {
+		stated = intake.Statement{HasRate: true, Rate: rate}
+	}
+	return forward.AnswerInfo{Intake: stated, ID: h.Get("Id"), NotRun: misdirected || h.Get("Not-Run") != "", Misdirected: misdirected, Sealed: h.Get("Seal") != "",
 		Encoded: h.Get("Content-Encoding") != ""}
 }
 
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -17,7 +17,6 @@
 	"primrosecourse/internal/connection/front"
 	"primrosecourse/internal/connection/kvstore"
 	"primrosecourse/internal/event"
-	"primrosecourse/pkg/intake"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/retry"
 	"primrosecourse/pkg/ring"
@@ -74,12 +73,10 @@
 // Handler forwards requests. Its exported fields must be set before the first call.
 type Handler struct {
 	// Domain is the failure domain of this gateway.
-	Domain string
-	Codec  Codec
-	View   View
-	Table  *placement.Table
-	// Intake records the requests that endpoints take. It may be nil.
-	Intake    *intake.Table
+	Domain    string
+	Codec     Codec
+	View      View
+	Table     *placement.Table
 	Endpoints Sender
 	// Crashes may be nil.
 	Crashes Crashes
--- a/internal/request/forward/intake.go
+++ b/internal/request/forward/intake.go
@@ -10,13 +10,10 @@
 // observeIntake records what an answer states about the requests that its endpoint takes.
 func (a *attempt) observeIntake(now time.Time, s intake.Statement) {
 	h := a.req.handler
-	if h.Intake == nil {
-		return
-	}
 	if s.Invalid {
 		h.count("Intake.InvalidStatements")
 	}
-	if change := h.Intake.Observe(now, a.started, a.endpoint.ID, s); change.Notable {
+	if change := h.Table.Intake.Observe(now, a.started, a.endpoint.ID, s); change.Notable {
 		event.Info(h.Log, event.EndpointRateStated, "endpoint", a.endpoint.ID, "perSecond", change.After, "before", change.Before,
 			"request", a.req.meta.ID)
 	}
@@ -24,10 +21,9 @@
 
 // statedRate returns the rate that an endpoint stated and the age of the statement in milliseconds, both -1 if there is none.
 func (h *Handler) statedRate(now time.Time, endpoint string) (perSecond float64, agoMs int64) {
-	if h.Intake != nil {
-		if rate, ago, limited := h.Intake.Rate(now, endpoint); limited {
-			return rate, ago.Milliseconds()
-		}
+	rate, ago, limited := h.Table.Intake.Rate(now, endpoint)
+	if !limited {
+		return -1, -1
 	}
-	return -1, -1
+	return rate, ago.Milliseconds()
 }
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -51,6 +51,8 @@
 	retryTaken bool
 	// awaitedRoom is how long the last attempt waited for an endpoint with room for the prompt.
 	awaitedRoom time.Duration
+	// notAdmitted is the number of endpoints that the last choice passed over since they get as many requests as they take.
+	notAdmitted int
 	// avoidedFetches is the number of parts that were not fetched since their store delivers late, as counted since the last choice.
 	avoidedFetches int
 	// fallback is the last server error of an endpoint that was not sent to the caller because the request was to be retried. It is
@@ -137,13 +139,14 @@
 	roomPatience = 0.25
 )
 
-// awaitRoom chooses an endpoint. If none has room for the prompt, it waits for one.
+// awaitRoom chooses an endpoint. If none has room for the prompt or may be sent another request yet, it waits for one.
 func (req *request) awaitRoom() (placement.Choice, *placement.Request, *placement.Refusal) {
 	waitingSince := time.Now()
 	patience := waitingSince.Add(time.Duration(roomPatience * float64(time.Until(req.deadline))))
 	for {
 		choice, placementRequest, refusal := req.chooseEndpoint()
-		if refusal == nil || refusal.Reason != placement.NoMemory || time.Now().After(patience) {
+		req.notAdmitted = choice.NotAdmitted
+		if !mayFindRoom(refusal, patience) {
 			req.awaitedRoom = time.Since(waitingSince)
 			return choice, placementRequest, refusal
 		}
@@ -158,6 +161,20 @@
 	}
 }
 
+// mayFindRoom reports whether a request that was refused may be placed if it waits until patience ends.
+func mayFindRoom(refusal *placement.Refusal, patience time.Time) bool {
+	if refusal == nil {
+		return false
+	}
+	switch refusal.Reason {
+	case placement.NoMemory:
+		return time.Now().Before(patience)
+	case placement.RateLimited:
+		return time.Now().Add(refusal.Wait).Before(patience)
+	}
+	return false
+}
+
 // mayRetry reports whether the next attempt may be made. It takes a retry from the budget if the request may have arrived at an
 // endpoint before, unless that was done when the endpoint was found silent.
 func (req *request) mayRetry() bool {
@@ -195,9 +212,12 @@
 	perSecond, agoMs := req.handler.statedRate(now, e.ID)
 	event.Debug(req.handler.Log, event.RequestSent, "request", req.meta.ID, "route", req.route.Name, "endpoint", e.ID,
 		"reason", choice.Reason.String(), "waitMs", choice.Wait.Milliseconds(), "roomMs", req.awaitedRoom.Milliseconds(), "unread", choice.PrefillTokens, "shared", placementRequest.Shared, "stored", placementRequest.Stored, "avoided", req.avoidedFetches,
-		"considered", choice.Considered, "perSecond", perSecond, "statedAgoMs", agoMs, "attempt", req.attempts, "configuration", req.snapshot.Configuration.Version, "entry", e.Revision)
+		"considered", choice.Considered, "notAdmitted", choice.NotAdmitted, "perSecond", perSecond, "statedAgoMs", agoMs, "attempt", req.attempts, "configuration", req.snapshot.Configuration.Version, "entry", e.Revision)
 	req.handler.observe(req.metricName("Wait"), choice.Wait)
 	req.handler.observe(req.metricName("Room"), req.awaitedRoom)
+	if choice.NotAdmitted > 0 {
+		req.handler.count("Intake.PassedOver." + req.service)
+	}
 	service := req.snapshot.Configuration.Services[req.service]
 	a := &attempt{req: req, endpoint: e, placed: placementRequest, prefillTokens: choice.PrefillTokens, started: now}
 	call, tiers := req.endpointCall(e, service)
@@ -311,7 +331,7 @@
 func (req *request) refuse(status int, reason, detail string, retryAfter time.Duration) {
 	req.status, req.reason, req.generated = status, reason, true
 	event.Info(req.handler.Log, event.RequestDenied, "request", req.meta.ID, "status", status, "reason", reason, "detail", detail,
-		"sent", req.attempts, "ran", req.possibleRuns, "retryAfterMs", retryAfter.Milliseconds(), "afterMs", time.Since(req.started).Milliseconds())
+		"notAdmitted", req.notAdmitted, "sent", req.attempts, "ran", req.possibleRuns, "retryAfterMs", retryAfter.Milliseconds(), "afterMs", time.Since(req.started).Milliseconds())
 	body := `{"reason":` + strconv.Quote(reason) + `,"outcome":` + strconv.Quote(req.outcome()) + "}\n"
 	// An error means that the caller disconnected or that an answer has already begun. The front server then closes the connection.
 	_ = req.w.Answer(status, req.handler.Codec.Refusal(req.meta.ID, retryAfter), []byte(body))
--- a/pkg/intake/doc.go
+++ b/pkg/intake/doc.go
@@ -5,11 +5,17 @@
 // so a statement is replaced by a higher one, or by none, only if the request was sent after the statement had arrived; a lower rate
 // applies at once.
 //
+// Processes share the rate by telling each other how many requests they sent of late and how many they wanted to send; see Admit.
+//
 // The package does no input or output and reads no clock. A Table is safe for concurrent use.
 //
 // # Usage
 //
 //	t := intake.New()
 //	change := t.Observe(now, sentAt, endpointID, intake.Statement{HasRate: true, Rate: 6.4})
-//	rate, ago, limited := t.Rate(now, endpointID)
+//	if d := t.Admit(now, endpointID, processes, rand.Float64()); d.Admitted {
+//		t.Sent(now, endpointID)
+//		// send the request
+//	}
+//	reports, covered := t.Reports(now, 40, nil) // to other processes, which call SetPeer
 package intake
--- a/pkg/intake/table.go
+++ b/pkg/intake/table.go
@@ -41,16 +41,21 @@
 	// notableRate and notableAt are the rate and the time of the last notable change.
 	notableRate float64
 	notableAt   time.Time
+	// sent and wanted count the requests that this process sent and wanted to send there.
+	sent, wanted count
+	// reportedAt is when Reports last returned the endpoint.
+	reportedAt time.Time
 }
 
-// Table records the statements of endpoints.
+// Table records the statements of endpoints, and the requests that this process and others send to them.
 type Table struct {
 	mu     sync.Mutex
 	states map[string]*endpointState
+	peers  map[string]*peer
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{states: map[string]*endpointState{}} }
+func New() *Table { return &Table{states: map[string]*endpointState{}, peers: map[string]*peer{}} }
 
 func (t *Table) state(id string) *endpointState {
 	s := t.states[id]
@@ -113,13 +118,11 @@
 	return true
 }
 
-// Rate returns the rate that an endpoint stated and how long ago; limited is false if it takes requests without a limit.
+// Rate returns the rate that applies at an endpoint and how long ago it was stated; limited is false if the endpoint takes requests
+// without a limit.
 func (t *Table) Rate(now time.Time, id string) (rate float64, ago time.Duration, limited bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.states[id]
-	if s == nil || s.rate < 0 {
-		return 0, 0, false
-	}
-	return s.rate, now.Sub(s.statedAt), true
+	rate, statedAt := t.latestRate(now, id, t.state(id))
+	return rate, now.Sub(statedAt), rate >= 0
 }
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -31,6 +31,8 @@
 	NoMemory
 	// OldWeights means that the endpoints that can take the request serve replaced weights for too long already.
 	OldWeights
+	// RateLimited means that at least one endpoint gets as many requests as it stated that it takes and no other endpoint is left.
+	RateLimited
 	// TooLate means that the expected wait at the endpoint with the lowest cost exceeds the remaining time of the request.
 	TooLate
 )
@@ -65,6 +67,10 @@
 
 	// considerAll disables the sampling of endpoints.
 	considerAll bool
+	// notAdmitted are the endpoints that would have been chosen but get as many requests as they take. rateWait is the expected time until
+	// one of them can take the request.
+	notAdmitted []string
+	rateWait    time.Duration
 }
 
 // Choice is a chosen endpoint.
@@ -77,8 +83,10 @@
 	PrefillTokens int
 	// FirstToken is the expected time until the first token: the wait, the fetch of stored parts and the prefill.
 	FirstToken time.Duration
-	// Considered is the number of endpoints whose costs were compared.
-	Considered int
+	// Considered is the number of endpoints whose costs were compared, and NotAdmitted the number of those with a lower cost that get as many
+	// requests as they take.
+	Considered  int
+	NotAdmitted int
 }
 
 // Refusal is why no endpoint was chosen.
@@ -86,6 +94,8 @@
 	Reason Reason
 	// RetryAfter is the time after which capacity is likely to be free.
 	RetryAfter time.Duration
+	// Wait is, if the reason is RateLimited, the expected time until an endpoint can take the request.
+	Wait time.Duration
 }
 
 const (
@@ -123,6 +133,7 @@
 func (t *Table) Choose(now time.Time, r *Request, candidates []*site.Endpoint) (Choice, *Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	r.notAdmitted, r.rateWait = r.notAdmitted[:0], 0
 	return t.choose(now, r, candidates)
 }
 
@@ -137,15 +148,14 @@
 }
 
 func (t *Table) choose(now time.Time, r *Request, candidates []*site.Endpoint) (Choice, *Refusal) {
-	best := Choice{}
-	bestCost := time.Duration(1<<62 - 1)
 	meanErrorShare := t.meanErrorShare(candidates)
-	coldLimited, memoryLimited, oldWeights, unsampled, considered := false, false, false, false, 0
+	coldLimited, memoryLimited, oldWeights, unsampled := false, false, false, false
 	timeToProbe := maxSuspectPause
 	probability := t.sampleShare(r, len(candidates))
+	t.considered = t.considered[:0]
 	for _, e := range candidates {
 		s := t.endpointState(e)
-		if contains(r.Tried, e.ID) {
+		if contains(r.Tried, e.ID) || contains(r.notAdmitted, e.ID) {
 			continue
 		}
 		prefix := t.estimateCachedPrefix(now, r, e, s)
@@ -173,12 +183,11 @@
 			oldWeights = true
 			continue
 		}
-		considered++
-		if cost < bestCost {
-			best, bestCost = choice, cost
-		}
+		t.considered = append(t.considered, candidate{choice: choice, cost: cost})
 	}
-	best.Considered = considered
+	considered := len(t.considered)
+	best := t.cheapestAdmitted(now, r)
+	best.Considered, best.NotAdmitted = considered, len(r.notAdmitted)
 	if best.Endpoint == nil && unsampled {
 		all := *r
 		all.considerAll = true
@@ -191,6 +200,8 @@
 		return best, nil
 	case memoryLimited:
 		return best, &Refusal{Reason: NoMemory, RetryAfter: t.spread(minMemoryWait)}
+	case len(r.notAdmitted) > 0:
+		return best, &Refusal{Reason: RateLimited, Wait: r.rateWait, RetryAfter: t.spread(max(minRateWait, r.rateWait))}
 	case oldWeights:
 		return best, &Refusal{Reason: OldWeights, RetryAfter: t.spread(oldWeightsWait)}
 	case coldLimited:
@@ -279,6 +290,9 @@
 	if now.Before(s.fullUntil) {
 		cost += fullCost
 	}
+	if x.reason != Home && x.reason != Holder && t.Intake.Scarce(now, e.ID, r.Gateways) {
+		cost += scarceCost
+	}
 	if s.suspect {
 		reason = Probe
 		if t.Random() > probeShare {
--- a/pkg/placement/enum_string.go
+++ b/pkg/placement/enum_string.go
@@ -43,12 +43,13 @@
 	_ = x[AllCold-6]
 	_ = x[NoMemory-7]
 	_ = x[OldWeights-8]
-	_ = x[TooLate-9]
+	_ = x[RateLimited-9]
+	_ = x[TooLate-10]
 }
 
-const _Reason_name = "HomeHolderSpillLeastLoadProbeNoEndpointAllColdNoMemoryOldWeightsTooLate"
+const _Reason_name = "HomeHolderSpillLeastLoadProbeNoEndpointAllColdNoMemoryOldWeightsRateLimitedTooLate"
 
-var _Reason_index = [...]uint8{0, 4, 10, 15, 24, 29, 39, 46, 54, 64, 71}
+var _Reason_index = [...]uint8{0, 4, 10, 15, 24, 29, 39, 46, 54, 64, 75, 82}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"primrosecourse/pkg/intake"
 	"primrosecourse/pkg/site"
 	"primrosecourse/pkg/warmup"
 )
@@ -110,6 +111,10 @@
 	// heardEndpoint, which heard stands for.
 	heard, previouslyHeard time.Time
 	heardEndpoint          string
+	// considered holds the candidates of the current choice.
+	considered []candidate
+	// Intake is what endpoints state about the requests that they take. It must be set before the first call. Default: no statements.
+	Intake *intake.Table
 	// Random returns a number in [0, 1). It defaults to math/rand/v2 and must be set before the first call.
 	Random func() float64
 }
@@ -117,7 +122,7 @@
 // New returns an empty table.
 func New() *Table {
 	return &Table{states: map[string]*endpointState{}, prefillRates: map[string]*prefillRate{}, peers: map[string]peerLoads{},
-		urgent: map[string]bool{}, urgentSignal: make(chan struct{}, 1), Random: rand.Float64}
+		urgent: map[string]bool{}, urgentSignal: make(chan struct{}, 1), Intake: intake.New(), Random: rand.Float64}
 }
 
 func (t *Table) endpointState(e *site.Endpoint) *endpointState {
@@ -135,6 +140,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range endpoints {
+		t.Intake.Started(e.ID, e.StartedAt)
 		s := t.endpointState(e)
 		if !s.startedAt.Equal(e.StartedAt) {
 			*s = endpointState{startedAt: e.StartedAt, inFlight: s.inFlight, pending: s.pending, held: s.held}
@@ -157,6 +163,7 @@
 			delete(t.states, id)
 		}
 	}
+	t.Intake.Retain(keep)
 }
 
 // Cold records that an endpoint stated that it is cold for the remaining time.
@@ -200,6 +207,7 @@
 	s.held += r.Tokens
 	t.markUrgent(e.ID, r.Tokens)
 	s.cold.Sent(now, r.Gateways)
+	t.Intake.Sent(now, e.ID)
 	if s.suspect {
 		s.probing = true
 	}
