Log the eras of the platform's store and the changes that are ignored

Cause of the gap: a revision in the log stands for two states of the store once it was restored, and a change that was ignored left no line.

Change: StoreRestored when an answer states a later era, ChangeIgnored when a change is below the known revision. No decision depends on either.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -97,6 +97,7 @@
 	}()
 	log := logr.FromSlogHandler(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: slog.LevelDebug})).WithName(settings.Name)
 	store := platform.NewStore(settings.Store)
+	store.Log = log
 	defer store.Close()
 	r := &registry.Registry{Name: settings.Name, LoadAddress: settings.LoadAddress(), FailureDomain: settings.FailureDomain,
 		Members: platform.Members(store), Log: log}
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -117,4 +117,9 @@
 	// EndpointRateStated is logged when an endpoint begins or ceases to state the rate of requests that it takes, or states one that differs
 	// by more than a tenth.
 	EndpointRateStated
+	// StoreRestored is logged when the platform's store first answers in a later era, that is, after it came back from a copy and lost what
+	// it had acknowledged last.
+	StoreRestored
+	// ChangeIgnored is logged when a change of an object is ignored because its revision is below the known one.
+	ChangeIgnored
 )
--- a/internal/version/registry/follower.go
+++ b/internal/version/registry/follower.go
@@ -202,6 +202,9 @@
 		case c.Removed:
 			delete(f.revisions, c.Name)
 		case ok && c.Revision <= known:
+			if c.Revision < known {
+				event.Info(f.log, event.ChangeIgnored, "kind", f.kind, "name", c.Name, "revision", c.Revision, "known", known)
+			}
 			continue
 		default:
 			f.revisions[c.Name] = c.Revision
