Order the states of the platform's store across restores

What callers saw: 404 on routes that a confirmed configuration had added, and answers by routes that it had dropped, up to ten seconds after the store had come back from a copy.

Cause: a revision was compared as a number, as if it stood for one state for ever. A restored store gives its revisions out again: lists below the known revision were refused, and once the counter had passed, watches went on behind the changes they should have reported. Class: an order that holds within one incarnation of a counter, applied across two.

Change: a revision contains the era that the store states. The first list of an era does not replace what is known until operators and servers have written again; endpoints that had left and evacuations that were lifted do not return with the copy. The same cause elsewhere: the relay between gateways, marks and crashes (written again), the count of gateways.

Ruled out: a revision of two fields (same order, each signature and message changes), forgetting all at a new era (serves what the copy says).

--- a/internal/connection/watchrelay/journal.go
+++ b/internal/connection/watchrelay/journal.go
@@ -88,6 +88,13 @@
 	j.notify()
 }
 
+// isAhead reports whether the journal has reached a later revision, as after a restore of the store that a slower gateway has not seen yet.
+func (j *journal) isAhead(revision uint64) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.revision > revision
+}
+
 // list returns the objects, and false if they are not known or the store has not answered since oldest.
 func (j *journal) list(oldest time.Duration) (a answer, ok bool) {
 	j.mu.Lock()
--- a/internal/connection/watchrelay/relay.go
+++ b/internal/connection/watchrelay/relay.go
@@ -159,7 +159,7 @@
 
 // List implements registry.Source.
 func (k *Kind) List(ctx context.Context) (changes []Change, revision uint64, err error) {
-	if a, list, ok := k.ask(ctx, url.Values{}, 0); ok {
+	if a, list, ok := k.ask(ctx, url.Values{}, 0); ok && !k.own.isAhead(a.Revision) {
 		k.own.replace(list, a.Revision, 0)
 		return list, a.Revision, nil
 	}
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -122,4 +122,6 @@
 	StoreRestored
 	// ChangeIgnored is logged when a change of an object is ignored because its revision is below the known one.
 	ChangeIgnored
+	// ObjectRewritten is logged when a gateway has written an object again that a restored store had lost, or has failed to.
+	ObjectRewritten
 )
--- a/internal/version/registry/follower.go
+++ b/internal/version/registry/follower.go
@@ -22,6 +22,8 @@
 	maxBackoff = 800 * time.Millisecond
 	// defaultWatchTimeout applies to followers without a watchTimeout.
 	defaultWatchTimeout = 2500 * time.Millisecond
+	// defaultSettleTime applies to followers without a settleTime.
+	defaultSettleTime = 3 * time.Second
 )
 
 // aged is a source whose last result was already some time old when it was received, since it was passed on.
@@ -44,12 +46,22 @@
 	// onDisruption is called when the store has lost its history, when a call fails and the call before it did not, and when
 	// calls succeed again. Calls that began before the given time may never get a response.
 	onDisruption func(before time.Time)
+	// onRestored is called when a list shows that the store was restored from a copy. It may be nil.
+	onRestored func()
 	// onLost and onRegained are called when a call fails and the call before it did not, and when calls succeed again. They may be nil.
 	onLost, onRegained func()
 
+	// settleTime is how long after the store was restored a list of it does not replace what is known. Writers write again within this time
+	// what the store lost. Default defaultSettleTime.
+	settleTime time.Duration
+
 	revision uint64
 	// revisions maps the name of each object to the revision that was applied last.
 	revisions map[string]uint64
+	// copyRevision is the revision of the first list after the last restore; an object with a later one was written since. settleAt is the end
+	// of settleTime, zero once the objects have been listed after it.
+	copyRevision uint64
+	settleAt     time.Time
 
 	mu sync.Mutex
 	// cancel ends the pending watch, nil if there is none; watchBegan is when that watch began.
@@ -81,6 +93,9 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		start := time.Now()
+		if f.settles(start) {
+			listed = false
+		}
 		err := f.step(ctx, listed, down)
 		switch {
 		case err == nil:
@@ -132,7 +147,7 @@
 		if revision < f.revision {
 			return errors.Newf("list revision decreased from %d to %d", f.revision, revision)
 		}
-		f.replace(changes, revision)
+		f.list(changes, revision, time.Now())
 		return nil
 	}
 	watchCtx, cancel := context.WithCancel(ctx)
@@ -141,6 +156,9 @@
 	if down {
 		timeout = recoveryWatchTimeout
 	}
+	if !f.settleAt.IsZero() {
+		timeout = min(timeout, max(recoveryWatchTimeout, time.Until(f.settleAt)))
+	}
 	f.setWatch(cancel)
 	changes, revision, err := f.source.Watch(watchCtx, f.revision, timeout)
 	f.setWatch(nil)
@@ -176,6 +194,66 @@
 	}
 }
 
+// settles reports whether the objects are to be listed now, since the time has passed in which writers write again what a restored store lost.
+func (f *follower[T]) settles(now time.Time) bool {
+	return !f.settleAt.IsZero() && !now.Before(f.settleAt)
+}
+
+// list applies a complete list. After a restore of the store, it does not replace what is known until settleTime has passed.
+func (f *follower[T]) list(changes []Change[T], revision uint64, now time.Time) {
+	if f.revision != 0 && Era(revision) > Era(f.revision) {
+		f.copyRevision = revision
+		f.settleAt = now.Add(cmp.Or(f.settleTime, defaultSettleTime))
+		if f.onRestored != nil {
+			f.onRestored()
+		}
+	}
+	switch {
+	case f.settleAt.IsZero():
+		f.replace(changes, revision)
+	case now.Before(f.settleAt):
+		f.merge(changes, revision)
+	default:
+		f.settleAt = time.Time{}
+		// Objects that were read from the copy and held back are applied now.
+		for _, c := range changes {
+			delete(f.revisions, c.Name)
+		}
+		f.replace(changes, revision)
+	}
+}
+
+// merge applies a complete list of a store that has just been restored: what was written since as usual, and the rest as copied. Objects that
+// were known before and are missing count as copied removals.
+func (f *follower[T]) merge(changes []Change[T], revision uint64) {
+	var written, copied []Change[T]
+	listed := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		listed[c.Name] = true
+		if c.Revision > f.copyRevision {
+			written = append(written, c)
+			continue
+		}
+		if _, known := f.revisions[c.Name]; !known {
+			f.revisions[c.Name] = c.Revision
+		}
+		c.Copied = true
+		copied = append(copied, c)
+	}
+	for name, known := range f.revisions {
+		switch {
+		case listed[name]:
+		case Era(known) < Era(revision):
+			copied = append(copied, Change[T]{Name: name, Revision: known, Removed: true, Copied: true})
+		default:
+			written = append(written, Change[T]{Name: name, Revision: known, Removed: true})
+		}
+	}
+	f.revision = revision
+	f.apply(copied)
+	f.update(written)
+}
+
 // replace applies a complete list: objects that are not in it have been removed.
 func (f *follower[T]) replace(changes []Change[T], revision uint64) {
 	listed := make(map[string]bool, len(changes))
--- a/internal/version/registry/members.go
+++ b/internal/version/registry/members.go
@@ -30,10 +30,10 @@
 // followMembers lists the gateways periodically until ctx is done.
 func (r *Registry) followMembers(ctx context.Context) {
 	for ctx.Err() == nil {
-		changes, _, err := r.Members.List(ctx)
+		changes, revision, err := r.Members.List(ctx)
 		switch {
 		case err == nil:
-			r.applyMembers(changes, time.Now())
+			r.applyMembers(changes, revision, time.Now())
 		case ctx.Err() == nil:
 			r.mu.Lock()
 			r.membersFailedAt = time.Now()
@@ -43,10 +43,16 @@
 	}
 }
 
-// applyMembers applies a list of the gateways. A gateway counts as present while its object changes.
-func (r *Registry) applyMembers(changes []Change[json.RawMessage], now time.Time) {
+// applyMembers applies a list of the gateways. A gateway counts as present while its object changes. A store that was restored from a copy may
+// lack gateways until their next heartbeat, so those that are missing then stay for memberTimeout after they were last seen.
+func (r *Registry) applyMembers(changes []Change[json.RawMessage], revision uint64, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.membersListedAt.IsZero() && Era(revision) > r.membersEra {
+		r.membersRestoredAt = now
+	}
+	r.membersEra = max(r.membersEra, Era(revision))
+	restored := !r.membersRestoredAt.IsZero() && now.Sub(r.membersRestoredAt) < memberTimeout
 	r.membersListedAt = now
 	listed := map[string]bool{}
 	for _, c := range changes {
@@ -63,8 +69,8 @@
 		r.members[c.Name] = member{lastSeen: now, revision: c.Revision,
 			gateway: site.Gateway{Address: value.Address, FailureDomain: value.FailureDomain}}
 	}
-	for name := range r.members {
-		if !listed[name] {
+	for name, m := range r.members {
+		if !listed[name] && !(restored && now.Sub(m.lastSeen) <= memberTimeout) {
 			delete(r.members, name)
 		}
 	}
@@ -242,7 +248,7 @@
 			revision = 0
 			delay /= 3
 		}
-		sleep(ctx, delay)
+		r.awaitHeartbeat(ctx, delay)
 	}
 	// A planned stop returns this gateway's share of the limits to the others. The timeout limits how long an outage of the
 	// store can delay the stop, of which little time may be left.
@@ -253,6 +259,18 @@
 	}
 }
 
+// awaitHeartbeat waits for delay, or for a random part of restoredSpread after the store was restored.
+func (r *Registry) awaitHeartbeat(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-r.restored:
+		sleep(ctx, rand.N(restoredSpread))
+	}
+}
+
 // putMember writes the object of this gateway. After a conflict it retries once with the revision in the store. If
 // the store has no such object, it creates one.
 func (r *Registry) putMember(ctx context.Context, name string, revision uint64, value any) (next uint64, err error) {
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -38,6 +38,12 @@
 	// recoveryWatchTimeout is how long a watch waits after a failed call. It is short so that the end of the disruption is
 	// detected at once.
 	recoveryWatchTimeout = 200 * time.Millisecond
+	// endpointSettleTime is how long a list of a restored store does not replace the known endpoints. The object of an endpoint that has left is
+	// removed three heartbeats after the return of the store.
+	endpointSettleTime = 5 * time.Second
+	// departureRetention is how long it is remembered that an endpoint has left, or that a failure domain is no longer evacuated, so that a
+	// restored store does not undo it. It exceeds the age of a copy.
+	departureRetention = time.Minute
 	// endpointMinInterval and sharedMinInterval limit the rate of calls while many endpoints change at once. They are much
 	// shorter than the time within which a leaving endpoint must stop receiving work.
 	endpointMinInterval = 300 * time.Millisecond
@@ -79,16 +85,27 @@
 	// next is the snapshot that publish makes current.
 	next      site.Snapshot
 	endpoints map[string]*site.Endpoint
+	// restored receives a value when the store was restored from a copy, unless an earlier value has not been read yet.
+	restored chan struct{}
 	// missingUntil maps each endpoint that disappeared after an outage to the time at which it is dropped.
 	missingUntil map[string]time.Time
-	members      map[string]member
+	// departed holds the endpoints that have left, by ID, and reinstated the failure domains that are no longer evacuated, with the time.
+	departed   map[string]departure
+	reinstated map[string]time.Time
+	members    map[string]member
 	// membersListedAt is when the gateways were last listed, zero if never.
 	membersListedAt time.Time
+	// membersEra is the era of the last list, and membersRestoredAt when a list first showed the last restore.
+	membersEra        uint64
+	membersRestoredAt time.Time
 	// membersFailedAt is when listing the gateways last failed, zero if never.
 	membersFailedAt time.Time
 	peers           atomic.Pointer[[]site.Gateway]
-	// sharedChanges holds the last change of each shared object.
+	// sharedChanges holds the last change of each shared object. rewrites are those that a restored store lost or has an older state of, and
+	// that this gateway may write again.
 	sharedChanges map[string]observedChange
+	rewrites      []rewrite
+	rewriteSignal chan struct{}
 	// updatingToken is the highest fencing token seen in the Updating object.
 	updatingToken uint64
 
@@ -98,6 +115,12 @@
 	versionFollower       *follower[site.ModelVersion]
 }
 
+// departure is the incarnation of an endpoint that has left, and when it was seen to.
+type departure struct {
+	startedAt time.Time
+	at        time.Time
+}
+
 func (r *Registry) init() {
 	r.initOnce.Do(func() {
 		r.done = make(chan struct{})
@@ -105,16 +128,19 @@
 			r.Ages = &staleness.Ages{}
 		}
 		r.endpoints, r.missingUntil = map[string]*site.Endpoint{}, map[string]time.Time{}
+		r.departed, r.reinstated = map[string]departure{}, map[string]time.Time{}
 		r.members, r.sharedChanges = map[string]member{}, map[string]observedChange{}
+		r.restored, r.rewriteSignal = make(chan struct{}, 1), make(chan struct{}, 1)
 		r.next = site.Snapshot{Endpoints: map[string][]*site.Endpoint{}, Evacuated: map[string]bool{},
 			Versions: map[string]uint64{}, NamedAt: map[string]time.Duration{},
 			UnnamedAt: map[string]time.Duration{}, Updating: map[string]bool{}, Marks: map[uint64][]string{}, Gateways: 1}
 		first := r.next
 		r.current.Store(&first)
 		r.configurationFollower = &follower[*site.Configuration]{kind: "Configuration", source: r.Configurations,
-			watchTimeout: configurationWatchTimeout, log: r.Log, apply: r.applyConfigurations}
+			watchTimeout: configurationWatchTimeout, log: r.Log, apply: r.applyConfigurations, onRestored: r.signalRestored}
 		r.endpointFollower = &follower[*site.Endpoint]{kind: "Endpoint", source: r.Endpoints,
-			watchTimeout: endpointWatchTimeout, minInterval: endpointMinInterval, log: r.Log, apply: r.applyEndpoints}
+			watchTimeout: endpointWatchTimeout, minInterval: endpointMinInterval, settleTime: endpointSettleTime, log: r.Log,
+			apply: r.applyEndpoints}
 		r.versionFollower = &follower[site.ModelVersion]{kind: "Version", source: r.Versions,
 			watchTimeout: versionsWatchTimeout, log: r.Log, apply: r.applyVersions,
 			onLost:     func() { r.Ages.StoreLost(bootclock.Now()) },
@@ -178,7 +204,7 @@
 	r.versionFollower.onDisruption, evacuations.onDisruption = onDisruption, onDisruption
 	var tasks sync.WaitGroup
 	for _, run := range []func(context.Context){r.configurationFollower.run, r.endpointFollower.run, r.sharedFollower.run,
-		evacuations.run, r.versionFollower.run, r.heartbeat, r.dropMissing, r.followMembers} {
+		evacuations.run, r.versionFollower.run, r.heartbeat, r.dropMissing, r.followMembers, r.rewriteLost} {
 		tasks.Go(func() { run(ctx) })
 	}
 	tasks.Wait()
@@ -190,6 +216,14 @@
 		apply: r.applyEvacuations}
 }
 
+// signalRestored makes the heartbeat write the object of this gateway again at once, and list the gateways.
+func (r *Registry) signalRestored() {
+	select {
+	case r.restored <- struct{}{}:
+	default:
+	}
+}
+
 // publish makes next the current snapshot. The caller must hold mu, and must have replaced the maps and slices that differ rather
 // than modified them, since published snapshots share them.
 func (r *Registry) publish() {
@@ -226,10 +260,12 @@
 	for _, c := range changes {
 		old := r.endpoints[c.Name]
 		switch {
+		case c.Copied && !r.isNews(old, c):
 		case c.Removed && old != nil && recovering && old.State == site.Ready:
 			r.missingUntil[c.Name] = now.Add(MissingTime)
 			event.Info(r.Log, event.EndpointMissing, "endpoint", c.Name, "revision", c.Revision)
 		case c.Removed || c.Err != nil:
+			r.recordDeparture(old, now)
 			delete(r.endpoints, c.Name)
 			delete(r.missingUntil, c.Name)
 			event.Info(r.Log, event.EndpointRemoved, "endpoint", c.Name, "revision", c.Revision)
@@ -247,6 +283,44 @@
 	}
 }
 
+// isNews reports whether an endpoint that was read from a restored store is newer than what was known: a later incarnation, one that has begun
+// to leave, is cold or has later weights, or one that was neither known nor seen to leave. The caller must hold mu.
+func (r *Registry) isNews(old *site.Endpoint, c Change[*site.Endpoint]) bool {
+	switch {
+	case c.Removed || c.Err != nil:
+		return false
+	case old == nil:
+		left, ok := r.departed[c.Name]
+		return !ok || c.Value.StartedAt.After(left.startedAt)
+	case c.Value.StartedAt.After(old.StartedAt):
+		return true
+	}
+	begunToLeave := old.State == site.Ready && c.Value.State != site.Ready
+	return c.Value.StartedAt.Equal(old.StartedAt) && (begunToLeave || c.Value.ColdRemaining > 0 || hasNewerWeights(c.Value, old))
+}
+
+// hasNewerWeights reports whether an endpoint serves a later weight version of a model than another state of it.
+func hasNewerWeights(e, old *site.Endpoint) bool {
+	for _, m := range e.Models {
+		if before, ok := old.Version(m.Model); ok && m.Version > before {
+			return true
+		}
+	}
+	return false
+}
+
+// recordDeparture records that an endpoint, nil for none, has left. The caller must hold mu.
+func (r *Registry) recordDeparture(e *site.Endpoint, now time.Time) {
+	for id, d := range r.departed {
+		if now.Sub(d.at) > departureRetention {
+			delete(r.departed, id)
+		}
+	}
+	if e != nil {
+		r.departed[e.ID] = departure{startedAt: e.StartedAt, at: now}
+	}
+}
+
 func (r *Registry) publishEndpoints() {
 	byService := map[string][]*site.Endpoint{}
 	for _, e := range r.endpoints {
@@ -281,6 +355,7 @@
 		if now.Before(until) {
 			continue
 		}
+		r.recordDeparture(r.endpoints[id], now)
 		delete(r.missingUntil, id)
 		delete(r.endpoints, id)
 		dropped = true
@@ -297,9 +372,17 @@
 	if len(changes) == 0 {
 		return
 	}
+	now := time.Now()
 	evacuated := maps.Clone(r.next.Evacuated)
 	for _, c := range changes {
+		if at, ok := r.reinstated[c.Name]; c.Copied && (c.Removed || (ok && now.Sub(at) < departureRetention)) {
+			continue
+		}
 		delete(evacuated, c.Name)
+		delete(r.reinstated, c.Name)
+		if c.Removed {
+			r.reinstated[c.Name] = now
+		}
 		if !c.Removed {
 			evacuated[c.Name] = true
 		}
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -28,6 +28,8 @@
 	// present after its last heartbeat.
 	heartbeatInterval = 10 * time.Second
 	memberTimeout     = 32 * time.Second
+	// restoredSpread is the time over which all gateways write their objects again after a restore of the store.
+	restoredSpread = time.Second
 	// membersListInterval is the mean time between two lists of the gateways. With a watch, each heartbeat would wake all
 	// gateways.
 	membersListInterval = 4 * time.Second
@@ -60,6 +62,10 @@
 	// If their length differs from that of Ordered, all orders count as open and as those of another gateway.
 	OrderedBy []string `json:",omitempty"`
 	OrderedMs []int64  `json:",omitempty"`
+	// Era is the era of the store in which the lease was acquired, and UnknownMs for how long after this write any endpoint may have an order
+	// from a holder that a restored store no longer knows, in milliseconds.
+	Era       uint64 `json:",omitempty"`
+	UnknownMs int64  `json:",omitempty"`
 }
 
 // OrderOpen stands in Lease.OrderedMs for an endpoint that may be sent orders until the lease expires.
@@ -82,7 +88,11 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	for _, c := range changes {
-		r.sharedChanges[c.Name] = observedChange{at: now, revision: c.Revision}
+		if known, ok := r.sharedChanges[c.Name]; c.Copied && ok {
+			r.queueRewrite(c, known)
+			continue
+		}
+		r.sharedChanges[c.Name] = observedChange{at: now, revision: c.Revision, value: c.Value}
 		if c.Removed {
 			delete(r.sharedChanges, c.Name)
 		}
@@ -176,6 +186,7 @@
 type observedChange struct {
 	at       time.Time
 	revision uint64
+	value    json.RawMessage
 }
 
 // deleteObsolete deletes members and marks that are past their retention time, since the store itself never expires them.
--- a/internal/version/registry/source.go
+++ b/internal/version/registry/source.go
@@ -6,12 +6,15 @@
 	"time"
 )
 
-// Change is the current state of one object, or its removal.
+// Change is the current state of one object, or its removal. Revisions contain the era of the store, see EraSize.
 type Change[T any] struct {
 	Name     string
 	Revision uint64
 	Removed  bool
-	Value    T
+	// Copied is set by the follower if the object, or that there is none, was read from a store that had just been restored from a copy. What
+	// was known before may be newer.
+	Copied bool
+	Value  T
 	// Err is the reason why the object could not be decoded, if any; Value is then not valid.
 	Err error
 }
