Give out no fencing token again after a restore of the store

Cause: the lease of the copy has an earlier token and not the last holder, nor whom it ordered.

Change: tokens of an era are above those of all earlier eras; the lease names its era. One that the copy has is acquired only when a lost holder has stopped, and no endpoint gets orders until the lease time has passed after that; the wait is handed on with the lease. A holder whose lease was restored gives it up.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -109,6 +109,7 @@
 	r.Versions = platform.Versions(relay.Source("Version", slowRelayAge, platform.RawVersions(store)))
 	r.Shared = shared
 	ordersLease := lease.New(settings.Name, platform.Leases(store), "Orders")
+	ordersLease.EraSince = store.EraSince
 	ordersLease.Publish, ordersLease.PublishName = shared, registry.UpdatingName()
 	ordersLease.Time, ordersLease.ThawTime, ordersLease.Log = settings.LeaseTime, settings.ThawTime, log
 	servers := platform.NewServers()
--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -70,6 +70,9 @@
 	PublishName string
 	// Clock returns the time since the machine booted. Default bootclock.Now.
 	Clock func() time.Duration
+	// EraSince returns the time by Clock at which the store first answered in its present era. Default: 0. A lease that was last written in an
+	// earlier era was restored from a copy: who acquired it since, and whom that holder ordered, is lost.
+	EraSince func() time.Duration
 
 	name    string
 	object  string
@@ -81,6 +84,8 @@
 	revision uint64
 	// renewedAt is when the last successful renewal, or the acquisition, began.
 	renewedAt time.Duration
+	// ordersFrom is the time before which no endpoint gets orders, since a holder that a restored store no longer knows may have sent it one.
+	ordersFrom time.Duration
 	// earlier is, by endpoint, the last order that an earlier holder may have sent, or an earlier incarnation of this gateway.
 	earlier map[string]earlierOrder
 	// published are the endpoints published last; publishedRevision is the revision of that object.
@@ -103,7 +108,7 @@
 
 // New returns a Lease for the gateway with the given name. The lease is stored in the given object of objects.
 func New(name string, objects Objects, object string) *Lease {
-	return &Lease{Time: DefaultTime, Silence: DefaultSilence, Validity: DefaultValidity, Clock: bootclock.Now, name: name, objects: objects, object: object}
+	return &Lease{Time: DefaultTime, Silence: DefaultSilence, Validity: DefaultValidity, Clock: bootclock.Now, EraSince: func() time.Duration { return 0 }, name: name, objects: objects, object: object}
 }
 
 // lastHolderHeadStart is how long another gateway must want a free lease before it takes it, so that the last holder can take it
@@ -139,7 +144,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	earlier, ok := l.earlier[endpoint]
-	return l.valid() && (!ok || earlier.holder == l.name || l.Clock() >= earlier.sentAt+l.Time+l.ThawTime)
+	return l.valid() && l.Clock() >= l.ordersFrom && (!ok || earlier.holder == l.name || l.Clock() >= earlier.sentAt+l.Time+l.ThawTime)
 }
 
 // MarkWanted records that this gateway has orders to send. Calls after the first have no effect until ClearWanted is called.
@@ -174,12 +179,19 @@
 		current.Renewal != l.observed.Renewal {
 		l.observed, l.observedAt, l.hasObserved = current, now, true
 	}
-	if !l.canAcquire(now, current) {
+	era := registry.Era(revision)
+	restored := current.Era != era
+	if !l.canAcquire(now, current) || (restored && now-l.EraSince() < l.Silence) {
 		return false, nil
 	}
+	ordersFrom := l.observedAt + time.Duration(current.UnknownMs)*time.Millisecond
+	if restored {
+		ordersFrom = l.EraSince() + l.Validity + l.Time + l.ThawTime
+	}
 	earlier := l.earlierOrders(current)
-	next := registry.Lease{Holder: l.name, Token: current.Token + 1, Renewal: current.Renewal + 1, Last: l.name}
+	next := registry.Lease{Holder: l.name, Token: nextToken(current.Token, era), Renewal: current.Renewal + 1, Last: l.name, Era: era}
 	l.record(&next, now, nil, nil, earlier)
+	next.UnknownMs = unknownMs(ordersFrom, now)
 	revision, err = l.objects.Put(ctx, l.object, revision, next)
 	if errors.Is(err, platform.ErrConflict) {
 		return false, nil
@@ -190,11 +202,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.held, l.value, l.revision, l.renewedAt, l.earlier = true, next, revision, now, earlier
+	l.ordersFrom = ordersFrom
 	l.published = nil
-	event.Info(l.Log, event.LeaseGained, "token", next.Token, "before", current.Last, "ordered", next.Ordered, "agoMs", next.OrderedMs)
+	event.Info(l.Log, event.LeaseGained, "token", next.Token, "before", current.Last, "ordered", next.Ordered, "agoMs", next.OrderedMs,
+		"restored", restored, "unknownMs", next.UnknownMs)
 	return true, nil
 }
 
+// nextToken returns the fencing token of the acquisition after the given token. The tokens of an era are above those of all earlier eras, so
+// that none that a restored store has forgotten is given out again.
+func nextToken(token, era uint64) uint64 { return max(token, era*registry.EraSize) + 1 }
+
+// unknownMs returns the time until ordersFrom in milliseconds, 0 if it has passed.
+func unknownMs(ordersFrom, now time.Duration) int64 { return max(0, ordersFrom-now).Milliseconds() }
+
 // earlierOrders returns the orders that a lease records, which was first read at observedAt.
 func (l *Lease) earlierOrders(current registry.Lease) map[string]earlierOrder {
 	earlier := map[string]earlierOrder{}
@@ -263,6 +284,7 @@
 	next := l.value
 	next.Renewal++
 	l.record(&next, start, updating, sent, l.earlier)
+	next.UnknownMs = unknownMs(l.ordersFrom, start)
 	revision, err := l.objects.Put(ctx, l.object, l.revision, next)
 	if err != nil {
 		return l.resolveRenewal(ctx, err, next, start)
@@ -309,6 +331,9 @@
 		return false
 	case err != nil:
 		return false
+	case registry.Era(revision) != registry.Era(l.revision):
+		l.drop("the store was restored from a copy")
+		return false
 	case current.Holder != l.name || current.Token != l.value.Token:
 		l.drop("taken by " + current.Holder)
 		return false
@@ -349,7 +374,9 @@
 	next := l.value
 	next.Holder = ""
 	next.Renewal++
-	l.record(&next, l.Clock(), nil, sent, l.earlier)
+	now := l.Clock()
+	l.record(&next, now, nil, sent, l.earlier)
+	next.UnknownMs = unknownMs(l.ordersFrom, now)
 	_, err := l.objects.Put(ctx, l.object, l.revision, next)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/process/lease/lease_test.go
+++ b/internal/process/lease/lease_test.go
@@ -28,8 +28,8 @@
 	switch {
 	case s.reject:
 		return nil, 0, platform.ErrRateLimited
-	case s.revision == 0:
-		return nil, 0, platform.ErrNotFound
+	case len(s.value) == 0:
+		return nil, s.revision, platform.ErrNotFound
 	}
 	return s.value, s.revision, nil
 }
