Break off a resumed stream that does not go on with events

Change: a resumed answer must have the type of content with which the stream began, its first event an ID, and each line of its events a field name without white space; else the attempt has failed like one that broke off.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -152,6 +153,11 @@
 		a.logFailedAttempt("endpoint did not resume the stream", answer.Status)
 		return mayHaveRun
 	}
+	if req.w.Started() && mediaType(answer.Header) != req.mediaType {
+		a.recordOutcome(placement.Failed)
+		a.logFailedAttempt("endpoint resumed the stream with another type of content", answer.Status)
+		return mayHaveRun
+	}
 	if req.route.Streaming && answer.Status < 300 {
 		return a.relayStream(answer)
 	}
@@ -270,7 +276,7 @@
 	if req.stream == nil {
 		req.stream = newEventSplitter(req.meta.LastEvent)
 	}
-	req.stream.begin()
+	req.stream.begin(req.w.Started())
 	buffer := make([]byte, 4096)
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -278,10 +284,10 @@
 			req.handler.Table.Heard(time.Now(), a.endpoint)
 		}
 		if n > 0 {
-			relayed, tooLong := a.relayEvents(answer, buffer[:n])
+			relayed, err := a.relayEvents(answer, buffer[:n])
 			switch {
-			case tooLong:
-				return a.handleBrokenStream(errors.New("event is too long"))
+			case err != nil:
+				return a.handleBrokenStream(err)
 			case !relayed:
 				return done
 			}
@@ -296,9 +302,8 @@
 	}
 }
 
-// relayEvents relays the events that p completes. It reports whether the caller can get more, and whether what follows is too long for
-// an event.
-func (a *attempt) relayEvents(answer *endpoint.Answer, p []byte) (relayed, tooLong bool) {
+// relayEvents relays the events that p completes. It reports whether the caller can get more. An error means that what follows is no event.
+func (a *attempt) relayEvents(answer *endpoint.Answer, p []byte) (relayed bool, err error) {
 	req := a.req
 	a.answering.Store(true)
 	if a.prefillTokens > 0 {
@@ -309,25 +314,25 @@
 		}
 		a.prefillTokens = 0
 	}
-	complete, ok := req.stream.add(p)
+	complete, streamErr := req.stream.add(p)
 	if len(complete) == 0 {
-		return true, !ok
+		return true, streamErr
 	}
 	a.flight.progress(time.Now())
 	a.recordBegun(false)
 	if !a.startStream(answer) {
-		return false, false
+		return false, nil
 	}
 	if _, err := req.w.Write(complete); err == nil {
 		err = req.w.Flush()
 		if err == nil {
-			return true, !ok
+			return true, streamErr
 		}
 	}
 	a.recordOutcome(placement.Abandoned)
 	req.reason = "CallerLeft"
 	req.w.Abort()
-	return false, false
+	return false, nil
 }
 
 // startStream writes the header of a stream unless it has been written. It returns false if the write fails.
@@ -336,7 +341,7 @@
 	if req.w.Started() {
 		return true
 	}
-	req.status, req.firstPiece = answer.Status, time.Now()
+	req.status, req.firstPiece, req.mediaType = answer.Status, time.Now(), mediaType(answer.Header)
 	req.handler.observe(req.metricName("FirstPiece"), req.firstPiece.Sub(req.started))
 	if err := req.w.Start(answer.Status, answer.Header, -1); err != nil {
 		a.recordOutcome(placement.Abandoned)
@@ -346,6 +351,12 @@
 	return true
 }
 
+// mediaType returns the type of content that a header states, without its parameters.
+func mediaType(h http.Header) string {
+	value, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(value))
+}
+
 // finishStream ends the caller's stream after the endpoint has ended its own.
 func (a *attempt) finishStream(answer *endpoint.Answer) verdict {
 	req := a.req
--- a/internal/request/forward/events.go
+++ b/internal/request/forward/events.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"strconv"
+
+	"github.com/cockroachdb/errors"
 )
 
 // eventSplitter splits an event stream into complete events. Bytes after the last complete event are buffered, since the
@@ -19,18 +21,27 @@
 	// hasEvents is set once the current attempt has brought a complete event, also one that the caller already has. Comments and blank
 	// lines are no events.
 	hasEvents bool
+	// resumed is set if the current attempt continues a stream of which the caller has a part.
+	resumed bool
 }
 
-// begin prepares for the stream of the next attempt.
-func (e *eventSplitter) begin() { e.partial, e.hasEvents = nil, false }
+// begin prepares for the stream of the next attempt. resumed is set if the caller has a part of the stream already.
+func (e *eventSplitter) begin(resumed bool) { e.partial, e.hasEvents, e.resumed = nil, false, resumed }
+
+// Errors of add.
+var (
+	errEventTooLong = errors.New("event is too long")
+	errForeignEvent = errors.New("resumed stream does not continue with an event")
+)
 
 // maxEventBytes bounds the buffered bytes of an incomplete event. Many streams at a time may reach it, when endpoints send bytes
 // without end that are no events.
 const maxEventBytes = 128 << 10
 
-// add appends p to the stream and returns the events that it completes, without those that the caller already has. It
-// returns false if an incomplete event exceeds maxEventBytes.
-func (e *eventSplitter) add(p []byte) (complete []byte, ok bool) {
+// add appends p to the stream and returns the events that it completes, without those that the caller already has. Its errors are
+// errEventTooLong if an incomplete event exceeds maxEventBytes and errForeignEvent if a resumed stream has something that is no event, such as
+// the text of an error, or begins with an event without an ID.
+func (e *eventSplitter) add(p []byte) (complete []byte, err error) {
 	// The bytes that were there before contain no end of an event, but up to three of them may be the beginning of one.
 	end, searched := 0, max(0, len(e.partial)-3)
 	e.partial = append(e.partial, p...)
@@ -42,8 +53,11 @@
 		event := e.partial[end : searched+n]
 		searched += n
 		end = searched
-		e.hasEvents = e.hasEvents || hasField(event)
 		id, found := eventID(event)
+		if e.resumed && hasField(event) && ((!found && !e.hasEvents) || !isEvent(event)) {
+			return complete, errForeignEvent
+		}
+		e.hasEvents = e.hasEvents || hasField(event)
 		if found {
 			if number, err := strconv.ParseInt(id, 10, 64); err == nil {
 				if number <= e.lastNumber {
@@ -58,7 +72,21 @@
 	if end > 0 {
 		e.partial = append(e.partial[:0], e.partial[end:]...)
 	}
-	return complete, len(e.partial) <= maxEventBytes
+	if len(e.partial) > maxEventBytes {
+		return complete, errEventTooLong
+	}
+	return complete, nil
+}
+
+// isEvent reports whether each line of an event is a comment or a field, whose name has no white space.
+func isEvent(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		name, _, _ := bytes.Cut(bytes.Trim(line, "\r"), []byte(":"))
+		if bytes.ContainsAny(name, " \t") {
+			return false
+		}
+	}
+	return true
 }
 
 // eventEnd returns the length of the first complete event in b, including the empty line that ends it, or -1 if there is none.
--- a/internal/request/forward/events_test.go
+++ b/internal/request/forward/events_test.go
@@ -19,15 +19,15 @@
 			return
 		}
 		whole, parts := newEventSplitter(""), newEventSplitter("")
-		all, ok := whole.add(stream)
-		if !ok {
+		all, err := whole.add(stream)
+		if err != nil {
 			t.Fatal("too long")
 		}
 		var joined []byte
 		for rest := stream; len(rest) > 0; {
 			n := min(len(rest), int(size)+1)
-			complete, ok := parts.add(rest[:n])
-			if !ok {
+			complete, err := parts.add(rest[:n])
+			if err != nil {
 				t.Fatal("too long")
 			}
 			joined, rest = append(joined, complete...), rest[n:]
@@ -59,7 +59,7 @@
 	for b.Loop() {
 		e := newEventSplitter("")
 		for range maxEventBytes {
-			if complete, ok := e.add([]byte("x")); !ok || len(complete) > 0 {
+			if complete, err := e.add([]byte("x")); err != nil || len(complete) > 0 {
 				b.Fatal("not one event")
 			}
 		}
