Send nothing to endpoints that say that they leave, or want a pause

Change: pkg/intake keeps both statements beside the stated rate, and the choice leaves such an endpoint out. Leaving holds until a new incarnation, whatever the store says, and is told to the other gateways with the loads; an endpoint that leaves is no last resort. A pause holds for this gateway, for a minute at most. If all pause, callers are refused at once with Paused and a Retry-After from the shortest pause, spread. EndpointClosed logs both.

--- a/internal/connection/loads/intake.go
+++ b/internal/connection/loads/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"primrosecourse/pkg/intake"
@@ -33,6 +34,8 @@
 	Wanted    []float32 `msgpack:",omitempty"`
 	PerSecond []float32 `msgpack:",omitempty"`
 	AgoMs     []uint32  `msgpack:",omitempty"`
+	// Leaving are the endpoints of Endpoints that stated that they leave.
+	Leaving []uint32 `msgpack:",omitempty"`
 }
 
 func newIntakeLists(reports []intake.Report, gateways int) *intakeLists {
@@ -47,6 +50,9 @@
 		l.Wanted = append(l.Wanted, float32(r.Wanted))
 		l.PerSecond = append(l.PerSecond, rate)
 		l.AgoMs = append(l.AgoMs, ago)
+		if r.Leaving {
+			l.Leaving = append(l.Leaving, endpointKey(r.Endpoint))
+		}
 	}
 	return l
 }
@@ -60,7 +66,7 @@
 	}
 	for i, key := range l.Endpoints {
 		r := intake.Report{Sent: float64(l.Sent[i]), Wanted: float64(l.Wanted[i]), Rate: float64(l.PerSecond[i]),
-			Ago: time.Duration(l.AgoMs[i]) * time.Millisecond}
+			Ago: time.Duration(l.AgoMs[i]) * time.Millisecond, Leaving: slices.Contains(l.Leaving, key)}
 		if !isCount(r.Sent) || !isCount(r.Wanted) || (r.Rate != notStated && !isCount(r.Rate)) {
 			return nil, false
 		}
--- a/internal/connection/loads/intake_test.go
+++ b/internal/connection/loads/intake_test.go
@@ -15,7 +15,7 @@
 	is := is.New(t)
 	reports := []intake.Report{
 		{Endpoint: "e1", Sent: 2.5, Wanted: 4, Rate: 6.5, Ago: 300 * time.Millisecond},
-		{Endpoint: "e2", Sent: 1, Rate: -1},
+		{Endpoint: "e2", Sent: 1, Rate: -1, Leaving: true},
 		{Endpoint: "gone", Rate: 1},
 	}
 	ids := map[uint32]string{endpointKey("e1"): "e1", endpointKey("e2"): "e2"}
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -124,4 +124,7 @@
 	ChangeIgnored
 	// ObjectRewritten is logged when a gateway has written an object again that a restored store had lost, or has failed to.
 	ObjectRewritten
+	// EndpointClosed is logged when an endpoint first states in an answer that it leaves, or that it wants no requests from this gateway for
+	// some time.
+	EndpointClosed
 )
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -50,6 +50,10 @@
 	if rate, err := strconv.ParseFloat(h.Get("Rate"), 64); err == nil {
 		stated = intake.Statement{HasRate: true, Rate: rate}
 	}
+	stated.Leaving = h.Get("Leaving") != ""
+	if ms, err := strconv.Atoi(h.Get("Pause")); err == nil {
+		stated.Pause = time.Duration(ms) * time.Millisecond
+	}
 	return forward.AnswerInfo{Intake: stated, ID: h.Get("Id"), NotRun: misdirected || h.Get("Not-Run") != "", Misdirected: misdirected, Sealed: h.Get("Seal") != "",
 		Encoded: h.Get("Content-Encoding") != ""}
 }
--- a/internal/request/forward/intake.go
+++ b/internal/request/forward/intake.go
@@ -13,7 +13,11 @@
 	if s.Invalid {
 		h.count("Intake.InvalidStatements")
 	}
-	if change := h.Table.Intake.Observe(now, a.started, a.endpoint.ID, s); change.Notable {
+	change := h.Table.Intake.Observe(now, a.started, a.endpoint.ID, s)
+	if change.Left || change.Paused {
+		event.Info(h.Log, event.EndpointClosed, "endpoint", a.endpoint.ID, "leaving", s.Leaving, "pauseMs", s.Pause.Milliseconds(), "request", a.req.meta.ID)
+	}
+	if change.Notable {
 		event.Info(h.Log, event.EndpointRateStated, "endpoint", a.endpoint.ID, "perSecond", change.After, "before", change.Before,
 			"request", a.req.meta.ID)
 	}
--- a/internal/request/forward/intake_test.go
+++ b/internal/request/forward/intake_test.go
@@ -1,8 +1,10 @@
 package forward_test
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -79,3 +81,119 @@
 	is.True(refused > 100)
 	is.True(f.arrivalCount() == 200-refused)
 }
+
+// TestRequestsToLeavingEndpoint guards against requests to an endpoint that has said that it leaves, whatever the store says of it.
+func TestRequestsToLeavingEndpoint(t *testing.T) {
+	for name, leaves := range map[string]func(id string, c net.Conn) bool{
+		"on a success": func(id string, c net.Conn) bool {
+			return writeAnswer(c, 200, "Id: "+id+"\r\nSeal: s\r\nLeaving: 1\r\n", "good")
+		},
+		"on an error": func(id string, c net.Conn) bool {
+			return writeAnswer(c, 500, "Id: "+id+"\r\nSeal: s\r\nLeaving: 1\r\n", "bad")
+		},
+		"on a refusal": func(id string, c net.Conn) bool {
+			return writeAnswer(c, 503, "Id: "+id+"\r\nNot-Run: 1\r\nLeaving: 1\r\n", "")
+		},
+		"on a stream": func(id string, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSeal: s\r\nLeaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
+			chunk(c, "id: 1\ndata: a\n\n")
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+			return true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, func(_ int, id string, r *http.Request, c net.Conn) bool {
+				if r.Header.Get("Endpoint") == "e0" {
+					return leaves(id, c)
+				}
+				return writeOK(c, id, "good")
+			})
+			for range 60 {
+				_, _, _ = f.send(t, http.MethodPost, "/always/1")
+			}
+			arrivals := 0
+			for _, e := range f.arrivals {
+				if e == "e0" {
+					arrivals++
+				}
+			}
+			is.Equal(arrivals, 1)
+			// A new incarnation begins without it.
+			f.snapshot.Endpoints["S"][0].StartedAt = time.Now()
+			f.handler.Table.SetEndpoints(time.Now(), nil, f.snapshot.Endpoints["S"])
+			for range 60 {
+				_, _, _ = f.send(t, http.MethodPost, "/always/1")
+			}
+			is.True(len(f.arrivals) > 0 && slices.Contains(f.arrivals[61:], "e0"))
+		})
+	}
+}
+
+// TestOnlyLeavingEndpoints guards against a request to an endpoint that leaves when no other is left: it would be cut off.
+func TestOnlyLeavingEndpoints(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, func(_ int, id string, _ *http.Request, c net.Conn) bool {
+		return writeAnswer(c, 200, "Id: "+id+"\r\nSeal: s\r\nLeaving: 1\r\n", "good")
+	})
+	for i := range 6 {
+		status, body, err := f.send(t, http.MethodPost, "/never/1")
+		is.NoErr(err)
+		if i < 3 {
+			is.Equal(status, 200)
+			continue
+		}
+		is.Equal(status, 503)
+		is.Equal(body, "{\"reason\":\"NoEndpoint\",\"outcome\":\"not run\"}\n")
+	}
+	is.Equal(f.arrivalCount(), 3)
+}
+
+// TestPausedEndpoint guards against requests to an endpoint within the time for which it wants none, and against one that is left out after it.
+func TestPausedEndpoint(t *testing.T) {
+	is := is.New(t)
+	const pause = 400 * time.Millisecond
+	var f *fixture
+	var refusedAt time.Time
+	f = newFixture(t, func(_ int, id string, r *http.Request, c net.Conn) bool {
+		if r.Header.Get("Endpoint") != "e0" {
+			return writeOK(c, id, "good")
+		}
+		if refusedAt.IsZero() {
+			refusedAt = time.Now()
+			return writeAnswer(c, 503, "Id: "+id+"\r\nNot-Run: 1\r\nPause: 400\r\n", "")
+		}
+		if age := time.Since(refusedAt); age < pause {
+			t.Errorf("request %v after a refusal for %v", age, pause)
+		}
+		return writeOK(c, id, "back")
+	})
+	back := false
+	for started := time.Now(); !back && time.Since(started) < 5*time.Second; {
+		status, body, err := f.send(t, http.MethodPost, "/never/1")
+		is.NoErr(err)
+		is.Equal(status, 200) // the others serve meanwhile
+		back = body == "back"
+	}
+	is.True(back)
+}
+
+// TestAllEndpointsPause guards against requests that are held, or sent in vain, while every endpoint wants none.
+func TestAllEndpointsPause(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, func(_ int, id string, _ *http.Request, c net.Conn) bool {
+		return writeAnswer(c, 503, "Id: "+id+"\r\nNot-Run: 1\r\nPause: 2000\r\n", "")
+	})
+	_, _, err := f.send(t, http.MethodPost, "/never/1")
+	is.NoErr(err)
+	is.Equal(f.arrivalCount(), 3)
+	for range 10 {
+		sentAt := time.Now()
+		status, body, err := f.send(t, http.MethodPost, "/never/1")
+		is.NoErr(err)
+		is.Equal(status, 503)
+		is.Equal(body, "{\"reason\":\"Paused\",\"outcome\":\"not run\"}\n")
+		is.True(time.Since(sentAt) < 500*time.Millisecond)
+	}
+	is.Equal(f.arrivalCount(), 3)
+}
--- a/pkg/intake/doc.go
+++ b/pkg/intake/doc.go
@@ -5,6 +5,9 @@
 // so a statement is replaced by a higher one, or by none, only if the request was sent after the statement had arrived; a lower rate
 // applies at once.
 //
+// An endpoint that shuts down says so as well, which holds until it restarts, and one that refuses a request may state for how long it wants no
+// more from this process.
+//
 // Processes share the rate by telling each other how many requests they sent of late and how many they wanted to send; see Admit.
 //
 // The package does no input or output and reads no clock. A Table is safe for concurrent use.
--- a/pkg/intake/peers.go
+++ b/pkg/intake/peers.go
@@ -14,6 +14,8 @@
 	// Rate is the rate that the endpoint stated to a reporting process, negative if it stated none to any, and Ago how long ago it did.
 	Rate float64
 	Ago  time.Duration
+	// Leaving is set if the endpoint stated to a reporting process that it leaves.
+	Leaving bool
 }
 
 const (
@@ -101,7 +103,17 @@
 	return rate, statedAt
 }
 
-// Reports returns the reports of this process and of the named others together, for at most limit endpoints that have stated a rate, first
+// leavesByPeers reports whether another process was told that an endpoint leaves. The caller must hold mu.
+func (t *Table) leavesByPeers(now time.Time, id string) bool {
+	for _, p := range t.peers {
+		if r, ok := p.reports[id]; ok && r.Leaving && now.Sub(r.at) <= maxReportAge {
+			return true
+		}
+	}
+	return false
+}
+
+// Reports returns the reports of this process and of the named others together, for at most limit endpoints that have stated a rate or leave, first
 // those that were returned longest ago, and the number of processes that they cover.
 func (t *Table) Reports(now time.Time, limit int, peers map[string]bool) (list []Report, processes int) {
 	t.mu.Lock()
@@ -114,7 +126,7 @@
 	}
 	var ids []string
 	for id, s := range t.states {
-		if _, limited := t.rate(now, id, s); limited {
+		if _, limited := t.rate(now, id, s); limited || s.leaving {
 			ids = append(ids, id)
 		}
 	}
@@ -131,7 +143,7 @@
 // report returns the report of one endpoint by this process and the named others together. The caller must hold mu.
 func (t *Table) report(now time.Time, id string, peers map[string]bool) Report {
 	s := t.states[id]
-	sum := Report{Endpoint: id, Sent: s.sent.current(now, sentTime), Wanted: s.wanted.current(now, wantedTime), Rate: s.rate, Ago: now.Sub(s.statedAt)}
+	sum := Report{Endpoint: id, Sent: s.sent.current(now, sentTime), Wanted: s.wanted.current(now, wantedTime), Rate: s.rate, Ago: now.Sub(s.statedAt), Leaving: s.leaving}
 	for name := range peers {
 		p := t.peers[name]
 		if p == nil || now.Sub(p.heardAt) > maxSilence {
@@ -143,6 +155,7 @@
 		}
 		sum.Sent += r.Sent
 		sum.Wanted += r.Wanted
+		sum.Leaving = sum.Leaving || r.Leaving
 		if ago := r.Ago + now.Sub(r.at); r.Rate >= 0 && (sum.Rate < 0 || ago < sum.Ago) {
 			sum.Rate, sum.Ago = r.Rate, ago
 		}
--- a/pkg/intake/table.go
+++ b/pkg/intake/table.go
@@ -11,12 +11,18 @@
 	// and not negative.
 	HasRate bool
 	Rate    float64
-	// Invalid is set if the rate cannot be read. Such a statement changes nothing.
+	// Invalid is set if the rate cannot be read. Such a rate changes nothing.
 	Invalid bool
+	// Leaving is set if the endpoint states that it shuts down and takes no new requests. This holds until it restarts.
+	Leaving bool
+	// Pause is the time for which the endpoint wants no requests from this process, 0 if none is stated. It counts as maxPause if it is longer.
+	Pause time.Duration
 }
 
-// Change is the effect of a statement. Rates are negative if there is no limit.
+// Change is the effect of a statement. Rates are negative if there is no limit. Left and Paused are set if the endpoint has just begun to leave or
+// to pause.
 type Change struct {
+	Left, Paused  bool
 	Before, After float64
 	// Notable is set if a limit began or ended, or if the rate has changed by more than a tenth since the last notable change, which was at
 	// least notableInterval ago.
@@ -28,6 +34,8 @@
 	unlimited = -1.0
 	// notableInterval is the shortest time between two notable changes of the rate of a limited endpoint.
 	notableInterval = time.Second
+	// maxPause is the longest pause that is kept. An endpoint that wants no requests for longer is asked again, since its state may have changed.
+	maxPause = time.Minute
 )
 
 // endpointState is the record of one endpoint.
@@ -43,6 +51,9 @@
 	notableAt   time.Time
 	// sent and wanted count the requests that this process sent and wanted to send there.
 	sent, wanted count
+	// leaving is set once the endpoint has stated that it leaves, and pausedUntil is the end of the latest pause.
+	leaving     bool
+	pausedUntil time.Time
 	// reportedAt is when Reports last returned the endpoint.
 	reportedAt time.Time
 }
@@ -88,21 +99,41 @@
 }
 
 // Observe records the statement of an answer that arrived at now to a request that was sent at sentAt.
-func (t *Table) Observe(now, sentAt time.Time, id string, statement Statement) Change {
+func (t *Table) Observe(now, sentAt time.Time, id string, statement Statement) (c Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(id)
 	s.heardAt = now
+	c.Left = statement.Leaving && !s.leaving
+	s.leaving = s.leaving || statement.Leaving
+	if until := now.Add(min(statement.Pause, maxPause)); statement.Pause > 0 && until.After(s.pausedUntil) {
+		c.Paused = !now.Before(s.pausedUntil)
+		s.pausedUntil = until
+	}
 	before, after := s.rate, unlimited
 	if statement.HasRate {
 		after = max(0, statement.Rate)
 	}
 	tighter := after >= 0 && (before < 0 || after <= before)
 	if statement.Invalid || (!tighter && !sentAt.After(s.statedAt)) {
-		return Change{Before: before, After: before}
+		c.Before, c.After = before, before
+		return c
 	}
 	s.rate, s.statedAt = after, now
-	return Change{Before: before, After: after, Notable: s.noteChange(now)}
+	c.Before, c.After, c.Notable = before, after, s.noteChange(now)
+	return c
+}
+
+// Closed reports whether an endpoint takes no requests at all now: it has stated that it leaves, to this process or recently to another one, or
+// wants none from this process for the remaining time.
+func (t *Table) Closed(now time.Time, id string) (leaving bool, pause time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.states[id]
+	if s == nil {
+		return t.leavesByPeers(now, id), 0
+	}
+	return s.leaving || t.leavesByPeers(now, id), max(0, s.pausedUntil.Sub(now))
 }
 
 // noteChange reports whether the present rate differs notably from that of the last notable change.
--- a/pkg/intake/table_test.go
+++ b/pkg/intake/table_test.go
@@ -76,6 +76,59 @@
 	}
 }
 
+// TestClosed guards against requests to an endpoint that leaves or wants none for some time, and against one that is left out for longer.
+func TestClosed(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		steps   func(table *intake.Table)
+		leaving bool
+		pause   time.Duration
+	}{
+		{"open", func(*intake.Table) {}, false, 0},
+		{"leaves", func(table *intake.Table) { table.Observe(at(10), at(0), "e", intake.Statement{Leaving: true}) }, true, 0},
+		{"a later answer does not say so", func(table *intake.Table) {
+			table.Observe(at(10), at(0), "e", intake.Statement{Leaving: true})
+			table.Observe(at(30), at(20), "e", intake.Statement{})
+		}, true, 0},
+		{"restarted", func(table *intake.Table) {
+			table.Started("e", at(-1000))
+			table.Observe(at(10), at(0), "e", intake.Statement{Leaving: true, Pause: time.Second})
+			table.Started("e", at(20))
+		}, false, 0},
+		{"leaves, as told to another process", func(table *intake.Table) {
+			table.SetPeer(at(10), "p", 1, []intake.Report{{Endpoint: "e", Rate: -1, Leaving: true}})
+		}, true, 0},
+		{"as told to another process long ago", func(table *intake.Table) {
+			table.SetPeer(at(-5000), "p", 1, []intake.Report{{Endpoint: "e", Rate: -1, Leaving: true}})
+		}, false, 0},
+		{"pauses", func(table *intake.Table) {
+			table.Observe(at(10), at(0), "e", intake.Statement{Pause: 300 * time.Millisecond})
+		}, false,
+			260 * time.Millisecond},
+		{"paused", func(table *intake.Table) {
+			table.Observe(at(-400), at(-410), "e", intake.Statement{Pause: 300 * time.Millisecond})
+		}, false, 0},
+		{"a shorter pause after a longer one", func(table *intake.Table) {
+			table.Observe(at(10), at(0), "e", intake.Statement{Pause: 300 * time.Millisecond})
+			table.Observe(at(20), at(0), "e", intake.Statement{Pause: 50 * time.Millisecond})
+		}, false, 260 * time.Millisecond},
+		{"an answer without a pause during one", func(table *intake.Table) {
+			table.Observe(at(10), at(0), "e", intake.Statement{Pause: 300 * time.Millisecond})
+			table.Observe(at(20), at(0), "e", intake.Statement{})
+		}, false, 260 * time.Millisecond},
+		{"an hour", func(table *intake.Table) { table.Observe(at(50), at(0), "e", intake.Statement{Pause: time.Hour}) }, false, time.Minute},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			table := intake.New()
+			test.steps(table)
+			leaving, pause := table.Closed(at(50), "e")
+			is.Equal(leaving, test.leaving)
+			is.Equal(pause, test.pause)
+		})
+	}
+}
+
 // TestHeldRateIsRefreshed guards against a rate of 0 that holds for ever, since no request is sent whose answer could end it.
 func TestHeldRateIsRefreshed(t *testing.T) {
 	is := is.New(t)
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -33,6 +33,8 @@
 	OldWeights
 	// RateLimited means that at least one endpoint gets as many requests as it stated that it takes and no other endpoint is left.
 	RateLimited
+	// Paused means that at least one endpoint wants no requests from this gateway for some time and no other endpoint is left.
+	Paused
 	// TooLate means that the expected wait at the endpoint with the lowest cost exceeds the remaining time of the request.
 	TooLate
 )
@@ -150,7 +152,7 @@
 func (t *Table) choose(now time.Time, r *Request, candidates []*site.Endpoint) (Choice, *Refusal) {
 	meanErrorShare := t.meanErrorShare(candidates)
 	coldLimited, memoryLimited, oldWeights, unsampled := false, false, false, false
-	timeToProbe := maxSuspectPause
+	timeToProbe, shortestPause := maxSuspectPause, noPause
 	probability := t.sampleShare(r, len(candidates))
 	t.considered = t.considered[:0]
 	for _, e := range candidates {
@@ -163,6 +165,14 @@
 			unsampled = true
 			continue
 		}
+		leaving, pause := t.Intake.Closed(now, e.ID)
+		if leaving {
+			continue
+		}
+		if pause > 0 {
+			shortestPause = min(shortestPause, pause)
+			continue
+		}
 		if !s.cold.Allows(now, r.Gateways) {
 			coldLimited = true
 			continue
@@ -202,6 +212,8 @@
 		return best, &Refusal{Reason: NoMemory, RetryAfter: t.spread(minMemoryWait)}
 	case len(r.notAdmitted) > 0:
 		return best, &Refusal{Reason: RateLimited, Wait: r.rateWait, RetryAfter: t.spread(max(minRateWait, r.rateWait))}
+	case shortestPause < noPause:
+		return best, &Refusal{Reason: Paused, RetryAfter: t.spread(shortestPause)}
 	case oldWeights:
 		return best, &Refusal{Reason: OldWeights, RetryAfter: t.spread(oldWeightsWait)}
 	case coldLimited:
--- a/pkg/placement/enum_string.go
+++ b/pkg/placement/enum_string.go
@@ -44,12 +44,13 @@
 	_ = x[NoMemory-7]
 	_ = x[OldWeights-8]
 	_ = x[RateLimited-9]
-	_ = x[TooLate-10]
+	_ = x[Paused-10]
+	_ = x[TooLate-11]
 }
 
-const _Reason_name = "HomeHolderSpillLeastLoadProbeNoEndpointAllColdNoMemoryOldWeightsRateLimitedTooLate"
+const _Reason_name = "HomeHolderSpillLeastLoadProbeNoEndpointAllColdNoMemoryOldWeightsRateLimitedPausedTooLate"
 
-var _Reason_index = [...]uint8{0, 4, 10, 15, 24, 29, 39, 46, 54, 64, 75, 82}
+var _Reason_index = [...]uint8{0, 4, 10, 15, 24, 29, 39, 46, 54, 64, 75, 81, 88}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/placement/rate.go
+++ b/pkg/placement/rate.go
@@ -13,6 +13,8 @@
 	// minRateWait and maxRateWait bound the time after which a request is told to come back.
 	minRateWait = 250 * time.Millisecond
 	maxRateWait = 5 * time.Second
+	// noPause stands for no endpoint that pauses.
+	noPause = time.Duration(1<<63 - 1)
 )
 
 // candidate is an endpoint that can take a request.
