Spread the first requests of many gateways to a cold endpoint

Cause, by a test: each gateway had one request ready for an endpoint that turned cold, so that more gateways than the endpoint bears exceed its rate at once.

Change: a gateway does not send at once to an endpoint that has just turned cold, but after a random part of its interval between two requests.

Evidence: TestRateOfAllProcesses with 60 and 103 processes, added, gave 60 and 103 requests in one second before (54.5 allowed); all six sizes pass now, with at least three quarters of the rate used as before.

--- a/internal/request/forward/faulty_test.go
+++ b/internal/request/forward/faulty_test.go
@@ -43,7 +43,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := newFixture(t, func(n int, id string, r *http.Request, conn net.Conn) bool {
+			f := newFixture(t, func(_ int, id string, r *http.Request, conn net.Conn) bool {
 				earlier := ""
 				if c.withID {
 					earlier = "first"
--- a/pkg/placement/peers.go
+++ b/pkg/placement/peers.go
@@ -129,7 +129,7 @@
 	for _, l := range loads {
 		// A gateway that is cut off from the platform's store learns in this way that an endpoint is cold before it sends a request there.
 		if s := t.states[l.Endpoint]; s != nil && l.Cold > 0 {
-			s.cold.Cold(now, l.Cold)
+			s.cold.Cold(now, l.Cold, t.Random())
 		}
 	}
 }
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -149,7 +149,7 @@
 			s.cold.PerSecond = service.ColdRate
 		}
 		if e.ColdRemaining > 0 {
-			s.setCold(now, e.ColdRemaining)
+			s.setCold(now, e.ColdRemaining, t.Random())
 		}
 	}
 }
@@ -170,7 +170,7 @@
 func (t *Table) Cold(now time.Time, e *site.Endpoint, remaining time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.endpointState(e).setCold(now, remaining)
+	t.endpointState(e).setCold(now, remaining, t.Random())
 }
 
 // IsCold reports whether the endpoint is cold by its last statement.
@@ -181,8 +181,9 @@
 	return s != nil && s.coldUntil.After(now)
 }
 
-func (s *endpointState) setCold(now time.Time, remaining time.Duration) {
-	s.cold.Cold(now, remaining)
+// setCold records a statement of the endpoint. phase is a random number, see warmup.Rate.
+func (s *endpointState) setCold(now time.Time, remaining time.Duration, phase float64) {
+	s.cold.Cold(now, remaining, phase)
 	if until := now.Add(remaining); until.After(s.coldUntil) {
 		s.coldUntil = until
 	}
--- a/pkg/warmup/rate.go
+++ b/pkg/warmup/rate.go
@@ -19,8 +19,12 @@
 const rateBurst = 1
 
 // Cold records that the endpoint stays cold for the remaining time from now on. A call never
-// shortens the cold time.
-func (r *Rate) Cold(now time.Time, remaining time.Duration) {
+// shortens the cold time. phase is a random number in [0, 1): a process does not send at once to an endpoint that has just turned cold,
+// but after that part of its interval between two requests, so that many processes do not all begin with one.
+func (r *Rate) Cold(now time.Time, remaining time.Duration, phase float64) {
+	if !r.IsCold(now) {
+		r.tokens, r.updatedAt = min(phase, rateBurst), now
+	}
 	if until := now.Add(remaining); until.After(r.coldUntil) {
 		r.coldUntil = until
 	}
--- a/pkg/warmup/rate_test.go
+++ b/pkg/warmup/rate_test.go
@@ -17,14 +17,14 @@
 		perSecond = 33.0
 		seed      = 7
 	)
-	for _, processes := range []int{1, 3, 5, 12} {
+	for _, processes := range []int{1, 3, 5, 12, 60, 103} {
 		random := rand.New(rand.NewPCG(seed, uint64(processes)))
 		rates := make([]warmup.Rate, processes)
 		now := time.Now()
 		start := now
 		for i := range rates {
 			rates[i].PerSecond = perSecond
-			rates[i].Cold(now, 5*time.Second)
+			rates[i].Cold(now, 5*time.Second, random.Float64())
 		}
 		var sent []time.Duration
 		for now.Sub(start) < 4*time.Second {
@@ -61,11 +61,11 @@
 	now := time.Now()
 	r := warmup.Rate{PerSecond: 1}
 	is.True(r.Allows(now, 5))
-	r.Cold(now, time.Second)
+	r.Cold(now, time.Second, 0.5)
 	r.Sent(now, 5)
 	is.True(!r.Allows(now.Add(900*time.Millisecond), 5))
 	is.True(r.Allows(now.Add(time.Second), 5))
-	r.Cold(now, 10*time.Second)
-	r.Cold(now, time.Second) // a shorter remaining time does not shorten the cold time
+	r.Cold(now, 10*time.Second, 0.5)
+	r.Cold(now, time.Second, 0.5) // a shorter remaining time does not shorten the cold time
 	is.True(!r.Allows(now.Add(2*time.Second), 5))
 }
