Keep to the rate that an engine states on the product's own surface

Change: Health has RateLimited and MaxRate; the agent, which alone submits prompts, keeps to it by pkg/intake and asks for a report at least every 250 ms while prompts wait. EngineRateLimited logs it.

Evidence: TestEngineGetsMoreThanItsRate fails with the admission taken out.

--- a/internal/event/agent.go
+++ b/internal/event/agent.go
@@ -66,4 +66,7 @@
 	QuarantineStored
 	// AgentPartFailed is logged when a component of the agent ends with an error.
 	AgentPartFailed
+	// EngineRateLimited is logged when the engine begins or ceases to state the rate of runs that it accepts, or states one that differs by more
+	// than a tenth.
+	EngineRateLimited
 )
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -18,6 +18,7 @@
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/loadpermits"
 	"primrosecourse/pkg/fairqueue"
+	"primrosecourse/pkg/intake"
 	"primrosecourse/pkg/quarantine"
 	"primrosecourse/pkg/settings"
 	"primrosecourse/pkg/warmup"
@@ -85,11 +86,17 @@
 	status    engineStatus
 	queue     *fairqueue.Queue[*prompt]
 	allowance *warmup.Allowance
-	marks     *quarantine.Table
-	active    map[string]*prompt // submitted and not ended, by runID
-	suspects  int                // number of active prompts with suspect set
-	calls     int
-	runCount  uint64
+	// intake holds the rate that the engine states, under engineIntake.
+	intake *intake.Table
+	// reportedAt is when the last status report was asked for; the dispatcher alone uses it.
+	reportedAt time.Time
+	// rateWait is the time until the dispatcher, which alone uses it, tries again to submit a prompt that the rate forbade.
+	rateWait time.Duration
+	marks    *quarantine.Table
+	active   map[string]*prompt // submitted and not ended, by runID
+	suspects int                // number of active prompts with suspect set
+	calls    int
+	runCount uint64
 }
 
 func (a *Agent) init() {
@@ -120,6 +127,7 @@
 		a.epochRaised = make(chan struct{})
 		a.queue = fairqueue.New[*prompt](fairqueue.Settings{Share: a.organisationShare})
 		a.allowance = warmup.New(warmup.Settings{})
+		a.intake = intake.New()
 		a.marks = quarantine.New(quarantine.Settings{})
 		a.active = map[string]*prompt{}
 		a.server = &entry.Server{
--- a/internal/process/agent/dispatch.go
+++ b/internal/process/agent/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,6 +11,7 @@
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/engine"
 	"primrosecourse/pkg/fairqueue"
+	"primrosecourse/pkg/intake"
 	"primrosecourse/pkg/prefix"
 	"primrosecourse/pkg/quarantine"
 	"primrosecourse/pkg/warmup"
@@ -25,6 +27,11 @@
 	pollInterval = 50 * time.Millisecond
 	// idleInterval is the maximum time that the dispatcher sleeps while the queue is empty.
 	idleInterval = time.Second
+	// maxRateAge is the age of a status report from which the rate that it states is asked for again. The acceptance of a run states none.
+	maxRateAge = 250 * time.Millisecond
+	// triesPerRun is how often the dispatcher tries to submit a prompt in the mean time between two runs that the engine accepts, while the rate
+	// that it stated forbids more.
+	triesPerRun = 4
 )
 
 // dispatch submits prompts to the engine, one at a time, until ctx is done, and then refuses the queued ones. Only this
@@ -40,10 +47,12 @@
 			a.refuseDisallowed(cfg)
 		}
 		wait := a.refreshAllowance(ctx)
+		a.rateWait = wait
 		if p := a.nextPrompt(ctx); p != nil {
 			a.submit(p)
 			continue
 		}
+		wait = min(wait, a.rateWait)
 		select {
 		case <-a.wake:
 		case <-changed:
@@ -64,7 +73,7 @@
 		a.marks.SetMarkLifetime(cfg.snapshot.Deployment.Limits.QuarantineTime)
 	}
 	waiting := a.queue.Len() > 0
-	needed := a.allowance.NeedsReport(time.Now())
+	needed := a.allowance.NeedsReport(time.Now()) || (waiting && time.Since(a.reportedAt) >= maxRateAge)
 	a.mu.Unlock()
 	if !needed {
 		if waiting {
@@ -72,6 +81,7 @@
 		}
 		return idleInterval
 	}
+	asked := time.Now()
 	h, err := a.health(ctx)
 	if ctx.Err() != nil {
 		return 0
@@ -87,14 +97,30 @@
 	} else if a.allowance.Observe(time.Now(), warmup.Report{
 		Incarnation: h.Incarnation, Warm: h.Warm, Capacity: h.Capacity, Running: h.Running,
 	}) {
+		a.intake.Retain(func(string) bool { return false }) // an earlier incarnation stated the rate
 		a.recordColdEngine(h.Incarnation)
 	}
+	if err == nil {
+		a.reportedAt = asked
+		a.recordRate(asked, h)
+	}
 	if a.queue.Len() > 0 {
 		return pollInterval
 	}
 	return idleInterval
 }
 
+// engineIntake is the name of the engine in Agent.intake.
+const engineIntake = "engine"
+
+// recordRate records the rate of runs that a report of the engine states.
+func (a *Agent) recordRate(asked time.Time, h engine.Health) {
+	s := intake.Statement{HasRate: h.RateLimited, Rate: h.MaxRate, Invalid: h.RateLimited && !(h.MaxRate >= 0)}
+	if change := a.intake.Observe(time.Now(), asked, engineIntake, s); change.Notable {
+		event.Info(a.Log, event.EngineRateLimited, "PerSecond", change.After, "Before", change.Before, "Incarnation", h.Incarnation)
+	}
+}
+
 // recordColdEngine logs and counts that the engine has a new incarnation, and wakes reconcileLoop. The caller must hold
 // mu.
 func (a *Agent) recordColdEngine(incarnation uint64) {
@@ -120,7 +146,13 @@
 			a.refuseQueued(status.refusal)
 			return nil
 		}
-		if !a.allowance.Fresh(time.Now()) || a.allowance.Free() == 0 {
+		if !a.allowance.Fresh(time.Now()) || a.allowance.Free() == 0 || a.queue.Len() == 0 {
+			a.mu.Unlock()
+			return nil
+		}
+		if d := a.intake.Admit(time.Now(), engineIntake, 1, rand.Float64()); !d.Admitted {
+			a.count("engine.rateLimited")
+			a.rateWait = time.Duration(float64(time.Second) / (triesPerRun * d.Rate))
 			a.mu.Unlock()
 			return nil
 		}
@@ -202,6 +234,7 @@
 	for i, id := range p.blockIDs {
 		req.Blocks[i] = id.String()
 	}
+	a.intake.Sent(time.Now(), engineIntake)
 	timeout := time.AfterFunc(submitTimeout, p.cancelRun)
 	run, err := a.Engine.Generate(p.runCtx, req)
 	timeout.Stop()
--- a/internal/process/agent/prompt_test.go
+++ b/internal/process/agent/prompt_test.go
@@ -49,6 +49,33 @@
 	is.Equal(len(l.Runs), len(streams))
 }
 
+// TestEngineGetsMoreThanItsRate guards against more runs on an engine than the rate that it states, from several entries together, against prompts
+// that are lost by it, and against a rate that holds after the engine has ceased to state it.
+func TestEngineGetsMoreThanItsRate(t *testing.T) {
+	const perSecond, prompts, seconds = 4, 45, 3
+	is := is.New(t)
+	f := start(t, standin.Settings{WarmStart: true})
+	f.engine.LimitRate(perSecond)
+	time.Sleep(300 * time.Millisecond) // the last status report is too old to rely on
+	var streams []stream
+	for range 3 {
+		conn := f.dial()
+		for i := range prompts / 3 {
+			streams = append(streams, conn.submit(f.newPrompt(fmt.Sprint(i), "a prompt")))
+		}
+	}
+	time.Sleep(seconds * time.Second)
+	runs := len(f.engine.Ledger().Runs)
+	is.True(runs <= perSecond*seconds*3/2+5)
+	is.True(runs >= perSecond*seconds/2)
+	f.engine.LimitRate(-1)
+	for _, s := range streams {
+		_, last := s.awaitLast()
+		is.Equal(last.(wire.End).Finish, wire.FinishLength)
+	}
+	is.Equal(len(f.engine.Ledger().Runs), prompts)
+}
+
 // TestLoadCountsPrefill guards against a load report that omits the prompts in prefill, so that the engine looks idle.
 func TestLoadCountsPrefill(t *testing.T) {
 	is := is.New(t)
--- a/internal/process/engine/message.go
+++ b/internal/process/engine/message.go
@@ -46,9 +46,12 @@
 	// Capacity is the number of concurrent runs that the engine can execute now. It is lower while the engine is cold.
 	Capacity int
 	Running  int
-	Model    string
-	Version  string
-	Role     string
+	// RateLimited is true if the engine accepts at most MaxRate runs per second for now.
+	RateLimited bool    `json:",omitempty"`
+	MaxRate     float64 `json:",omitempty"`
+	Model       string
+	Version     string
+	Role        string
 	// Epoch is the fencing token of the last order that the engine accepted.
 	Epoch uint64
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -28,12 +28,15 @@
 	firstTokens          int    // since the engine turned cold
 	downUntil            time.Time
 	paused               bool
-	arrivals             uint64
-	runs                 map[string]*run
-	batch                []*run // by priority, then arrival
-	cache                *cache
-	ledger               Ledger
-	samples              []loadSample
+	// rateLimited and maxRate are stated in Health.
+	rateLimited bool
+	maxRate     float64
+	arrivals    uint64
+	runs        map[string]*run
+	batch       []*run // by priority, then arrival
+	cache       *cache
+	ledger      Ledger
+	samples     []loadSample
 }
 
 type loadSample struct {
@@ -238,6 +241,14 @@
 	e.wakeBatch()
 }
 
+// LimitRate makes the engine state that it accepts at most so many runs per second, or no limit if perSecond is negative. The engine accepts more
+// all the same, so that a test sees what it gets.
+func (e *Engine) LimitRate(perSecond float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rateLimited, e.maxRate = perSecond >= 0, max(0, perSecond)
+}
+
 // Set changes the model, version and role without an order. An empty argument leaves the value unchanged.
 func (e *Engine) Set(model, version, role string) {
 	e.mu.Lock()
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -99,7 +99,7 @@
 	defer e.mu.Unlock()
 	return engine.Health{
 		Incarnation: e.incarnation, Warm: e.warm(), Capacity: e.capacity(), Running: len(e.runs),
-		Model: e.model, Version: e.version, Role: e.role, Epoch: e.epoch,
+		Model: e.model, Version: e.version, Role: e.role, Epoch: e.epoch, RateLimited: e.rateLimited, MaxRate: e.maxRate,
 	}
 }
 
