Send no request whose caller has left, and tell how late a gateway acts

Cause of this part: a request's context was looked at when a connection was awaited and while the answer was, but not before the first byte was written.

Change: a request whose context is done is not sent, and counts as not sent. The wait between two messages with loads tells how much later than planned the process acts, without a timer of its own: GatewayDelayed from 100 ms on, at most once a second, and the gauge Process.DelayMs.

--- a/internal/connection/endpoint/conn.go
+++ b/internal/connection/endpoint/conn.go
@@ -127,8 +127,11 @@
 	writeErr error
 }
 
-// send sends the request, or starts to send a long one. It returns ErrNotSent if no byte was written.
+// send sends the request, or starts to send a long one. It returns ErrNotSent if no byte was written, as when ctx is already done.
 func (c *conn) send(ctx context.Context, call *Call) (x *exchange, err error) {
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "write"), ErrNotSent)
+	}
 	x = &exchange{conn: c, written: make(chan struct{})}
 	// When ctx is done, a deadline in the past interrupts the exchange. ctx.Err is set before the connection returns an error, so
 	// that the caller of Send can see the cause.
--- a/internal/connection/endpoint/pool_test.go
+++ b/internal/connection/endpoint/pool_test.go
@@ -347,3 +347,28 @@
 		t.Fatal("the connection is still open 5 s after its response was closed")
 	}
 }
+
+// TestRequestOfCallerThatLeft guards against a request that is sent although its caller has disconnected or its deadline has passed.
+func TestRequestOfCallerThatLeft(t *testing.T) {
+	is := is.New(t)
+	s := startEndpoint(t, func(s *fakeEndpoint, _ int, c net.Conn, br *bufio.Reader) {
+		for {
+			id, ok := s.readRequest(br)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(c, formatResponse(id, "answer"))
+		}
+	})
+	p := newPool(t)
+	_, err := send(t, p, s, "first")
+	is.NoErr(err) // its connection is kept
+	for range 50 {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := p.Send(ctx, Target{ID: "e1", Address: s.addr}, newCall("late"))
+		is.True(errors.Is(err, ErrNotSent))
+	}
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(s.requestCount(), 1)
+}
--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -116,6 +116,9 @@
 	Ages *staleness.Ages
 	// Links holds the delays of stores to exchange; it may be nil.
 	Links *tiering.Links
+	// Delayed is called after each wait for the next message with how much later than planned it ended, which shows how busy this process is. It
+	// may be nil.
+	Delayed func(time.Duration)
 	// View provides the endpoints that the keys in messages stand for.
 	View View
 
--- a/internal/connection/loads/sender.go
+++ b/internal/connection/loads/sender.go
@@ -39,7 +39,11 @@
 		if speaks && now.Sub(s.lastSummary) >= max(summaryInterval, interval(len(same))) {
 			s.sendSummary(now, others)
 		}
-		s.sendUrgent(ctx, same, others, speaks, interval(len(same)))
+		wait, started := interval(len(same)), time.Now()
+		s.sendUrgent(ctx, same, others, speaks, wait)
+		if e.Delayed != nil && ctx.Err() == nil {
+			e.Delayed(max(0, time.Since(started)-wait))
+		}
 	}
 }
 
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -127,4 +127,7 @@
 	// EndpointClosed is logged when an endpoint first states in an answer that it leaves, or that it wants no requests from this gateway for
 	// some time.
 	EndpointClosed
+	// GatewayDelayed is logged, at most once a second, when the gateway acts at least 100 ms later than planned, since it lacks processor time or
+	// was suspended.
+	GatewayDelayed
 )
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -59,16 +59,18 @@
 
 	draining         atomic.Bool
 	lastShedLogNanos atomic.Int64 // time of the last log line on load shedding, in Unix nanoseconds
-	abort            chan struct{}
-	abortOnce        sync.Once
-	initOnce         sync.Once
-	table            *placement.Table
-	pool             *endpoint.Pool
-	crashes          *forward.CrashWatch
-	parts            *forward.PartWatch
-	silence          *forward.SilenceWatch
-	links            *tiering.Links
-	front            *front.Server
+	// lastDelayLogNanos is the time of the last log line on a delay, in Unix nanoseconds.
+	lastDelayLogNanos atomic.Int64
+	abort             chan struct{}
+	abortOnce         sync.Once
+	initOnce          sync.Once
+	table             *placement.Table
+	pool              *endpoint.Pool
+	crashes           *forward.CrashWatch
+	parts             *forward.PartWatch
+	silence           *forward.SilenceWatch
+	links             *tiering.Links
+	front             *front.Server
 }
 
 const (
@@ -80,6 +82,8 @@
 	minRetryAfter = 500 * time.Millisecond
 	// shedLogInterval is the shortest time between two log lines on load shedding.
 	shedLogInterval = time.Second
+	// minLoggedDelay is the shortest delay of the process that is logged.
+	minLoggedDelay = 100 * time.Millisecond
 	// dialTimeout is long enough for one lost packet on a link where packets wait, and shorter than the second after which the
 	// kernel would send the first packet of a connection again: nothing has been sent, so another endpoint is tried instead.
 	dialTimeout = 500 * time.Millisecond
@@ -142,6 +146,16 @@
 	}
 }
 
+// recordDelay records how much later than planned the process was able to act. It logs a delay of at least minLoggedDelay, at most one in
+// shedLogInterval.
+func (g *Gateway) recordDelay(d time.Duration) {
+	metrics.GetOrRegisterGauge("Process.DelayMs", g.Metrics).Update(d.Milliseconds())
+	now := time.Now().UnixNano()
+	if last := g.lastDelayLogNanos.Load(); d >= minLoggedDelay && now-last >= int64(shedLogInterval) && g.lastDelayLogNanos.CompareAndSwap(last, now) {
+		event.Info(g.Log, event.GatewayDelayed, "delayMs", d.Milliseconds(), "active", g.front.Active())
+	}
+}
+
 // limits returns the limits of the current configuration, zero if there is none.
 func (g *Gateway) limits() site.Limits {
 	if c := g.Registry.Current().Configuration; c != nil {
@@ -213,7 +227,7 @@
 	}
 	exchange := &loads.Exchange{Name: g.Settings.Name, Incarnation: rand.Uint64(), Address: g.Settings.LoadAddress(),
 		Domain: g.Settings.FailureDomain, Peers: g.Registry, Table: g.table,
-		Floors: g.Tiers.Floors, Intake: g.table.Intake, Ages: g.Registry.Ages, Links: g.links, View: g.Registry, Log: g.Log}
+		Floors: g.Tiers.Floors, Intake: g.table.Intake, Ages: g.Registry.Ages, Links: g.links, View: g.Registry, Delayed: g.recordDelay, Log: g.Log}
 	run(exchange.Run)
 	for _, c := range g.Components {
 		run(c.Run)
