Repeat the refusal of TestRepeatedRefusal on its own connection only

The report is of a kept connection. The gateway opens a new one if the next request comes before the last connection is returned to the pool. Traced with the connections logged: in each of six failures beside 10 busy processes the third request came over another connection than the first two. The copy is now written only where the refused request was.

--- a/internal/request/forward/faulty_test.go
+++ b/internal/request/forward/faulty_test.go
@@ -42,19 +42,21 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
+			var kept net.Conn // carried the first request; it is another one if the gateway gave that up
 			f := newFixture(t, func(_ int, id string, r *http.Request, conn net.Conn) bool {
 				earlier := ""
 				if c.withID {
 					earlier = "first"
 				}
 				if r.Header.Get("Id") == "first" {
+					kept = conn
 					_, _ = io.WriteString(conn, refusal(earlier))
 					if c.delay < 0 {
 						_, _ = io.WriteString(conn, refusal(earlier))
 					}
 					return true
 				}
-				if c.delay >= 0 {
+				if c.delay >= 0 && conn == kept {
 					time.Sleep(c.delay)
 					_, _ = io.WriteString(conn, refusal(earlier))
 				}
