--- a/internal/connection/loads/intake.go
+++ b/internal/connection/loads/intake.go
@@ -18,7 +18,7 @@
 }
 
 const (
-	// maxIntakes limits the endpoints with a stated rate in a full message, maxSummaryIntakes those in a summary. An endpoint takes up 17
+	// maxIntakes limits the endpoints with a stated rate in a full message, maxSummaryIntakes those in a summary. An endpoint takes up 27
 	// bytes.
 	maxIntakes        = 32
 	maxSummaryIntakes = 96
--- a/pkg/intake/share_test.go
+++ b/pkg/intake/share_test.go
@@ -174,3 +174,20 @@
 		}
 	}
 }
+
+// BenchmarkAdmit measures a decision with reports of other processes.
+func BenchmarkAdmit(b *testing.B) {
+	for _, peers := range []int{5, 50, 200} {
+		b.Run(fmt.Sprint("peers=", peers), func(b *testing.B) {
+			now := time.Unix(1_800_000_000, 0)
+			t := intake.New()
+			t.Observe(now, now.Add(-answerTime), "e", intake.Statement{HasRate: true, Rate: 6})
+			for i := range peers {
+				t.SetPeer(now, fmt.Sprint(i), 1, []intake.Report{{Endpoint: "e", Sent: 0.1, Wanted: 0.1, Rate: 6}})
+			}
+			for b.Loop() {
+				t.Admit(now, "e", peers+1, 0.5)
+			}
+		})
+	}
+}
