Report an agent as ready only once its address is open

Cause: Ready depended on the configuration and, for engines, on the engine, but not on the listener. The metrics server begins beside the agent, so that an agent of a plain service that waits for its predecessor's address, or has not come to it, called itself ready.

Evidence: TestNotReadyBeforeListening, whose agent waits for a predecessor, fails without the condition.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -86,6 +86,8 @@
 	status    engineStatus
 	queue     *fairqueue.Queue[*prompt]
 	allowance *warmup.Allowance
+	// listening is set once the address is open.
+	listening atomic.Bool
 	// intake holds the rate that the engine states, under engineIntake.
 	intake *intake.Table
 	// reportedAt is when the last status report was asked for; the dispatcher alone uses it.
@@ -146,6 +148,7 @@
 	if err != nil || listener == nil {
 		return err
 	}
+	a.listening.Store(true)
 	event.Info(a.Log, event.AgentStarted, "Name", a.Name, "Address", listener.Addr().String(),
 		"FailureDomain", a.FailureDomain, "Incarnation", a.Incarnation)
 	defer func() { event.Info(a.Log, event.AgentStopped, "Name", a.Name) }()
@@ -214,8 +217,11 @@
 	}
 }
 
-// Ready reports whether the agent accepts requests.
+// Ready reports whether the agent accepts requests. It does not while its address is not open, for example since its predecessor has it.
 func (a *Agent) Ready() bool {
+	if !a.listening.Load() {
+		return false
+	}
 	switch a.Load().State {
 	case wire.StateCold, wire.StateWarm:
 		return true
--- a/internal/process/agent/drain_test.go
+++ b/internal/process/agent/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"testing"
 
@@ -142,3 +143,22 @@
 		})
 	}
 }
+
+// TestNotReadyBeforeListening guards against an agent that says that it is ready before its address is open.
+func TestNotReadyBeforeListening(t *testing.T) {
+	is := is.New(t)
+	f := setUp(t, standin.Settings{WarmStart: true})
+	f.Name, f.Kind, f.Orders, f.Service = "Service1", settings.ServiceEndpoint, fakeOrders{}, fakeOrders{}
+	predecessor, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(f.Address))
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { f.done <- f.Agent.Run(ctx) }()
+	f.awaitEvent("AgentAddressTaken")
+	is.True(!f.Ready())
+	is.NoErr(predecessor.Close())
+	f.awaitEvent("AgentStarted")
+	is.True(f.Ready())
+	cancel()
+	f.Abort()
+	is.NoErr(<-f.done)
+}
