Linger on a connection whose entry has not said Goodbye in time

Suspected cause: after GoodbyeTimeout the connection was closed, and a connection that is closed with unread bytes is reset, which discards replies that wait to be sent.

Change: at a stop the sending side is closed first, and what arrives is discarded until the peer ends its side, for another GoodbyeTimeout at most.

Evidence: TestStopKeepsUnreadReplies, whose entry sends calls beyond the timeout and reads late, fails without it.

--- a/internal/connection/entry/connection.go
+++ b/internal/connection/entry/connection.go
@@ -59,10 +59,24 @@
 	c.finish()
 	writeErr := <-writerDone
 	s.unregister(c)
+	if ctx.Err() != nil && writeErr == nil {
+		linger(netConn, s.GoodbyeTimeout)
+	}
 	_ = w.Close()
 	c.logClosed(ctx, netConn.RemoteAddr(), err, writeErr)
 }
 
+// linger ends the sending side of a connection and discards what arrives until the peer ends its own side or the timeout passes. A connection
+// that is closed with unread bytes is reset, and the peer then loses replies that it has not read yet.
+func linger(c net.Conn, timeout time.Duration) {
+	half, ok := c.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(timeout))
+	_, _ = io.Copy(io.Discard, c)
+}
+
 // logClosed logs why the connection ended.
 func (c *connection) logClosed(ctx context.Context, addr net.Addr, readErr, writeErr error) {
 	log := c.server.Log.WithValues("Entry", c.peerHello.Name, "Address", addr.String())
--- a/internal/connection/entry/stop_test.go
+++ b/internal/connection/entry/stop_test.go
@@ -104,3 +104,48 @@
 		}
 	}
 }
+
+// TestStopKeepsUnreadReplies guards against a planned stop that resets a connection on which an entry, late in saying Goodbye, still sends calls: it
+// would lose replies that it has not read yet.
+func TestStopKeepsUnreadReplies(t *testing.T) {
+	is := is.New(t)
+	r := &recorder{ran: map[uint64]bool{}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := &entry.Server{Name: "Endpoint1", Handler: r, Log: logr.Discard(), GoodbyeTimeout: 200 * time.Millisecond,
+		Configuration: &configuration{push: wire.ConfigPush{Version: 5, Content: []byte("five")}}}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ctx, l) }()
+	c := (&fixture{addr: l.Addr().String()}).dial(t, hello)
+	is.NoErr(c.NetConn().(*net.TCPConn).SetReadBuffer(1024)) // so that replies wait at the server
+	stopped := time.Now().Add(100 * time.Millisecond)
+	for i := uint64(0); time.Now().Before(stopped.Add(250 * time.Millisecond)); i++ { // beyond the time for Goodbye, without reading
+		if time.Now().After(stopped) {
+			cancel()
+		}
+		if c.Write(wire.Call{Stream: i}) != nil {
+			break
+		}
+		time.Sleep(200 * time.Microsecond)
+	}
+	replied := map[uint64]bool{}
+	for {
+		m, err := c.Read()
+		if err != nil {
+			break
+		}
+		if reply, ok := m.(wire.Reply); ok {
+			replied[reply.Stream] = true
+		}
+	}
+	_ = c.Close()
+	is.NoErr(<-ended)
+	is.True(len(r.ran) > 0)
+	for stream := range r.ran {
+		if !replied[stream] {
+			t.Errorf("call %x ran without a reply", stream)
+		}
+	}
+}
