--- a/internal/connection/loads/fuzz_test.go
+++ b/internal/connection/loads/fuzz_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"primrosecourse/pkg/intake"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/tiering"
 )
@@ -18,6 +19,7 @@
 	full.setLoads([]placement.Load{{Endpoint: "e1", InFlight: 2, Pending: 500, Held: 900, Cold: time.Second, HeardAgo: time.Millisecond}})
 	full.setCached([]placement.CachedParts{{Endpoint: "e1", Parts: []placement.Part{{Key: 7, Tokens: 2000}}}})
 	full.setLinks(map[string]tiering.LinkReport{"s": {Sum: time.Second, Count: 2}})
+	full.Intake = newIntakeLists([]intake.Report{{Endpoint: "e1", Sent: 1.5, Wanted: 4, Rate: 6.4, Ago: time.Second, Leaving: true}, {Endpoint: "e2", Rate: -1}}, 1)
 	summary := &message{Name: "C", Domain: "d", Incarnation: 1, Number: 9, GroupFloors: map[string]incarnationFloors{"X": {Incarnation: 3}}}
 	for _, m := range []*message{full, summary, {Name: "B", Some: true, PassedOn: true}} {
 		b, err := msgpack.Marshal(m)
@@ -28,7 +30,7 @@
 	}
 	f.Add([]byte("\x81\xa4Kept\x81\xce\xff\xff\xff\xff\xc0"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		e := &Exchange{Name: "A", Domain: "a", Table: placement.New(), Floors: &tiering.Floors{}, Links: &tiering.Links{}, View: view{}, Log: logr.Discard()}
+		e := &Exchange{Name: "A", Domain: "a", Table: placement.New(), Floors: &tiering.Floors{}, Links: &tiering.Links{}, Intake: intake.New(), View: view{}, Log: logr.Discard()}
 		e.init()
 		for range 2 {
 			passOn := e.handle(b, netip.AddrPort{}, time.Now())
