Log the fingerprint of failed attempts and why a break is not investigated

The record of the incident couldn't tell whether broken connections at a plain service are never looked into, or whether the request comes again under another fingerprint: an attempt's line had no fingerprint, and a break that is not investigated left no line.

RequestFailedAttempt now has the fingerprint, and RequestMarked is also written for breaks at services without engines. The logic is unchanged.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -99,7 +99,7 @@
 		a.recordBrokenConnection(err)
 	}
 	event.Info(req.handler.Log, event.RequestFailedAttempt, "request", req.meta.ID, "endpoint", a.endpoint.ID, "error", a.cause(err).Error(),
-		"mayHaveRun", v == mayHaveRun, "afterMs", time.Since(a.started).Milliseconds())
+		"mayHaveRun", v == mayHaveRun, "fingerprint", formatKey(req.fingerprint), "afterMs", time.Since(a.started).Milliseconds())
 	req.handler.count("Attempts.Failed")
 	return v
 }
@@ -110,11 +110,16 @@
 	o := a.failureOutcome(placement.Broken)
 	a.recordOutcome(o)
 	service := a.req.snapshot.Configuration.Services[a.req.service]
-	if o == placement.Broken && service != nil && service.Engine != nil && a.req.handler.Crashes != nil {
-		b := a.newBreak(service, err)
-		a.req.suspect = a.mayCrashAgain(b)
-		a.req.handler.Crashes.ConnectionBroke(b)
+	if o != placement.Broken || service == nil || a.req.handler.Crashes == nil {
+		return
 	}
+	b := a.newBreak(service, err)
+	if service.Engine == nil {
+		logBreak(a.req.handler.Log, b, "not investigated: service has no engines")
+		return
+	}
+	a.req.suspect = a.mayCrashAgain(b)
+	a.req.handler.Crashes.ConnectionBroke(b)
 }
 
 // handleAnswer records the load and the remaining warm-up time that the answer's header states, and relays the answer if the caller
@@ -166,7 +171,7 @@
 
 func (a *attempt) logFailedAttempt(reason string, status int) {
 	event.Info(a.req.handler.Log, event.RequestFailedAttempt, "request", a.req.meta.ID, "endpoint", a.endpoint.ID, "error", reason,
-		"status", status, "mayHaveRun", true, "afterMs", time.Since(a.started).Milliseconds())
+		"status", status, "mayHaveRun", true, "fingerprint", formatKey(a.req.fingerprint), "afterMs", time.Since(a.started).Milliseconds())
 }
 
 // impliesNotRun reports whether a status implies that a request did not run and will not.
--- a/internal/request/forward/crashes.go
+++ b/internal/request/forward/crashes.go
@@ -103,7 +103,7 @@
 func hexKeys(keys []uint64) string {
 	list := make([]string, 0, len(keys))
 	for _, k := range keys {
-		list = append(list, strconv.FormatUint(k, 16))
+		list = append(list, formatKey(k))
 	}
 	return strings.Join(list, ",")
 }
@@ -151,16 +151,20 @@
 	select {
 	case w.suspicions <- suspicion{Break: b, brokenAt: time.Now()}:
 	default:
-		w.logBreak(b, "not investigated: queue of suspicions is full")
+		logBreak(w.Log, b, "not investigated: queue of suspicions is full")
 		if w.Dropped != nil {
 			w.Dropped()
 		}
 	}
 }
 
-func (w *CrashWatch) logBreak(b Break, outcome string) {
-	event.Info(w.Log, event.RequestMarked, "request", b.Request, "attempt", b.Attempt, "endpoint", b.Target.ID, "outcome", outcome,
-		"fingerprint", strconv.FormatUint(b.Fingerprint, 10), "parts", hexKeys(b.Parts), "begun", b.Begun, "timedOut", b.TimedOut)
+// formatKey formats a fingerprint or another key for logs.
+func formatKey(k uint64) string { return strconv.FormatUint(k, 16) }
+
+// logBreak logs what was found out about a break.
+func logBreak(log logr.Logger, b Break, outcome string) {
+	event.Info(log, event.RequestMarked, "request", b.Request, "attempt", b.Attempt, "endpoint", b.Target.ID, "outcome", outcome,
+		"fingerprint", formatKey(b.Fingerprint), "parts", hexKeys(b.Parts), "begun", b.Begun, "timedOut", b.TimedOut)
 }
 
 // investigate waits until probeDelay has passed since the break and marks the request if its endpoint is down.
@@ -175,7 +179,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	if !w.isDown(ctx, s) {
-		w.logBreak(s.Break, "endpoint is up")
+		logBreak(w.Log, s.Break, "endpoint is up")
 		return
 	}
 	if w.Parts != nil {
@@ -183,9 +187,9 @@
 	}
 	select {
 	case w.confirmed <- s.Break:
-		w.logBreak(s.Break, "marked")
+		logBreak(w.Log, s.Break, "marked")
 	default:
-		w.logBreak(s.Break, "not marked: queue of marks is full")
+		logBreak(w.Log, s.Break, "not marked: queue of marks is full")
 	}
 }
 
