Investigate broken connections at services without engines

Cause: recordBrokenConnection reported a broken connection to CrashWatch only if the service has an engine. The promise that a request which crashes endpoints is refused is made for all services; the guard dates from the time at which only engines were known to crash. Class of fault: a promise for all services that is kept for engines only.

The condition is gone; marks then work as for engines, in the store and so after a restart of all gateways.

TestSuspicions now covers plain services in each of its cases.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -105,7 +105,7 @@
 }
 
 // recordBrokenConnection records a connection that broke during the attempt, or a stream that ended in the middle of an event. If
-// the endpoint is an engine, the caller is still connected and the deadline has not passed, the endpoint is checked for a crash.
+// the caller is still connected and the deadline has not passed, the endpoint is checked for a crash.
 func (a *attempt) recordBrokenConnection(err error) {
 	o := a.failureOutcome(placement.Broken)
 	a.recordOutcome(o)
@@ -114,10 +114,6 @@
 		return
 	}
 	b := a.newBreak(service, err)
-	if service.Engine == nil {
-		logBreak(a.req.handler.Log, b, "not investigated: service has no engines")
-		return
-	}
 	a.req.suspect = a.mayCrashAgain(b)
 	a.req.handler.Crashes.ConnectionBroke(b)
 }
--- a/internal/request/forward/suspicion_test.go
+++ b/internal/request/forward/suspicion_test.go
@@ -32,6 +32,7 @@
 // that is not, though it broke off an answer.
 func TestSuspicions(t *testing.T) {
 	long := strings.Repeat("0123456789abcdef", 40_000)
+	services := map[string]*site.Engine{"engine, ": {}, "plain, ": nil}
 	for name, test := range map[string]struct {
 		path, framing, sent string
 		reset               bool
@@ -51,22 +52,24 @@
 		"stream in chunks without their end":  {path: "/stream/", framing: "Transfer-Encoding: chunked\r\n", sent: "f\r\n" + event1 + "\r\n", want: 1},
 		"stream in chunks, closed after them": {path: "/stream/", framing: "Transfer-Encoding: chunked\r\n", sent: "f\r\n" + event1 + "\r\n0\r\n\r\n"},
 	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			f := newFixture(t, func(_ int, id string, _ *http.Request, c net.Conn) bool {
-				_, _ = io.WriteString(c, strings.TrimSuffix(unframedHead(id), "\r\n")+test.framing+"\r\n"+test.sent)
-				return end(c, test.reset)
+		for service, engine := range services {
+			t.Run(service+name, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, func(_ int, id string, _ *http.Request, c net.Conn) bool {
+					_, _ = io.WriteString(c, strings.TrimSuffix(unframedHead(id), "\r\n")+test.framing+"\r\n"+test.sent)
+					return end(c, test.reset)
+				})
+				f.snapshot.Configuration.Services["S"].Engine = engine
+				s := &suspicions{}
+				f.handler.Crashes = s
+				_, _, err := f.send(t, http.MethodPost, test.path)
+				t.Log(err)
+				time.Sleep(20 * time.Millisecond) // the caller may see the end before it is recorded
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				is.Equal(s.count, test.want)
 			})
-			f.snapshot.Configuration.Services["S"].Engine = &site.Engine{}
-			s := &suspicions{}
-			f.handler.Crashes = s
-			_, _, err := f.send(t, http.MethodPost, test.path)
-			t.Log(err)
-			time.Sleep(20 * time.Millisecond) // the caller may see the end before it is recorded
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			is.Equal(s.count, test.want)
-		})
+		}
 	}
 }
 
