Count crashes that the store does not know yet, and write them until it does

A gateway took the crashes of a request from the shared marks alone, and wrote each mark once, within 2 s. While the store was away, nothing that a gateway saw itself counted, and when it was back, nothing had been recorded: the request went on to crash endpoints at every gateway.

RequestWatch now keeps what this gateway saw until the shared marks show it: it counts at once, and a failed write is repeated after a second, for as long as the crash counts (15 minutes). At most 1024 marks wait; the writes that are due share 2 s, so that a hung store holds up new ones for no longer. Each write leaves a line RequestMarked with its outcome and age, so that a late mark can be told from one that was never made.

TestCrashesWhileStoreIsAway fails if only the shared marks count (no endpoints in place of e1 and e2), and if a failed write isn't repeated (nothing is recorded). TestDeadlyRequest, TestCrashingPart and the package's other tests on crashes pass, also with the race detector.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -71,8 +71,8 @@
 	// reach the ordered version in time.
 	OrderSent
 	// RequestMarked is logged when a request is marked as having crashed an endpoint, when its connection broke but the endpoint
-	// is up, or when a suspected crash is not investigated; with the fingerprint, the shared parts of the prompt and whether the
-	// answer had begun.
+	// is up, when a suspected crash is not investigated, or when its mark was written or could not be; with the fingerprint, the
+	// shared parts of the prompt and whether the answer had begun.
 	RequestMarked
 	// CacheStoreListed is logged when a gateway has listed the contents of a KV store.
 	CacheStoreListed
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -78,6 +78,7 @@
 	table             *placement.Table
 	pool              *endpoint.Pool
 	crashes           *forward.CrashWatch
+	requests          *forward.RequestWatch
 	parts             *forward.PartWatch
 	silence           *forward.SilenceWatch
 	handler           *forward.Handler
@@ -130,9 +131,10 @@
 		g.pool.Dialed = func(string) { dials.Inc(1) }
 		discarded := metrics.GetOrRegisterCounter("Crashes.NotLookedInto", g.Metrics)
 		g.parts = &forward.PartWatch{Records: g.Registry, Log: g.Log}
-		g.crashes = &forward.CrashWatch{Marks: g.Registry, Endpoints: g.pool, Parts: g.parts, Log: g.Log, Dropped: func() { discarded.Inc(1) }}
+		g.requests = &forward.RequestWatch{Marks: g.Registry, Log: g.Log}
+		g.crashes = &forward.CrashWatch{Endpoints: g.pool, Requests: g.requests, Parts: g.parts, Log: g.Log, Dropped: func() { discarded.Inc(1) }}
 		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table,
-			Endpoints: g.pool, Crashes: g.crashes, Parts: g.parts, Tiers: g.Tiers, Links: g.links, Builds: g.Builds, Plans: g.Plans, Incarnations: g.Incarnations, Log: g.Log, Metrics: g.Metrics,
+			Endpoints: g.pool, Crashes: g.crashes, Requests: g.requests, Parts: g.parts, Tiers: g.Tiers, Links: g.links, Builds: g.Builds, Plans: g.Plans, Incarnations: g.Incarnations, Log: g.Log, Metrics: g.Metrics,
 			Staleness: rule,
 			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
 				RepeatSpan: g.Settings.RepeatSpan}}
@@ -244,6 +246,7 @@
 	run(g.Registry.Run)
 	run(g.pool.Run)
 	run(g.crashes.Run)
+	run(g.requests.Run)
 	run(g.parts.Run)
 	run(g.Tiers.Run)
 	if g.silence != nil {
--- a/internal/request/forward/crashes.go
+++ b/internal/request/forward/crashes.go
@@ -16,12 +16,6 @@
 	"primrosecourse/internal/event"
 )
 
-// Marks records requests that crashed endpoints, in a place that all gateways read.
-type Marks interface {
-	// RecordCrash records that the request with a fingerprint crashed an endpoint.
-	RecordCrash(ctx context.Context, fingerprint uint64, endpoint string) error
-}
-
 // Dropper closes the idle connections to an endpoint. endpoint.Pool implements it.
 type Dropper interface {
 	// Drop closes the idle connections to t. Connections in use stay open.
@@ -31,16 +25,15 @@
 const (
 	// probeDelay is the shortest time between the break of a connection and the probe of its endpoint.
 	probeDelay = 30 * time.Millisecond
-	// probeTimeout bounds a probe, markTimeout the write of a mark.
+	// probeTimeout bounds a probe.
 	probeTimeout = 2 * time.Second
-	markTimeout  = 2 * time.Second
 	// maxSuspicions bounds the queue of suspicions. An endpoint that crashes breaks all its requests in flight, which are at
 	// most about this many.
 	maxSuspicions = 256
 	// resultRetention is the shortest time for which the result of a probe is retained. It covers the time that a suspicion may
 	// wait in the queue.
 	resultRetention = maxSuspicions / proberCount * probeTimeout
-	// proberCount is the number of concurrent probes, and of concurrent writes of marks.
+	// proberCount is the number of concurrent probes.
 	proberCount = 4
 )
 
@@ -48,19 +41,17 @@
 // new connection, since a connection can also break for other reasons. Its exported fields must be set before the first
 // call.
 type CrashWatch struct {
-	Marks     Marks
 	Endpoints Dropper
-	// Parts may be nil.
-	Parts *PartWatch
-	Log   logr.Logger
+	// Requests and Parts are told of the crashes. They may be nil.
+	Requests *RequestWatch
+	Parts    *PartWatch
+	Log      logr.Logger
 	// Dropped is called for each suspicion that is discarded because the queue is full. It may be nil.
 	Dropped func()
 
 	initOnce   sync.Once
 	suspicions chan suspicion
-	// confirmed are the breaks whose endpoints were down, until their marks are written.
-	confirmed chan Break
-	done      chan struct{}
+	done       chan struct{}
 
 	mu      sync.Mutex
 	results map[string]probeResult
@@ -110,7 +101,7 @@
 
 func (w *CrashWatch) init() {
 	w.initOnce.Do(func() {
-		w.suspicions, w.confirmed, w.done = make(chan suspicion, maxSuspicions), make(chan Break, maxSuspicions), make(chan struct{})
+		w.suspicions, w.done = make(chan suspicion, maxSuspicions), make(chan struct{})
 		w.results = map[string]probeResult{}
 	})
 }
@@ -128,7 +119,6 @@
 	var tasks sync.WaitGroup
 	for range proberCount {
 		tasks.Go(func() { w.runProber(ctx) })
-		tasks.Go(func() { w.writeMarks(ctx) })
 	}
 	tasks.Wait()
 	return nil
@@ -185,31 +175,12 @@
 	if w.Parts != nil {
 		w.Parts.Crashed(s.Break, s.brokenAt)
 	}
-	select {
-	case w.confirmed <- s.Break:
+	switch {
+	case w.Requests == nil:
+	case w.Requests.Crashed(s.Break, time.Now()):
 		logBreak(w.Log, s.Break, "marked")
 	default:
-		logBreak(w.Log, s.Break, "not marked: queue of marks is full")
-	}
-}
-
-// writeMarks writes the marks of confirmed breaks until ctx is done. A slow store holds up neither probes nor PartWatch.
-func (w *CrashWatch) writeMarks(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case b := <-w.confirmed:
-			w.writeMark(ctx, b)
-		}
-	}
-}
-
-func (w *CrashWatch) writeMark(ctx context.Context, b Break) {
-	ctx, cancel := context.WithTimeout(ctx, markTimeout)
-	defer cancel()
-	if err := w.Marks.RecordCrash(ctx, b.Fingerprint, b.Target.ID); err != nil {
-		event.Info(w.Log, event.StoreWriteFailed, "request", b.Request, "reason", err.Error())
+		logBreak(w.Log, s.Break, "not marked: too many marks wait to be written")
 	}
 }
 
--- a/internal/request/forward/crashes_test.go
+++ b/internal/request/forward/crashes_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
@@ -18,23 +19,33 @@
 	"primrosecourse/pkg/site"
 )
 
-// marks records the crashed endpoints by the fingerprint of the request.
+// marks records the marks by the fingerprint of the request.
 type marks struct {
-	mu        sync.Mutex
-	endpoints map[uint64]string
+	mu       sync.Mutex
+	recorded map[uint64]site.Mark
+	away     bool
 }
 
-func (m *marks) RecordCrash(_ context.Context, fingerprint uint64, endpoint string) error {
+func (m *marks) RecordCrash(_ context.Context, fingerprint uint64, mark site.Mark) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.endpoints[fingerprint] = endpoint
+	if m.away {
+		return errors.New("store is away")
+	}
+	m.recorded[fingerprint] = m.recorded[fingerprint].Merge(mark)
 	return nil
 }
 
+func (m *marks) setAway(away bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.away = away
+}
+
 func (m *marks) count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.endpoints)
+	return len(m.recorded)
 }
 
 // noIdleConnections is a Dropper without idle connections.
@@ -70,7 +81,14 @@
 	return endpoint.Target{ID: "e", Address: netip.MustParseAddrPort(listener.Addr().String())}, accepted, closeAll
 }
 
-func runWatch(t *testing.T, w *forward.CrashWatch) {
+// watchRequests starts a RequestWatch.
+func watchRequests(t *testing.T, m forward.Marks) *forward.RequestWatch {
+	w := &forward.RequestWatch{Marks: m, Log: logr.Discard()}
+	runWatch(t, w)
+	return w
+}
+
+func runWatch(t *testing.T, w interface{ Run(context.Context) error }) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- w.Run(ctx) }()
@@ -87,8 +105,8 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			target, _, closeAll := listen(t)
-			m := &marks{endpoints: map[uint64]string{}}
-			w := &forward.CrashWatch{Marks: m, Endpoints: noIdleConnections{}, Log: logr.Discard()}
+			m := &marks{recorded: map[uint64]site.Mark{}}
+			w := &forward.CrashWatch{Requests: watchRequests(t, m), Endpoints: noIdleConnections{}, Log: logr.Discard()}
 			runWatch(t, w)
 			if crash {
 				closeAll()
@@ -105,7 +123,7 @@
 func TestManyBrokenConnections(t *testing.T) {
 	is := is.New(t)
 	target, accepted, _ := listen(t)
-	w := &forward.CrashWatch{Marks: &marks{endpoints: map[uint64]string{}}, Endpoints: noIdleConnections{}, Log: logr.Discard()}
+	w := &forward.CrashWatch{Endpoints: noIdleConnections{}, Log: logr.Discard()}
 	runWatch(t, w)
 	before := runtime.NumGoroutine()
 	for n := range 200 {
@@ -122,7 +140,7 @@
 	is := is.New(t)
 	target, _, _ := listen(t)
 	dropped := 0
-	w := &forward.CrashWatch{Marks: &marks{endpoints: map[uint64]string{}}, Endpoints: noIdleConnections{}, Log: logr.Discard(),
+	w := &forward.CrashWatch{Endpoints: noIdleConnections{}, Log: logr.Discard(),
 		Dropped: func() { dropped++ }}
 	for n := range 1000 { // Run is not called, so that the queue fills up
 		w.ConnectionBroke(forward.Break{Request: "r", Fingerprint: uint64(n), Target: target})
@@ -133,7 +151,7 @@
 // blockedMarks is a store that does not answer.
 type blockedMarks struct{}
 
-func (blockedMarks) RecordCrash(ctx context.Context, _ uint64, _ string) error {
+func (blockedMarks) RecordCrash(ctx context.Context, _ uint64, _ site.Mark) error {
 	<-ctx.Done()
 	return ctx.Err()
 }
@@ -143,7 +161,7 @@
 	is := is.New(t)
 	target, _, closeAll := listen(t)
 	parts := &forward.PartWatch{Log: logr.Discard()}
-	w := &forward.CrashWatch{Marks: blockedMarks{}, Endpoints: noIdleConnections{}, Parts: parts, Log: logr.Discard()}
+	w := &forward.CrashWatch{Requests: watchRequests(t, blockedMarks{}), Endpoints: noIdleConnections{}, Parts: parts, Log: logr.Discard()}
 	runWatch(t, w)
 	closeAll()
 	for n := range uint64(50) {
@@ -152,3 +170,26 @@
 	time.Sleep(500 * time.Millisecond)
 	is.True(parts.Suspect(time.Now(), &site.Snapshot{}, 0, []uint64{49}, ""))
 }
+
+// TestCrashesWhileStoreIsAway guards against crashes that don't count at the gateway that saw them, or are never recorded, since the store
+// is away.
+func TestCrashesWhileStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	m := &marks{recorded: map[uint64]site.Mark{}, away: true}
+	requests := watchRequests(t, m)
+	w := &forward.CrashWatch{Requests: requests, Endpoints: noIdleConnections{}, Log: logr.Discard()}
+	runWatch(t, w)
+	for _, id := range []string{"e1", "e2"} {
+		target, _, closeAll := listen(t)
+		closeAll()
+		target.ID = id
+		w.ConnectionBroke(forward.Break{Request: "r", Fingerprint: 7, Target: target})
+	}
+	time.Sleep(4 * time.Second) // longer than a write may take
+	is.Equal(requests.Known(&site.Snapshot{}, 7).Endpoints, []string{"e1", "e2"})
+	m.setAway(false)
+	time.Sleep(2 * time.Second)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	is.Equal(m.recorded[7].Endpoints, []string{"e1", "e2"})
+}
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,8 +94,9 @@
 	Endpoints Sender
 	// Crashes may be nil.
 	Crashes Crashes
-	// Parts may be nil.
-	Parts *PartWatch
+	// Requests and Parts know which requests and which parts of prompts crashed endpoints. They may be nil.
+	Requests *RequestWatch
+	Parts    *PartWatch
 	// Silence finds engines that stopped sending. It may be nil.
 	Silence *SilenceWatch
 	// Tiers may be nil.
@@ -213,8 +215,8 @@
 	req.timeout = min(cmp.Or(req.meta.Timeout, defaultTimeout), cmp.Or(route.Timeout, defaultTimeout))
 	req.service = pickService(route.Shares, req.draw())
 	req.fingerprint = Fingerprint(req.incoming, req.organisation)
-	if req.handler.quarantined(req.snapshot, req.fingerprint) {
-		req.refuse(http.StatusServiceUnavailable, "Quarantined", "the request crashed several endpoints", 30*time.Second)
+	if mark := req.handler.Requests.Known(req.snapshot, req.fingerprint); len(mark.Endpoints) >= crashLimit {
+		req.refuse(http.StatusServiceUnavailable, "Quarantined", "the request crashed endpoints "+strings.Join(mark.Endpoints, ", "), 30*time.Second)
 		return false
 	}
 	req.parts = req.partKeys()
@@ -359,11 +361,3 @@
 	}
 	return true
 }
-
-// crashLimit is the number of crashed endpoints at which a request is quarantined.
-const crashLimit = 2
-
-// quarantined reports whether the gateways together have recorded at least crashLimit endpoints that a request crashed.
-func (h *Handler) quarantined(snapshot *site.Snapshot, fingerprint uint64) bool {
-	return len(snapshot.Marks[fingerprint]) >= crashLimit
-}
--- a/internal/version/registry/odd_test.go
+++ b/internal/version/registry/odd_test.go
@@ -14,6 +14,7 @@
 
 	"primrosecourse/internal/version/registry"
 	"primrosecourse/pkg/quarantine"
+	"primrosecourse/pkg/site"
 )
 
 // TestRepeatedWatchGaps guards against lists without a pause while each watch fails for want of history.
@@ -59,17 +60,17 @@
 		crash := func(part uint64) quarantine.Crash {
 			return quarantine.Crash{Endpoint: "e1", Candidates: []quarantine.Candidate{{Part: part, Organisation: 1}}}
 		}
-		is.NoErr(f.registry.RecordCrash(t.Context(), 7, "e1"))
+		is.NoErr(f.registry.RecordCrash(t.Context(), 7, site.Mark{Endpoints: []string{"e1"}}))
 		is.NoErr(f.registry.RecordParts(t.Context(), crash(1)))
 		time.Sleep(time.Second)
 		for name := range f.shared.objects {
 			f.shared.put(name, json.RawMessage(`"unreadable"`), nil)
 		}
 		time.Sleep(time.Second)
-		is.NoErr(f.registry.RecordCrash(t.Context(), 7, "e2"))
+		is.NoErr(f.registry.RecordCrash(t.Context(), 7, site.Mark{Endpoints: []string{"e2"}}))
 		is.NoErr(f.registry.RecordParts(t.Context(), crash(2)))
 		time.Sleep(time.Second)
-		is.Equal(f.registry.Current().Marks[7], []string{"e1", "e2"})
+		is.Equal(f.registry.Current().Marks[7].Endpoints, []string{"e1", "e2"})
 		is.Equal(len(f.registry.Current().Crashes["e1"].Candidates), 2)
 	})
 }
@@ -105,7 +106,7 @@
 	runRegistry(t, func(t *testing.T, f *fixture) {
 		is := is.New(t)
 		old := f.shared.copy()
-		is.NoErr(f.registry.RecordCrash(t.Context(), 1, "a"))
+		is.NoErr(f.registry.RecordCrash(t.Context(), 1, site.Mark{Endpoints: []string{"a"}}))
 		time.Sleep(time.Second)
 		f.shared.put("Mark.0000000000000001", json.RawMessage(`"unreadable"`), nil)
 		f.shared.put("Mark.0000000000000002", json.RawMessage(`"unreadable"`), nil)
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -132,7 +132,7 @@
 		r.restored, r.rewriteSignal = make(chan struct{}, 1), make(chan struct{}, 1)
 		r.next = site.Snapshot{Endpoints: map[string][]*site.Endpoint{}, Evacuated: map[string]bool{},
 			Versions: map[string]uint64{}, NamedAt: map[string]time.Duration{},
-			UnnamedAt: map[string]time.Duration{}, Updating: map[string]bool{}, Marks: map[uint64][]string{}, Gateways: 1}
+			UnnamedAt: map[string]time.Duration{}, Updating: map[string]bool{}, Marks: map[uint64]site.Mark{}, Gateways: 1}
 		first := r.next
 		r.current.Store(&first)
 		r.configurationFollower = &follower[*site.Configuration]{kind: "Configuration", source: r.Configurations,
--- a/internal/version/registry/registry_test.go
+++ b/internal/version/registry/registry_test.go
@@ -523,11 +523,11 @@
 func TestSharedCrashMarks(t *testing.T) {
 	runRegistry(t, func(t *testing.T, f *fixture) {
 		is := is.New(t)
-		is.NoErr(f.registry.RecordCrash(t.Context(), 7, "e1"))
+		is.NoErr(f.registry.RecordCrash(t.Context(), 7, site.Mark{Endpoints: []string{"e1"}}))
 		time.Sleep(time.Second)
-		is.NoErr(f.registry.RecordCrash(t.Context(), 7, "e2"))
+		is.NoErr(f.registry.RecordCrash(t.Context(), 7, site.Mark{Endpoints: []string{"e2"}}))
 		time.Sleep(time.Second)
-		is.Equal(f.registry.Current().Marks[7], []string{"e1", "e2"})
+		is.Equal(f.registry.Current().Marks[7].Endpoints, []string{"e1", "e2"})
 		time.Sleep(20 * time.Minute)
 		is.Equal(len(f.registry.Current().Marks), 0) // marks are deleted after their retention time
 	})
--- a/internal/version/registry/restore_test.go
+++ b/internal/version/registry/restore_test.go
@@ -189,16 +189,16 @@
 func TestMarksAfterRestore(t *testing.T) {
 	runRegistry(t, func(t *testing.T, f *fixture) {
 		is := is.New(t)
-		is.NoErr(f.registry.RecordCrash(t.Context(), 1, "a"))
+		is.NoErr(f.registry.RecordCrash(t.Context(), 1, site.Mark{Endpoints: []string{"a"}}))
 		time.Sleep(time.Second)
 		old := f.shared.copy()
-		is.NoErr(f.registry.RecordCrash(t.Context(), 1, "b"))
-		is.NoErr(f.registry.RecordCrash(t.Context(), 2, "c"))
+		is.NoErr(f.registry.RecordCrash(t.Context(), 1, site.Mark{Endpoints: []string{"b"}}))
+		is.NoErr(f.registry.RecordCrash(t.Context(), 2, site.Mark{Endpoints: []string{"c"}}))
 		time.Sleep(time.Second)
 		f.shared.restore(old)
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
-			is.Equal(f.registry.Current().Marks, map[uint64][]string{1: {"a", "b"}, 2: {"c"}})
+			is.Equal(f.registry.Current().Marks, map[uint64]site.Mark{1: {Endpoints: []string{"a", "b"}}, 2: {Endpoints: []string{"c"}}})
 		}
 		var m registry.Mark
 		value, _, err := f.shared.Get(t.Context(), "Mark.0000000000000001")
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -14,6 +14,7 @@
 
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/platform"
+	"primrosecourse/pkg/site"
 )
 
 // The name of a shared object identifies its type: Mark, Crash and Streams objects by a prefix, the others by the whole name.
@@ -154,7 +155,7 @@
 		if err := json.Unmarshal(c.Value, &m); err != nil {
 			return err
 		}
-		marks[fingerprint] = m.Endpoints
+		marks[fingerprint] = site.Mark(m)
 	}
 	r.next.Marks = marks
 	return nil
@@ -185,9 +186,8 @@
 // maxMarkAttempts limits the attempts to write a mark, since several gateways may write it concurrently.
 const maxMarkAttempts = 4
 
-// RecordCrash records in a shared Mark object that a request crashed an endpoint, so that all gateways know it. The request is
-// identified by its fingerprint.
-func (r *Registry) RecordCrash(ctx context.Context, fingerprint uint64, endpoint string) (err error) {
+// RecordCrash merges a mark into the shared Mark object of the request with a fingerprint, so that all gateways know it.
+func (r *Registry) RecordCrash(ctx context.Context, fingerprint uint64, mark site.Mark) (err error) {
 	defer func() { err = errors.Wrapf(err, "mark of request %016x", fingerprint) }()
 	name := fmt.Sprintf("%s%016x", markPrefix, fingerprint)
 	for range maxMarkAttempts {
@@ -200,14 +200,14 @@
 		default:
 			if json.Unmarshal(value, &m) != nil {
 				// Another writer replaced the object; what is known from before is written again.
-				m.Endpoints = slices.Clone(r.Current().Marks[fingerprint])
+				m = Mark(r.Current().Marks[fingerprint])
 			}
 		}
-		if slices.Contains(m.Endpoints, endpoint) {
+		merged := Mark(site.Mark(m).Merge(mark))
+		if slices.Equal(merged.Endpoints, m.Endpoints) {
 			return nil
 		}
-		m.Endpoints = append(m.Endpoints, endpoint)
-		if _, err = r.Shared.Put(ctx, name, revision, m); !errors.Is(err, platform.ErrConflict) {
+		if _, err = r.Shared.Put(ctx, name, revision, merged); !errors.Is(err, platform.ErrConflict) {
 			return err
 		}
 	}
