Clear the evidence against requests that end well, and count crashes in a row

Once crashes at plain services count, a request that many callers send is refused for 15 minutes because it was running when endpoints crashed for other reasons. TestSoundRequestAtCrashes plays that: twelve callers poll one path, another request crashes servers one after the other, then all servers crash at once five times.

Marks counted the endpoints at which a request was running, whatever happened between. Three things tell a sound request from one that crashes endpoints:

- It ends well.
An end after the crash, at any gateway, clears the evidence there at once and in the shared mark, unless that holds a crash recorded meanwhile.
A request that crashes each endpoint never ends well.
At the limit nothing is cleared.
- Endpoints that crash together hit runs that were under way.
Crashes count as successive only if the run began after the one before was seen or known, and 50 ms lie between them.
No clock of another process is compared: a mark states how many successive crashes were known.
- It ended well of late.
Such a request needs one crash more.

The decision is quarantine.Requests, without clock and locks; RequestWatch writes what it decides. Marks name incarnations, so that an endpoint that crashes again under its ID counts again (TestSameEndpointCrashesAgain fails if they name IDs). Marks of earlier versions, without a count, count as before.

The price: a request sent to several gateways within the time that a mark takes to spread (0.2 s) crashes one server more. TestDeadlyRequest: GET 3 times, then 0; POST 3 times, then 1; three are allowed. TestFleet checks both sides on a model of up to five processes with a store that some can't reach (20,000 draws).

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -14,6 +14,7 @@
 	"primrosecourse/internal/connection/endpoint"
 	"primrosecourse/internal/event"
 	"primrosecourse/pkg/placement"
+	"primrosecourse/pkg/quarantine"
 	"primrosecourse/pkg/site"
 )
 
@@ -27,6 +28,8 @@
 	// first bytes of a streamed answer have arrived or the outcome is recorded.
 	prefillTokens int
 	started       time.Time
+	// known is the evidence against the request when the attempt began.
+	known quarantine.Evidence
 	// ctx is done with the request, and with the cause errSilent once the endpoint has been found silent.
 	ctx context.Context
 	// observesLink is set if the time of the first token says something about links: the endpoint probably had to fetch the shared
@@ -67,6 +70,14 @@
 	}
 }
 
+// recordEnd records that the endpoint answered completely.
+func (a *attempt) recordEnd(status int) {
+	a.recordOutcome(placement.Answered)
+	if status < 500 {
+		a.req.handler.Requests.EndedWell(time.Now(), a.req.handler.View.Current(), a.req.fingerprint, a.req.meta.ID)
+	}
+}
+
 // failureOutcome returns failure, or Abandoned if the caller disconnected or the gateway stops and Late if the deadline passed, since the endpoint is
 // then not known to be the cause.
 func (a *attempt) failureOutcome(failure placement.Outcome) placement.Outcome {
@@ -219,7 +230,7 @@
 	a.recordBegun(true)
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status < 500 {
-		a.recordOutcome(placement.Answered)
+		a.recordEnd(answer.Status)
 		req.deliver(buffered)
 		return done
 	}
@@ -266,7 +277,7 @@
 		a.recordOutcome(placement.Abandoned)
 		return done
 	}
-	a.recordOutcome(placement.Answered)
+	a.recordEnd(answer.Status)
 	if err := req.w.End(); err != nil {
 		req.reason = "CallerLeft"
 	}
@@ -373,7 +384,7 @@
 	case answer.Unframed() && !req.stream.hasEvents:
 		return a.handleBrokenStream(errors.New("stream without an announced end has no event"))
 	}
-	a.recordOutcome(placement.Answered)
+	a.recordEnd(answer.Status)
 	if !a.begunAt.IsZero() {
 		a.recordBegun(true)
 	}
--- a/internal/request/forward/crashes.go
+++ b/internal/request/forward/crashes.go
@@ -14,6 +14,7 @@
 
 	"primrosecourse/internal/connection/endpoint"
 	"primrosecourse/internal/event"
+	"primrosecourse/pkg/quarantine"
 )
 
 // Dropper closes the idle connections to an endpoint. endpoint.Pool implements it.
@@ -69,7 +70,10 @@
 	Request     string
 	Attempt     int
 	Fingerprint uint64
-	Target      endpoint.Target
+	// StartedAt is when the attempt began, Known the evidence against the request at that time.
+	StartedAt time.Time
+	Known     quarantine.Evidence
+	Target    endpoint.Target
 	// Incarnation identifies the endpoint's incarnation.
 	Incarnation string
 	// Cold is set if the endpoint was cold.
@@ -154,7 +158,7 @@
 // logBreak logs what was found out about a break.
 func logBreak(log logr.Logger, b Break, outcome string) {
 	event.Info(log, event.RequestMarked, "request", b.Request, "attempt", b.Attempt, "endpoint", b.Target.ID, "outcome", outcome,
-		"fingerprint", formatKey(b.Fingerprint), "parts", hexKeys(b.Parts), "begun", b.Begun, "timedOut", b.TimedOut)
+		"fingerprint", formatKey(b.Fingerprint), "known", b.Known.Count(), "parts", hexKeys(b.Parts), "begun", b.Begun, "timedOut", b.TimedOut)
 }
 
 // investigate waits until probeDelay has passed since the break and marks the request if its endpoint is down.
@@ -175,12 +179,8 @@
 	if w.Parts != nil {
 		w.Parts.Crashed(s.Break, s.brokenAt)
 	}
-	switch {
-	case w.Requests == nil:
-	case w.Requests.Crashed(s.Break, time.Now()):
-		logBreak(w.Log, s.Break, "marked")
-	default:
-		logBreak(w.Log, s.Break, "not marked: too many marks wait to be written")
+	if w.Requests != nil {
+		logBreak(w.Log, s.Break, w.Requests.Crashed(s.Break, s.brokenAt, time.Now()).String())
 	}
 }
 
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -215,8 +216,9 @@
 	req.timeout = min(cmp.Or(req.meta.Timeout, defaultTimeout), cmp.Or(route.Timeout, defaultTimeout))
 	req.service = pickService(route.Shares, req.draw())
 	req.fingerprint = Fingerprint(req.incoming, req.organisation)
-	if mark := req.handler.Requests.Known(req.snapshot, req.fingerprint); len(mark.Endpoints) >= crashLimit {
-		req.refuse(http.StatusServiceUnavailable, "Quarantined", "the request crashed endpoints "+strings.Join(mark.Endpoints, ", "), 30*time.Second)
+	if known, quarantined := req.handler.Requests.Quarantined(req.snapshot, req.fingerprint); quarantined {
+		req.refuse(http.StatusServiceUnavailable, "Quarantined", fmt.Sprintf("%d successive crashes, at %s", known.Count(),
+			strings.Join(known.Endpoints, ", ")), 30*time.Second)
 		return false
 	}
 	req.parts = req.partKeys()
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -226,7 +226,8 @@
 	req.handler.Table.Sent(now, e, placementRequest, choice.PrefillTokens)
 	req.tried = append(req.tried, e.ID)
 	req.attempts++
-	a := &attempt{req: req, endpoint: e, placed: placementRequest, prefillTokens: choice.PrefillTokens, started: now}
+	a := &attempt{req: req, endpoint: e, placed: placementRequest, prefillTokens: choice.PrefillTokens, started: now,
+		known: req.handler.Requests.Known(req.snapshot, req.fingerprint)}
 	a.bind(now)
 	perSecond, agoMs := req.handler.statedRate(now, e.ID)
 	event.Debug(req.handler.Log, event.RequestSent, "request", req.meta.ID, "route", req.route.Name, "endpoint", e.ID,
--- a/internal/request/forward/requestwatch.go
+++ b/internal/request/forward/requestwatch.go
@@ -1,8 +1,8 @@
 package forward
 
 import (
+	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,58 +10,45 @@
 	"github.com/go-logr/logr"
 
 	"primrosecourse/internal/event"
+	"primrosecourse/pkg/quarantine"
 	"primrosecourse/pkg/site"
 )
 
-// Marks records requests that crashed endpoints in a place that all gateways read, and which Snapshot.Marks shows. registry.Registry
-// implements it.
+// Marks holds the evidence against requests that crashed endpoints, in a place that all gateways read and which Snapshot.Marks shows.
+// registry.Registry implements it.
 type Marks interface {
-	// RecordCrash adds what m holds to the mark of the request with a fingerprint.
-	RecordCrash(ctx context.Context, fingerprint uint64, m site.Mark) error
+	// RecordCrash adds evidence against the request with a fingerprint.
+	RecordCrash(ctx context.Context, fingerprint uint64, e quarantine.Evidence) error
+	// ClearCrash removes the evidence against a request, unless there is more than the given one.
+	ClearCrash(ctx context.Context, fingerprint uint64, e quarantine.Evidence) error
 }
 
-const (
-	// crashLimit is the number of crashed endpoints at which a request is quarantined.
-	crashLimit = 2
-	// markTimeout bounds the writes of the marks that are due at the same time.
-	markTimeout = 2 * time.Second
-	// markRetention is how long a crash that this gateway saw counts, however long its mark cannot be written.
-	markRetention = 15 * time.Minute
-	// maxOwnMarks bounds the marks that are not yet visible in the shared ones.
-	maxOwnMarks = 1024
-)
+// markTimeout bounds the writes of the marks that are due at the same time.
+const markTimeout = 2 * time.Second
 
-// RequestWatch knows which requests crashed endpoints, by their fingerprints: from the shared marks, and from the crashes that this gateway
-// saw itself. The latter count at once, and until the shared marks show them, so that a store that is away changes nothing at this
-// gateway. Its exported fields must be set before the first call. The methods that requests use accept a nil receiver, which knows only
-// the shared marks.
+// RequestWatch knows which requests crashed endpoints, by their fingerprints. The decisions are those of quarantine.Requests on the shared
+// marks and on what this gateway saw itself, which counts at once. What it saw is written to the shared marks, again and again while the
+// store is away. Its exported fields must be set before the first call. The methods that requests use accept a nil receiver, which knows
+// only the shared marks.
 type RequestWatch struct {
-	Marks Marks
-	Log   logr.Logger
+	Marks    Marks
+	Settings quarantine.RequestSettings
+	Log      logr.Logger
 
 	initOnce sync.Once
 	done     chan struct{}
 	// wake has an element if Run should look for marks that are due.
 	wake chan struct{}
-	// ownCount is the number of own marks, so that requests need not lock mu while there are none.
-	ownCount atomic.Int32
-
-	mu  sync.Mutex
-	own map[uint64]*ownMark
-}
+	// changes is the number of own changes, so that requests need not lock mu while there are none.
+	changes atomic.Int32
 
-// ownMark is what this gateway saw of a request's crashes and the shared marks may not show yet.
-type ownMark struct {
-	ownWrite
-	mark site.Mark
-	// request is the ID of the last of these requests, seenAt the time of its crash.
-	request string
-	seenAt  time.Time
+	mu       sync.Mutex
+	requests *quarantine.Requests
 }
 
 func (w *RequestWatch) init() {
 	w.initOnce.Do(func() {
-		w.done, w.wake, w.own = make(chan struct{}), make(chan struct{}, 1), map[uint64]*ownMark{}
+		w.done, w.wake, w.requests = make(chan struct{}), make(chan struct{}, 1), quarantine.NewRequests(w.Settings)
 	})
 }
 
@@ -71,53 +58,82 @@
 	return w.done
 }
 
-// Known returns what is known of the crashes of the request with a fingerprint.
-func (w *RequestWatch) Known(s *site.Snapshot, fingerprint uint64) site.Mark {
+// Known returns the evidence against the request with a fingerprint.
+func (w *RequestWatch) Known(s *site.Snapshot, fingerprint uint64) quarantine.Evidence {
 	shared := s.Marks[fingerprint]
-	if w == nil || w.ownCount.Load() == 0 {
+	if w == nil || w.changes.Load() == 0 {
 		return shared
 	}
 	w.init()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if o := w.own[fingerprint]; o != nil {
-		return shared.Merge(o.mark)
+	return w.requests.Known(fingerprint, shared)
+}
+
+// Quarantined returns the evidence against the request with a fingerprint, and whether it is to be refused for that.
+func (w *RequestWatch) Quarantined(s *site.Snapshot, fingerprint uint64) (known quarantine.Evidence, quarantined bool) {
+	if known = w.Known(s, fingerprint); known.Count() == 0 {
+		return known, false
 	}
-	return shared
+	return known, known.Count() >= w.limit(fingerprint)
 }
 
-// Crashed records that the endpoint of an attempt was down after the connection broke. It returns false if too many marks wait to be
-// written.
-func (w *RequestWatch) Crashed(b Break, now time.Time) bool {
+// limit returns the number of successive crashes at which a request is refused.
+func (w *RequestWatch) limit(fingerprint uint64) int {
+	if w == nil {
+		return quarantine.DefaultLimit
+	}
 	w.init()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	o := w.own[b.Fingerprint]
-	if o == nil {
-		if len(w.own) >= maxOwnMarks {
-			return false
-		}
-		o = &ownMark{}
-		w.own[b.Fingerprint] = o
-		w.ownCount.Store(int32(len(w.own)))
+	return w.requests.Limit(fingerprint)
+}
+
+// EndedWell records that a run of the request with a fingerprint ended well.
+func (w *RequestWatch) EndedWell(now time.Time, s *site.Snapshot, fingerprint uint64, request string) {
+	if w == nil {
+		return
 	}
-	if slices.Contains(o.mark.Endpoints, b.Target.ID) {
-		return true
+	w.init()
+	w.mu.Lock()
+	cleared := w.requests.EndedWell(now, fingerprint, s.Marks[fingerprint])
+	if cleared.Count() > 0 {
+		w.changed()
+	}
+	w.mu.Unlock()
+	if cleared.Count() > 0 {
+		event.Info(w.Log, event.RequestMarked, "request", request, "fingerprint", formatKey(fingerprint), "outcome", "cleared",
+			"endpoints", cleared.Endpoints, "crashes", cleared.Count())
+	}
+}
+
+// Crashed records that the endpoint of an attempt was down after the connection broke.
+func (w *RequestWatch) Crashed(b Break, brokenAt, now time.Time) quarantine.Outcome {
+	w.init()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	defer w.changed()
+	return w.requests.Crashed(now, quarantine.Run{Fingerprint: b.Fingerprint, Endpoint: cmp.Or(b.Incarnation, b.Target.ID), Began: b.StartedAt,
+		Ended: brokenAt, Known: b.Known})
+}
+
+// changed makes Run look for marks that are due. The caller must hold mu.
+func (w *RequestWatch) changed() {
+	w.changes.Store(int32(w.requests.Len()))
+	if w.requests.Len() == 0 {
+		return
 	}
-	o.mark = o.mark.Merge(site.Mark{Endpoints: []string{b.Target.ID}})
-	o.ownWrite, o.request, o.seenAt = ownWrite{due: now}, b.Request, now
 	select {
 	case w.wake <- struct{}{}:
 	default:
 	}
-	return true
 }
 
 // Run writes marks until ctx is done. It always returns nil.
 func (w *RequestWatch) Run(ctx context.Context) error {
 	w.init()
 	defer close(w.done)
-	timer := time.NewTimer(markRetention)
+	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
@@ -126,74 +142,49 @@
 		case <-w.wake:
 		case <-timer.C:
 		}
-		w.write(ctx, time.Now())
-		timer.Reset(w.untilDue(time.Now()))
+		w.write(ctx)
+		w.mu.Lock()
+		now := time.Now()
+		timer.Reset(w.requests.NextDue(now).Sub(now))
+		w.mu.Unlock()
 	}
 }
 
-// write writes the marks that are due and forgets those that the shared ones show or that are too old.
-func (w *RequestWatch) write(ctx context.Context, now time.Time) {
+// write makes the writes that are due.
+func (w *RequestWatch) write(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, markTimeout)
 	defer cancel()
+	w.mu.Lock()
+	due := w.requests.Due(time.Now())
+	w.changes.Store(int32(w.requests.Len()))
+	w.mu.Unlock()
 	slots := make(chan struct{}, maxRecordWrites)
 	var writes sync.WaitGroup
-	for fingerprint, o := range w.due(now) {
+	for _, m := range due {
 		slots <- struct{}{}
 		writes.Go(func() {
-			w.writeMark(ctx, fingerprint, o)
+			w.writeMark(ctx, m)
 			<-slots
 		})
 	}
 	writes.Wait()
 }
 
-// due returns copies of the marks to be written.
-func (w *RequestWatch) due(now time.Time) (marks map[uint64]ownMark) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	marks = map[uint64]ownMark{}
-	for fingerprint, o := range w.own {
-		switch {
-		case o.isSeen(now), now.Sub(o.seenAt) > markRetention:
-			delete(w.own, fingerprint)
-		case o.writtenAt.IsZero() && !now.Before(o.due):
-			marks[fingerprint] = *o
-		}
+func (w *RequestWatch) writeMark(ctx context.Context, m quarantine.Write) {
+	var err error
+	if m.Cleared.Count() > 0 {
+		err = w.Marks.ClearCrash(ctx, m.Fingerprint, m.Cleared)
 	}
-	w.ownCount.Store(int32(len(w.own)))
-	return marks
-}
-
-// untilDue returns the time until a mark is to be written or forgotten.
-func (w *RequestWatch) untilDue(now time.Time) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	next := now.Add(markRetention)
-	for _, o := range w.own {
-		at := o.due
-		if !o.writtenAt.IsZero() {
-			at = o.writtenAt.Add(seenTime)
-		}
-		if at.Before(next) {
-			next = at
-		}
+	if err == nil && m.Evidence.Count() > 0 {
+		err = w.Marks.RecordCrash(ctx, m.Fingerprint, m.Evidence)
 	}
-	return next.Sub(now) + time.Millisecond
-}
-
-func (w *RequestWatch) writeMark(ctx context.Context, fingerprint uint64, written ownMark) {
-	err := w.Marks.RecordCrash(ctx, fingerprint, written.mark)
 	w.mu.Lock()
-	o := w.own[fingerprint]
-	current := o != nil && slices.Equal(o.mark.Endpoints, written.mark.Endpoints)
-	if current {
-		o.written(err)
-	}
+	w.requests.Written(time.Now(), m, err == nil)
 	w.mu.Unlock()
 	outcome := "stored"
 	if err != nil {
 		outcome = err.Error()
 	}
-	event.Info(w.Log, event.RequestMarked, "request", written.request, "fingerprint", formatKey(fingerprint), "outcome", outcome,
-		"endpoints", written.mark.Endpoints, "ageMs", time.Since(written.seenAt).Milliseconds())
+	event.Info(w.Log, event.RequestMarked, "fingerprint", formatKey(m.Fingerprint), "outcome", outcome, "endpoints", m.Evidence.Endpoints,
+		"crashes", m.Evidence.Count(), "cleared", m.Cleared.Endpoints, "ageMs", time.Since(m.MadeAt).Milliseconds())
 }
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -15,6 +15,7 @@
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/pkg/builds"
+	"primrosecourse/pkg/quarantine"
 	"primrosecourse/pkg/site"
 	"primrosecourse/pkg/staleness"
 )
@@ -132,7 +133,7 @@
 		r.restored, r.rewriteSignal = make(chan struct{}, 1), make(chan struct{}, 1)
 		r.next = site.Snapshot{Endpoints: map[string][]*site.Endpoint{}, Evacuated: map[string]bool{},
 			Versions: map[string]uint64{}, NamedAt: map[string]time.Duration{},
-			UnnamedAt: map[string]time.Duration{}, Updating: map[string]bool{}, Marks: map[uint64]site.Mark{}, Gateways: 1}
+			UnnamedAt: map[string]time.Duration{}, Updating: map[string]bool{}, Marks: map[uint64]quarantine.Evidence{}, Gateways: 1}
 		first := r.next
 		r.current.Store(&first)
 		r.configurationFollower = &follower[*site.Configuration]{kind: "Configuration", source: r.Configurations,
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -14,7 +13,7 @@
 
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/platform"
-	"primrosecourse/pkg/site"
+	"primrosecourse/pkg/quarantine"
 )
 
 // The name of a shared object identifies its type: Mark, Crash and Streams objects by a prefix, the others by the whole name.
@@ -43,11 +42,8 @@
 	crashRetention  = 30 * time.Minute
 )
 
-// Mark is the shared object that records which endpoints a request crashed.
-type Mark struct {
-	// Endpoints lists the endpoints that crashed while running the request.
-	Endpoints []string
-}
+// Mark is the shared object that records which endpoints a request crashed. Gateways of earlier versions write no Crashes.
+type Mark quarantine.Evidence
 
 // Lease is the object that records which gateway may send orders to endpoints.
 type Lease struct {
@@ -155,7 +151,7 @@
 		if err := json.Unmarshal(c.Value, &m); err != nil {
 			return err
 		}
-		marks[fingerprint] = site.Mark(m)
+		marks[fingerprint] = quarantine.Evidence(m)
 	}
 	r.next.Marks = marks
 	return nil
@@ -186,12 +182,27 @@
 // maxMarkAttempts limits the attempts to write a mark, since several gateways may write it concurrently.
 const maxMarkAttempts = 4
 
-// RecordCrash merges a mark into the shared Mark object of the request with a fingerprint, so that all gateways know it.
-func (r *Registry) RecordCrash(ctx context.Context, fingerprint uint64, mark site.Mark) (err error) {
+// RecordCrash adds evidence to the shared Mark object of the request with a fingerprint, so that all gateways know it.
+func (r *Registry) RecordCrash(ctx context.Context, fingerprint uint64, e quarantine.Evidence) (err error) {
+	return r.updateMark(ctx, fingerprint, func(m quarantine.Evidence) quarantine.Evidence { return m.Merge(e) })
+}
+
+// ClearCrash removes the Mark object of the request with a fingerprint, unless it holds more than the evidence.
+func (r *Registry) ClearCrash(ctx context.Context, fingerprint uint64, e quarantine.Evidence) (err error) {
+	return r.updateMark(ctx, fingerprint, func(m quarantine.Evidence) quarantine.Evidence {
+		if m.Within(e) {
+			return quarantine.Evidence{}
+		}
+		return m
+	})
+}
+
+// updateMark changes the Mark object of the request with a fingerprint, and removes it if nothing is left.
+func (r *Registry) updateMark(ctx context.Context, fingerprint uint64, change func(quarantine.Evidence) quarantine.Evidence) (err error) {
 	defer func() { err = errors.Wrapf(err, "mark of request %016x", fingerprint) }()
 	name := fmt.Sprintf("%s%016x", markPrefix, fingerprint)
 	for range maxMarkAttempts {
-		var m Mark
+		var m quarantine.Evidence
 		value, revision, getErr := r.Shared.Get(ctx, name)
 		switch {
 		case errors.Is(getErr, platform.ErrNotFound):
@@ -200,14 +211,19 @@
 		default:
 			if json.Unmarshal(value, &m) != nil {
 				// Another writer replaced the object; what is known from before is written again.
-				m = Mark(r.Current().Marks[fingerprint])
+				m = r.Current().Marks[fingerprint]
 			}
 		}
-		merged := Mark(site.Mark(m).Merge(mark))
-		if slices.Equal(merged.Endpoints, m.Endpoints) {
+		changed := change(m)
+		switch {
+		case changed.Within(m) && m.Within(changed) && changed.Count() == m.Count():
 			return nil
+		case changed.Count() == 0:
+			err = r.Shared.Delete(ctx, name, revision)
+		default:
+			_, err = r.Shared.Put(ctx, name, revision, Mark(changed))
 		}
-		if _, err = r.Shared.Put(ctx, name, revision, merged); !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, platform.ErrConflict) {
 			return err
 		}
 	}
--- a/pkg/site/endpoint.go
+++ b/pkg/site/endpoint.go
@@ -74,8 +74,8 @@
 	// Updating are the endpoints that are about to change their weights. UpdatingAt is when this gateway last replaced the set.
 	Updating   map[string]bool
 	UpdatingAt time.Time
-	// Marks are the marks of the requests that were running when endpoints crashed, by fingerprint.
-	Marks map[uint64]Mark
+	// Marks is the shared evidence against the requests that were running when endpoints crashed, by fingerprint.
+	Marks map[uint64]quarantine.Evidence
 	// Moved are the routes whose services changed a moment ago.
 	Moved []MovedRoute
 	// Crashes are the crashes with parts of prompts that may be the cause, by Crash.Endpoint. CrashesRevision differs after each change.
