Don't send a request on that would be quarantined by a further crash

A request that was known from one crash was still repeated when its next endpoint broke off, within a millisecond and before the probe, and so ended one endpoint more; and a request that other gateways had found to crash endpoints meanwhile was still sent on after a back-off or a wait for room.

If its connection breaks before an answer began and one more crash would quarantine the request, it is given up as SuspectRequest (502 or 504, since it may have run). Before each attempt the marks are looked at again. A stream that has begun goes on as before. The count of requests that are not repeated is NotRepeated.SuspectRequest or NotRepeated.SuspectPart, in place of Parts.NotRepeated.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -125,7 +125,7 @@
 		return
 	}
 	b := a.newBreak(service, err)
-	a.req.suspect = a.mayCrashAgain(b)
+	a.req.suspicion = a.mayCrashAgain(b)
 	a.req.handler.Crashes.ConnectionBroke(b)
 }
 
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -158,6 +158,9 @@
 // defaultTimeout replaces each of the caller's and the route's timeouts that is not set. The shorter of the two applies.
 const defaultTimeout = 60 * time.Second
 
+// quarantinedRetryAfter is the time for which the caller of a request that crashed endpoints is told to wait.
+const quarantinedRetryAfter = 30 * time.Second
+
 // Handle implements front.Handler.
 func (h *Handler) Handle(ctx context.Context, r *front.Request, w *front.Writer) {
 	req := &request{handler: h, incoming: r, w: w, caller: ctx, started: r.Arrived}
@@ -218,7 +221,7 @@
 	req.fingerprint = Fingerprint(req.incoming, req.organisation)
 	if known, quarantined := req.handler.Requests.Quarantined(req.snapshot, req.fingerprint); quarantined {
 		req.refuse(http.StatusServiceUnavailable, "Quarantined", fmt.Sprintf("%d successive crashes, at %s", known.Count(),
-			strings.Join(known.Endpoints, ", ")), 30*time.Second)
+			strings.Join(known.Endpoints, ", ")), quarantinedRetryAfter)
 		return false
 	}
 	req.parts = req.partKeys()
--- a/internal/request/forward/parts.go
+++ b/internal/request/forward/parts.go
@@ -64,9 +64,20 @@
 		Parts: req.parts, TimedOut: errors.As(err, &timeout) && timeout.Timeout(), Begun: a.begun || (!a.begunAt.IsZero() && time.Since(a.begunAt) >= settleTime)}
 }
 
-// mayCrashAgain reports whether the attempt, whose connection broke before its answer began, has a part that was there when another
-// endpoint crashed, so that the request must not be retried.
-func (a *attempt) mayCrashAgain(b Break) bool {
+// mayCrashAgain returns the reason for which the request must not be retried after the attempt, whose connection broke before its answer
+// began: it would be quarantined if the endpoint has crashed, or a part of it was there when another endpoint crashed. It returns an empty
+// string if there is none.
+func (a *attempt) mayCrashAgain(b Break) (suspicion string) {
 	req := a.req
-	return !b.Begun && !b.TimedOut && req.handler.Parts.Suspect(time.Now(), req.handler.View.Current(), b.Organisation, b.Parts, b.Incarnation)
+	if b.Begun || b.TimedOut {
+		return ""
+	}
+	s := req.handler.View.Current()
+	switch {
+	case req.handler.Requests.Suspect(b):
+		return "SuspectRequest"
+	case req.handler.Parts.Suspect(time.Now(), s, b.Organisation, b.Parts, b.Incarnation):
+		return "SuspectPart"
+	}
+	return ""
 }
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -36,8 +36,9 @@
 	fingerprint  uint64
 	// parts are the keys of the shared parts of the prompt.
 	parts []uint64
-	// suspect is set if the last attempt may have crashed its endpoint and the request must not crash another one.
-	suspect bool
+	// suspicion is set if the last attempt may have crashed its endpoint and the request must not crash another one. It is the reason for
+	// which the request is then given up.
+	suspicion string
 
 	// tried lists the IDs of the endpoints of all attempts, attempts is their number, and possibleRuns the number of those in
 	// which the request ran or may have run.
@@ -101,6 +102,10 @@
 			req.giveUp("QuarantinedPart", retryAfter)
 			return
 		}
+		if _, quarantined := req.handler.Requests.Quarantined(req.handler.View.Current(), req.fingerprint); quarantined && !req.w.Started() {
+			req.giveUp("Quarantined", quarantinedRetryAfter)
+			return
+		}
 		if !req.isCurrent(choice.Endpoint) {
 			req.tried = append(req.tried, choice.Endpoint.ID)
 			req.attempts++
@@ -128,9 +133,9 @@
 		case v == mayHaveRun && !req.sourcesAreCertain():
 			req.giveUp("BuildUnknown", 0)
 			return
-		case v == mayHaveRun && req.suspect:
-			req.handler.count("Parts.NotRepeated")
-			req.giveUp("SuspectPart", 0)
+		case v == mayHaveRun && req.suspicion != "":
+			req.handler.count("NotRepeated." + req.suspicion)
+			req.giveUp(req.suspicion, 0)
 			return
 		case v == mayHaveRun && (req.route.Repeat == site.Never || req.possibleRuns >= req.route.Attempts):
 			req.giveUp("OutcomeUnknown", 0)
--- a/internal/request/forward/requestwatch.go
+++ b/internal/request/forward/requestwatch.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,6 +79,12 @@
 	return known, known.Count() >= w.limit(fingerprint)
 }
 
+// Suspect reports whether the request of an attempt is to be refused if its endpoint, which is not among the known ones, has crashed.
+func (w *RequestWatch) Suspect(b Break) bool {
+	known := b.Known.Count()
+	return known > 0 && !slices.Contains(b.Known.Endpoints, b.Incarnation) && known+1 >= w.limit(b.Fingerprint)
+}
+
 // limit returns the number of successive crashes at which a request is refused.
 func (w *RequestWatch) limit(fingerprint uint64) int {
 	if w == nil {
