Log requests that are written to endpoints late

The logs can't tell whether the gateway stood still between its choice and the write, whether the head lay unread so that the gateway believed in more time than there was, or whether the caller's close had arrived and nobody had read it.

RequestSentLate has the times from the header to the choice of the endpoint and from there to the first byte, the time left, and whether the caller is known to have left. It is written from 100 ms on, or with less than a tenth of the time left. The logic is unchanged.

--- a/internal/connection/endpoint/conn.go
+++ b/internal/connection/endpoint/conn.go
@@ -142,6 +142,9 @@
 	if len(call.Body) <= maxInlineBody {
 		first = append(head, call.Body...)
 	}
+	if call.Sent != nil {
+		call.Sent(time.Now())
+	}
 	n, err := c.Write(first)
 	switch {
 	case err != nil && n == 0:
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -147,4 +147,7 @@
 	// ConnectionEnded is logged when the connection of a caller ended and a request on it, or a part of one, got no complete response, with
 	// the request's ID if its header was read, and the cause. A bounded number of lines a second is logged.
 	ConnectionEnded
+	// RequestSentLate is logged when the first byte of a request was written to an endpoint at least 100 ms after the endpoint was chosen,
+	// or with less than a tenth of its time left: with the time from its header to the choice, from there to the write, and the time left.
+	RequestSentLate
 )
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -70,6 +70,25 @@
 	}
 }
 
+// minLateness is the time from the choice of an endpoint to the first byte from which on that is logged, and minTimeLeft the share of the
+// caller's time below which it is logged that no more is left.
+const (
+	minLateness = 100 * time.Millisecond
+	minTimeLeft = 0.1
+)
+
+// recordSent logs that the first byte of the request is written late.
+func (a *attempt) recordSent(at time.Time) {
+	req := a.req
+	late, left := at.Sub(a.started), req.deadline.Sub(at)
+	if late < minLateness && left >= time.Duration(minTimeLeft*float64(req.timeout)) {
+		return
+	}
+	event.Info(req.handler.Log, event.RequestSentLate, "request", req.meta.ID, "endpoint", a.endpoint.ID, "attempt", req.attempts,
+		"chosenMs", a.started.Sub(req.started).Milliseconds(), "writtenMs", late.Milliseconds(), "leftMs", left.Milliseconds(),
+		"callerLeft", req.caller.Err() != nil)
+}
+
 // recordEnd records that the endpoint answered completely.
 func (a *attempt) recordEnd(status int) {
 	a.recordOutcome(placement.Answered)
