Look at the clock and the caller's connection just before a request is sent

A gateway that lacks processor time reads a head late, with the caller's close right behind it in the socket; the goroutine that watches for the close comes to run only after the request has been sent. Likewise the timer of a deadline fires late, and the request's context is not done yet.

Class of fault: a check that is true when it is made, of a state that this process has not come to see. Just before the first byte is written, the pool now compares the deadline with the clock and asks whether the call is still wanted; the front answers that from the socket itself (one recvfrom with MSG_PEEK), not from the watch. The same look is taken when a request has been read, so that one whose caller has left costs no choice and no connection. A close behind bytes of a next request is not looked at, as before.

--- a/internal/connection/endpoint/conn.go
+++ b/internal/connection/endpoint/conn.go
@@ -129,9 +129,6 @@
 
 // send sends the request, or starts to send a long one. It returns ErrNotSent if no byte was written, as when ctx is already done.
 func (c *conn) send(ctx context.Context, call *Call) (x *exchange, err error) {
-	if err := ctx.Err(); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "write"), ErrNotSent)
-	}
 	x = &exchange{conn: c, written: make(chan struct{})}
 	// When ctx is done, a deadline in the past interrupts the exchange. ctx.Err is set before the connection returns an error, so
 	// that the caller of Send can see the cause.
@@ -142,6 +139,10 @@
 	if len(call.Body) <= maxInlineBody {
 		first = append(head, call.Body...)
 	}
+	if err := mayStillSend(ctx, call); err != nil {
+		x.detach()
+		return nil, errors.Mark(errors.Wrap(err, "write"), ErrNotSent)
+	}
 	if call.Sent != nil {
 		call.Sent(time.Now())
 	}
@@ -164,6 +165,19 @@
 	return x, nil
 }
 
+// errUnwanted means that Call.Wanted returned false.
+var errUnwanted = errors.New("call is no longer wanted")
+
+// mayStillSend returns an error if the call must not be sent any more. The clock is asked too, since in a late process the timer of ctx
+// may not have fired although the deadline has passed; ctx is done when it returns an error for that.
+func mayStillSend(ctx context.Context, call *Call) error {
+	if call.Wanted != nil && !call.Wanted() {
+		return errUnwanted
+	}
+	awaitDeadline(ctx)
+	return ctx.Err()
+}
+
 // readResponse returns the response to the call with its body unread. It skips up to maxStrayResponses
 // responses that are 1xx or belong to earlier requests, as long as their heads and bodies are not too long.
 func (x *exchange) readResponse(call *Call) (response *http.Response, err error) {
--- a/internal/connection/endpoint/pool.go
+++ b/internal/connection/endpoint/pool.go
@@ -56,6 +56,8 @@
 	// idle for less than half of its idle limit, because the endpoint is unlikely to close such a connection just as the request
 	// arrives.
 	RecentConn bool
+	// Wanted is called just before the first byte is written. If it returns false, the call is not sent. It may be nil.
+	Wanted func() bool
 	// Sent is called with the time just before the first byte is written, for each connection that is tried. It may be nil.
 	Sent func(at time.Time)
 }
--- a/internal/connection/front/arrival.go
+++ b/internal/connection/front/arrival.go
@@ -29,6 +29,25 @@
 	return receive(c, buffer[:], syscall.MSG_PEEK) > 0
 }
 
+// closeArrived reports whether the other side of a connection has closed or reset it, and nothing is left to be read before that.
+func closeArrived(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		var buffer [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = (n == 0 && err == nil) || errors.Is(err, syscall.ECONNRESET)
+	})
+	return err == nil && closed
+}
+
 // receive reads bytes that have arrived on a connection, without waiting and whatever its deadline, and returns their number.
 func receive(c net.Conn, p []byte, flags int) int {
 	tcp, ok := c.(*net.TCPConn)
--- a/internal/connection/front/request.go
+++ b/internal/connection/front/request.go
@@ -24,8 +24,14 @@
 	Body   []byte
 	// Arrived is the time at which the whole header had been read.
 	Arrived time.Time
+
+	caller *callerWatch
 }
 
+// CallerLeft reports whether the caller has disconnected, also if its close has arrived and the process has not come to read it. The
+// context of the request is then done.
+func (r *Request) CallerLeft() bool { return r.caller != nil && r.caller.hasLeft() }
+
 // statusError refuses a request with an HTTP status before it reaches the handler.
 type statusError struct {
 	status int
--- a/internal/connection/front/server.go
+++ b/internal/connection/front/server.go
@@ -322,12 +322,19 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	_ = c.SetReadDeadline(time.Time{})
+	r.caller = &callerWatch{conn: c, cancel: cancel}
+	r.caller.pipelined.Store(br.Buffered() > 0)
 	watchEnded := make(chan struct{})
 	go func() {
 		defer close(watchEnded)
-		if _, err := br.Peek(1); err != nil {
-			callerLeft = !errors.Is(err, os.ErrDeadlineExceeded)
+		_, err := br.Peek(1)
+		switch {
+		case err == nil:
+			r.caller.pipelined.Store(true)
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			cancel()
+		default:
+			r.caller.leave()
 		}
 	}()
 	s.runHandler(ctx, r, w)
@@ -335,7 +342,7 @@
 	_ = c.SetReadDeadline(interrupted)
 	<-watchEnded
 	_ = c.SetReadDeadline(time.Time{})
-	return callerLeft
+	return r.caller.left.Load()
 }
 
 // refuse answers a request that can't be handled, unless the caller has left, and returns how the connection ends.
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -168,6 +168,10 @@
 	if !req.admit() {
 		return
 	}
+	if r.CallerLeft() {
+		req.abandon()
+		return
+	}
 	req.deadline = r.Arrived.Add(req.timeout)
 	if !req.fitsStop() {
 		return
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -257,7 +257,7 @@
 		stop := a.releaseAtLimit(release)
 		defer stop()
 	}
-	call.Sent = a.recordSent
+	call.Sent, call.Wanted = a.recordSent, func() bool { return !req.incoming.CallerLeft() }
 	answer, err := req.handler.Endpoints.Send(ctx, req.target(e, service), call)
 	if !errors.Is(err, endpoint.ErrNotSent) {
 		req.arrivals++
