Don't take a plan of builds for the latest one while cut off from the others

It can happen here: if the store does not answer, a gateway takes its plan for the latest one once one build has served for a minute. Cut off alone, it cannot know that the others have moved streams since. Class of fault: not hearing of a change is taken for there being none.

Gateways now state the number of their plan with their loads, and the highest one of their domain in summaries (at most 14 bytes a message). A gateway that does not reach the store counts its plan as the latest only if none of the others heard within 1.5 s states a later one, and at least half of them were heard. Else the take-up is refused, which is true: it did not run. While the store is away for all, the others agree and take-ups are served as before.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -259,6 +259,10 @@
 	exchange := &loads.Exchange{Name: g.Settings.Name, Incarnation: rand.Uint64(), Address: g.Settings.LoadAddress(),
 		Domain: g.Settings.FailureDomain, Peers: g.Registry, Table: g.table,
 		Floors: g.Tiers.Floors, Intake: g.table.Intake, Ages: g.Registry.Ages, Links: g.links, View: g.Registry, Delayed: g.recordDelay, Log: g.Log}
+	if g.Builds != nil {
+		exchange.Plan = func() uint64 { return g.Builds.Plan().Revision() }
+	}
+	g.handler.Peers = exchange
 	run(exchange.Run)
 	for _, c := range g.Components {
 		run(c.Run)
--- a/internal/request/forward/builds.go
+++ b/internal/request/forward/builds.go
@@ -140,15 +140,16 @@
 	return true
 }
 
-// awaitPlan waits until this gateway knows the latest plan, and reports whether it does. If the store does not answer, a plan that could
-// hardly have changed counts as the latest.
+// awaitPlan waits until this gateway knows the latest plan, and reports whether it does. If the store does not answer, a plan that has held
+// for long counts as the latest if the other gateways agree: the store may be away for this gateway alone.
 func (req *request) awaitPlan() (known bool, err error) {
 	book := req.handler.Builds
 	ctx, cancel := context.WithTimeout(req.ctx, planPatience)
 	defer cancel()
 	number, err := req.handler.Plans.Latest(ctx)
 	if err != nil {
-		return book.Settled(time.Now(), req.service), err
+		now := time.Now()
+		return book.Settled(now, req.service) && (req.handler.Peers == nil || req.handler.Peers.AgreesOnPlan(now, book.Plan().Revision())), err
 	}
 	return req.await(func() bool { return book.Plan().Revision() >= number }), nil
 }
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -58,6 +58,12 @@
 	Latest(ctx context.Context) (number uint64, err error)
 }
 
+// Peers compares what this gateway knows with the other gateways. loads.Exchange implements it.
+type Peers interface {
+	// AgreesOnPlan reports whether the others seem to know no later plan of builds than the one with the given number.
+	AgreesOnPlan(now time.Time, number uint64) bool
+}
+
 // Incarnations asks endpoints for their incarnations.
 type Incarnations interface {
 	// StartedAt returns when the present incarnation of an endpoint started, zero if it does not state that.
@@ -108,6 +114,8 @@
 	Builds *builds.Book
 	// Plans confirms the plan of Builds. It must not be nil if Builds is not.
 	Plans Plans
+	// Peers confirms the plan of Builds while the platform's store does not. If it is nil, this gateway is the only one.
+	Peers Peers
 	// Incarnations asks endpoints for their incarnations. It may be nil.
 	Incarnations Incarnations
 	// Staleness bounds for how long requests may begin on replaced weights. The zero value allows it.
