--- a/internal/request/forward/doc.go
+++ b/internal/request/forward/doc.go
@@ -15,9 +15,11 @@
 //     endpoint's seal. A short answer that is not a stream is read completely before its first byte is relayed.
 //   - When the caller disconnects, the connection to the endpoint is closed, which cancels the work there.
 //   - Retries draw on a retry budget for each service, which all gateways share.
-//   - A request that crashed at least two endpoints is quarantined: it is refused. So is a request with a part of the prompt that
-//     crashed several endpoints (PartWatch). A request whose endpoint crashed before its answer began is retried only if none of
-//     its parts was there when another endpoint crashed.
+//   - A request that was running at successive crashes of endpoints, and has not ended well since, is quarantined: it is refused
+//     (RequestWatch). So is a request with a part of the prompt that crashed several endpoints (PartWatch). A request whose endpoint crashed before its answer began is retried only if one more
+//     crash would not quarantine it and none of its parts was there when another endpoint crashed.
+//   - No request is sent once its deadline has passed or its caller's close has arrived, even if the process has not come to see
+//     either.
 //
 // Headers are read and written by a Codec, so that the package does not depend on the platform's header names.
 //
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -8,6 +8,13 @@
 // The table is bounded. When it is full, expired marks are evicted, else the suspect that expires first, and a quarantined
 // fingerprint only if there is no suspect. The package reads no clock and is not safe for concurrent use.
 //
+// # Requests
+//
+// Requests is the same decision for processes that share evidence through a store which may be away, and for requests that many callers
+// send, which are there when endpoints crash for other reasons. It counts successive crashes, of which each hit a run that began after the
+// one before was seen or known, and a run that ends well clears what is known. It does not find out whether an endpoint has crashed, and
+// writes nothing itself: Due returns what is to be written, Written takes the result.
+//
 // # Parts of prompts
 //
 // Requests that crash endpoints need not be alike: they may share one part of their prompts, whatever else they hold. Judge decides
@@ -27,4 +34,11 @@
 //	case quarantine.Suspect:
 //	case quarantine.Quarantined:
 //	}
+//
+//	r := quarantine.NewRequests(quarantine.RequestSettings{})
+//	known := r.Known(fingerprint, shared)
+//	if known.Count() >= r.Limit(fingerprint) {
+//		// refuse the request
+//	}
+//	r.Crashed(now, quarantine.Run{Fingerprint: fingerprint, Endpoint: "Endpoint1/2", Began: began, Ended: ended, Known: known})
 package quarantine
