Log whether a caller's close was found unread

RequestAbandoned didn't tell a close that the process had read from one that a look at the connection found, so that it couldn't be seen from the log whether late gateways send nothing on for callers that have left. closeUnread tells them apart. The logic is unchanged.

--- a/internal/connection/front/request.go
+++ b/internal/connection/front/request.go
@@ -32,6 +32,9 @@
 // context of the request is then done.
 func (r *Request) CallerLeft() bool { return r.caller != nil && r.caller.hasLeft() }
 
+// CloseWasUnread reports whether CallerLeft found a close that the process had not come to read.
+func (r *Request) CloseWasUnread() bool { return r.caller != nil && r.caller.unread.Load() }
+
 // statusError refuses a request with an HTTP status before it reaches the handler.
 type statusError struct {
 	status int
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -348,7 +348,7 @@
 func (req *request) abandon() {
 	req.reason = "CallerLeft"
 	req.w.Abort()
-	event.Info(req.handler.Log, event.RequestAbandoned, "request", req.meta.ID, "sent", req.attempts,
+	event.Info(req.handler.Log, event.RequestAbandoned, "request", req.meta.ID, "sent", req.attempts, "closeUnread", req.incoming.CloseWasUnread(),
 		"afterMs", time.Since(req.started).Milliseconds())
 }
 
