Drop own evidence for good once the shared evidence has shown it

Ten copies at a time with the race detector failed again (5 of 10, 4 of 10, 2 of 10), and the log of one shows the chain: a gateway wrote its evidence of a wave, saw it in the shared mark, and used that from then on; another one cleared the mark, and the request ended well here too, which had nothing to clear. The own evidence was still kept until it was next due, and the crash of the next wave was added to it: two successive crashes, then three.

Evidence that the shared mark has shown is now replaced by a crash that comes after it. The unit test failed before ({[a b] 2} in place of {[b] 1}).

--- a/pkg/quarantine/requests.go
+++ b/pkg/quarantine/requests.go
@@ -121,10 +121,10 @@
 		return KnownBefore
 	}
 	c := r.changes[run.Fingerprint]
-	if c == nil {
-		if len(r.changes) >= r.settings.MaxChanges {
-			return NoRoom
-		}
+	if c == nil && len(r.changes) >= r.settings.MaxChanges {
+		return NoRoom
+	}
+	if c == nil || c.shown {
 		c = &change{}
 		r.changes[run.Fingerprint] = c
 	}
--- a/pkg/quarantine/requests_test.go
+++ b/pkg/quarantine/requests_test.go
@@ -111,6 +111,8 @@
 		r.Written(at(20), r.Due(at(10))[0], true)
 		is.Equal(r.Known(7, evidence(1, "a")).Count(), 1)
 		is.Equal(r.Known(7, none).Count(), 0)
+		r.Crashed(at(2000), run("b", 1000, 1900, none))
+		is.Equal(r.Known(7, none), evidence(1, "b"))
 	})
 	t.Run("not at the limit", func(t *testing.T) {
 		is := is.New(t)
