--- a/review/standin/configstorms.go
+++ b/review/standin/configstorms.go
@@ -24,7 +24,7 @@
 	stormsFor      = 95 * time.Second
 	routesOfOne    = 350
 	growths        = 8
-	orderClients   = 12
+	orderClients   = 18
 	cutsAllowed    = 3
 	ownRoutePrefix = "/defi252/"
 )
@@ -187,6 +187,6 @@
 		default:
 			w.notes.add("client %d: request %s was answered %d", n, id, status)
 		}
-		pause(context.Background(), 40*time.Millisecond)
+		pause(context.Background(), 2*time.Millisecond)
 	}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -253,6 +254,15 @@
 			g.kill()
 		}
 	}()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-stopped
+		for _, g := range w.gateways {
+			g.kill()
+		}
+		os.Exit(2)
+	}()
 	cases := map[string]func(*world) (bool, error){"store-restart": storeRestart, "config-storms": configStorms}
 	play, ok := cases[name]
 	if !ok {
