Show a late stream that a planned stop cuts off

Cause: an answer that began before a planned stop leaves its connection open for one more request, and a late stream is taken if 1.25 times the longest earlier answer of its kind fits into the rest of the grace, whatever its own length.

Nothing of the product is changed.

--- a/review/standin/cache.go
+++ b/review/standin/cache.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -192,8 +193,8 @@
 	// storeAddr is the address under which requests name the store.
 	storeAddr string
 	notes     *notebook
-	// work is how long an answer takes between its events.
-	work time.Duration
+	// pause is the time between two events of an answer.
+	pause time.Duration
 
 	mu       sync.Mutex
 	log      eventLog
@@ -336,12 +337,17 @@
 	w.Header().Set("X-Server-Seal", "seal."+e.id)
 	w.Header().Set("X-Server-Load", load)
 	w.Header().Set("X-Weight-Versions", "1")
-	for n := 1; n <= 3; n++ {
+	_, out, _ := strings.Cut(r.Header.Get("X-Token-Count"), ",")
+	events, _ := strconv.Atoi(out)
+	for n := 1; n <= events && r.Context().Err() == nil; n++ {
 		fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n)
 		if f, ok := w.(http.Flusher); ok {
 			f.Flush()
 		}
-		pause(r.Context(), e.work)
+		pause(r.Context(), e.pause)
+	}
+	if r.Context().Err() != nil {
+		e.notes.add("%s: the caller of %s has closed the connection", e.id, id)
 	}
 }
 
@@ -357,7 +363,7 @@
 		key := partKey{salt, p.id}
 		switch {
 		case e.has(key):
-		case prefix && fetches[i] == e.storeAddr && e.fetch(r.Context(), id, key, p.tokens, until):
+		case prefix && fetches[i] != "" && fetches[i] == e.storeAddr && e.fetch(r.Context(), id, key, p.tokens, until):
 			e.keep(key, p.tokens)
 		default:
 			prefix = false
@@ -371,7 +377,7 @@
 	for i, p := range parts {
 		key := partKey{salt, p.id}
 		e.keep(key, p.tokens)
-		if saves[i] != e.storeAddr {
+		if saves[i] == "" || saves[i] != e.storeAddr {
 			continue
 		}
 		if reserved, epoch := e.store.reserve(key, p.tokens); reserved != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,6 +8,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -163,6 +164,8 @@
 	prefix string
 	tokens int
 	body   string
+	// out is the number of tokens of the answer, deadline how long the client waits, in ms.
+	out, deadline int
 }
 
 // client sends requests on one connection that it keeps.
@@ -182,9 +185,10 @@
 // do sends a request and returns the status and the body. An error means that the connection ended without a complete answer.
 func (c *client) do(r request) (status int, body string, err error) {
 	var b strings.Builder
-	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: pule25.example\r\nX-Request-Id: %s\r\nX-Request-Deadline: 8000\r\nContent-Length: %d\r\n", r.path, r.id, len(r.body))
+	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: pule25.example\r\nX-Request-Id: %s\r\nX-Request-Deadline: %d\r\nContent-Length: %d\r\n", r.path, r.id,
+		cmp.Or(r.deadline, 8000), len(r.body))
 	if r.prefix != "" {
-		fmt.Fprintf(&b, "X-Model: %s\r\nX-Token-Count: %d,20\r\nX-Prompt-Prefix: %s\r\n", modelName, r.tokens, r.prefix)
+		fmt.Fprintf(&b, "X-Model: %s\r\nX-Token-Count: %d,%d\r\nX-Prompt-Prefix: %s\r\n", modelName, r.tokens, cmp.Or(r.out, 3), r.prefix)
 	}
 	b.WriteString("\r\n" + r.body)
 	_ = c.conn.SetDeadline(time.Now().Add(8 * time.Second))
@@ -263,7 +267,7 @@
 		}
 		os.Exit(2)
 	}()
-	cases := map[string]func(*world) (bool, error){"store-restart": storeRestart, "config-storms": configStorms}
+	cases := map[string]func(*world) (bool, error){"store-restart": storeRestart, "config-storms": configStorms, "late-stream": lateStream}
 	play, ok := cases[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case")
--- a/review/standin/storerestart.go
+++ b/review/standin/storerestart.go
@@ -62,7 +62,7 @@
 	var fleet []*engine
 	for i := range engines {
 		e := &engine{id: fmt.Sprintf("i-%08x", 0x7f3a9100+i), zone: "gauteng-a", store: store, storeAddr: nic.addr(), notes: w.notes,
-			work: 4 * time.Millisecond, log: eventLog{epoch: uint64(1000 + i)}, capacity: 70494}
+			pause: 4 * time.Millisecond, log: eventLog{epoch: uint64(1000 + i)}, capacity: 70494}
 		server := httptest.NewServer(e)
 		defer server.CloseClientConnections()
 		fleet = append(fleet, e)
