Request no saves to a restarted KV store while old fetches may run

Cause: gateways learn of the new epoch at different times, up to 1.8 s apart, and more through a relay. One that had listed it requested saves at once, while another still had the same parts fetched.

Change: a fetch ends within 2.8 s after the store last confirmed its epoch, by the servers' clock, or the engine discards it, so the bound holds for a gateway that stands still or follows another one, too. A gateway that finds a new epoch requests no saves for 2.9 s. Relays pass on the store's epoch and the time of its confirmation.

--- a/internal/connection/kvstore/catalog.go
+++ b/internal/connection/kvstore/catalog.go
@@ -48,6 +48,8 @@
 	// MaxParts limits the parts that are recorded, of all stores together; 0 means no limit. Parts beyond it count towards the used
 	// room of their store but are not fetched.
 	MaxParts int
+	// Now returns the time since the machine booted; nil stands for bootclock.Now.
+	Now func() time.Duration
 
 	mu        sync.Mutex
 	stores    map[string]*storeState
@@ -69,7 +71,10 @@
 	// known reports whether the contents of the store are known. It is false before the first listing, after a failed call, after lost
 	// events, and after a change of the epoch.
 	known bool
-	epoch uint64
+	// epoch is the epoch of the source, storeEpoch that of the store itself.
+	epoch, storeEpoch uint64
+	// term bounds what may be done with the contents.
+	term term
 	// held maps the recorded parts to their length in tokens. used is the number of tokens that all parts in the store take up,
 	// including untracked ones and those that were unfinished at the last listing.
 	held map[Key]int
@@ -138,6 +143,13 @@
 	checkInterval = 500 * time.Millisecond
 )
 
+func (c *Catalog) now() time.Duration {
+	if c.Now != nil {
+		return c.Now()
+	}
+	return bootclock.Now()
+}
+
 // Run tracks the stores of the configuration in force until ctx is done. It always returns nil.
 func (c *Catalog) Run(ctx context.Context) error {
 	var followers sync.WaitGroup
@@ -235,6 +247,7 @@
 func (c *Catalog) listStore(ctx context.Context, state *storeState, source eventSource) (next uint64, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := c.now()
 	listing, err := source.client.List(callCtx, source.address)
 	if err != nil {
 		return 0, err
@@ -243,6 +256,15 @@
 	defer c.mu.Unlock()
 	c.setClock(listing.Clock)
 	now := time.Now()
+	storeEpoch, confirmedAt := listing.StoreEpoch, listing.ConfirmedAt
+	if source.direct {
+		storeEpoch, confirmedAt = listing.Epoch, c.confirmedAt(listing.Clock, sentAt)
+	}
+	if !state.term.begun() || storeEpoch != state.storeEpoch {
+		state.term.begin(c.now())
+	}
+	state.storeEpoch = storeEpoch
+	state.term.confirm(confirmedAt)
 	if listing.Epoch != state.epoch {
 		state.unfinished = nil
 	}
@@ -261,13 +283,14 @@
 	}
 	event.Info(c.Log, event.CacheStoreListed, "store", state.store.Name, "epoch", listing.Epoch, "parts", len(listing.Held),
 		"leftOut", state.untracked, "unfinished", len(listing.Unfinished), "tokens", state.used,
-		"from", source.address)
+		"from", source.address, "storeEpoch", storeEpoch, "savesInMs", state.term.savesIn(c.now()).Milliseconds())
 	return listing.Next, nil
 }
 
 func (c *Catalog) watchStore(ctx context.Context, state *storeState, source eventSource, since uint64) (next uint64, listed bool, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, pollWait+callTimeout)
 	defer cancel()
+	sentAt := c.now()
 	changes, err := source.client.Watch(callCtx, source.address, since, pollWait)
 	if err != nil {
 		return since, false, err
@@ -281,6 +304,11 @@
 			"eventsLost", changes.Lost)
 		return since, false, nil
 	}
+	confirmedAt := changes.ConfirmedAt
+	if source.direct {
+		confirmedAt = c.confirmedAt(changes.Clock, sentAt)
+	}
+	state.term.confirm(confirmedAt)
 	for _, change := range changes.Changes {
 		if c.removePart(state, change.Key); !change.Gone {
 			c.addPart(state, change.Held)
@@ -342,15 +370,27 @@
 
 func (c *Catalog) setClock(clock time.Duration) {
 	if clock > 0 {
-		c.clock.observe(clock, bootclock.Now())
+		c.clock.observe(clock, c.now())
+	}
+}
+
+// confirmedAt returns a time by the servers' clock at which a store was in the epoch of its response: the time that the response states,
+// or that of the call. It returns 0 if the servers' clock is unknown. The caller must hold mu.
+func (c *Catalog) confirmedAt(stated, sentAt time.Duration) time.Duration {
+	switch {
+	case stated > 0:
+		return stated
+	case !c.clock.known:
+		return 0
 	}
+	return c.clock.serverTime(sentAt)
 }
 
 // Clock returns the estimated current time by the servers' clock, and false if no response has stated a time yet.
 func (c *Catalog) Clock() (clock time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.clock.serverTime(bootclock.Now()), c.clock.known
+	return c.clock.serverTime(c.now()), c.clock.known
 }
 
 // List returns the stores of the configuration in force. The result must not be changed.
--- a/internal/connection/kvstore/relay.go
+++ b/internal/connection/kvstore/relay.go
@@ -44,7 +44,7 @@
 	// changes holds the last changes since the listing, at most maxRelayedChanges; first is the number of the first of them.
 	changes []Change
 	first   uint64
-	// changed is closed and replaced when changes are added and after each listing.
+	// changed is closed and replaced after each response of the store.
 	changed chan struct{}
 }
 
@@ -53,10 +53,8 @@
 	l.notify()
 }
 
+// add appends changes, if any, and wakes the polls that wait.
 func (l *changeLog) add(changes []Change) {
-	if len(changes) == 0 {
-		return
-	}
 	l.changes = append(l.changes, changes...)
 	if excess := len(l.changes) - maxRelayedChanges; excess > 0 {
 		l.changes = append(l.changes[:0], l.changes[excess:]...)
@@ -123,7 +121,8 @@
 	if state == nil {
 		return listing, false
 	}
-	listing = Listing{Epoch: state.changeLog.generation, Next: state.changeLog.next()}
+	listing = Listing{Epoch: state.changeLog.generation, Next: state.changeLog.next(), StoreEpoch: state.storeEpoch,
+		ConfirmedAt: state.term.confirmedAt}
 	if hasClock {
 		listing.Clock = clock
 	}
@@ -139,11 +138,12 @@
 	return listing, true
 }
 
-// changes returns the changes of a store from number since on. If there are none yet, it waits for up to pollWait. ok is false if this
-// gateway does not read the events of the store itself or does not know its contents.
+// changes returns the changes of a store from number since on. If there are none yet, it waits for them or for the store's next
+// confirmation of its epoch, up to pollWait. ok is false if this gateway does not read the events of the store itself or does not know
+// its contents.
 func (c *Catalog) changes(ctx context.Context, store string, since uint64) (response Changes, ok bool) {
 	deadline := time.After(pollWait)
-	for {
+	for first := true; ; first = false {
 		clock, hasClock := c.Clock()
 		c.mu.Lock()
 		state := c.directState(store)
@@ -151,7 +151,8 @@
 			c.mu.Unlock()
 			return response, false
 		}
-		response = Changes{Epoch: state.changeLog.generation, Next: state.changeLog.next(), Lost: since < state.changeLog.first || since > state.changeLog.next()}
+		response = Changes{Epoch: state.changeLog.generation, Next: state.changeLog.next(), ConfirmedAt: state.term.confirmedAt,
+			Lost: since < state.changeLog.first || since > state.changeLog.next()}
 		if !response.Lost {
 			response.Changes = append([]Change(nil), state.changeLog.changes[since-state.changeLog.first:]...)
 		}
@@ -160,7 +161,7 @@
 		if hasClock {
 			response.Clock = clock
 		}
-		if response.Lost || len(response.Changes) > 0 {
+		if response.Lost || len(response.Changes) > 0 || !first {
 			return response, true
 		}
 		select {
--- a/internal/connection/kvstore/scoped.go
+++ b/internal/connection/kvstore/scoped.go
@@ -22,7 +22,23 @@
 	s.catalog.mu.Lock()
 	defer s.catalog.mu.Unlock()
 	state := s.catalog.stores[store]
-	return state != nil && state.known && state.held[s.key(p)] >= p.Tokens && p.Tokens > 0
+	return state != nil && s.catalog.mayFetch(state) && state.held[s.key(p)] >= p.Tokens && p.Tokens > 0
+}
+
+// mayFetch reports whether parts may be fetched from a store and there is time left for that. The caller must hold mu.
+func (c *Catalog) mayFetch(state *storeState) bool {
+	return state.known && c.clock.known && c.clock.serverTime(c.now())+minFetchTime <= state.term.fetchBy()
+}
+
+// FetchBy returns the time by the servers' clock by which a fetch from a store must have ended, 0 if none may be requested.
+func (s *Scoped) FetchBy(store string) time.Duration {
+	s.catalog.mu.Lock()
+	defer s.catalog.mu.Unlock()
+	state := s.catalog.stores[store]
+	if state == nil || !state.known {
+		return 0
+	}
+	return state.term.fetchBy()
 }
 
 // Saving implements tiering.Catalog.
@@ -37,12 +53,12 @@
 	return saving
 }
 
-// Room implements tiering.Catalog. It is 0 for a store whose contents are not known.
+// Room implements tiering.Catalog. It is 0 for a store whose contents are not known or that may have restarted a moment ago.
 func (s *Scoped) Room(store string) int {
 	s.catalog.mu.Lock()
 	defer s.catalog.mu.Unlock()
 	state := s.catalog.stores[store]
-	if state == nil || !state.known {
+	if state == nil || !s.catalog.mayFetch(state) || state.term.savesIn(s.catalog.now()) > 0 {
 		return 0
 	}
 	room := state.store.Tokens - state.used
--- a/internal/connection/kvstore/stores.go
+++ b/internal/connection/kvstore/stores.go
@@ -33,6 +33,10 @@
 	Unfinished []Unfinished
 	// Clock is the servers' time, or 0 if the response did not state it.
 	Clock time.Duration
+	// StoreEpoch and ConfirmedAt are set by other gateways only, whose Epoch is not the one of the store: the store's own epoch, and the
+	// servers' time at which the store last confirmed it to that gateway, 0 if unknown.
+	StoreEpoch  uint64
+	ConfirmedAt time.Duration
 }
 
 // Change is a part that appeared or disappeared.
@@ -50,6 +54,8 @@
 	Lost    bool
 	Changes []Change
 	Clock   time.Duration // as in Listing
+	// ConfirmedAt is as in Listing.
+	ConfirmedAt time.Duration
 }
 
 // Stores is a client of KV stores.
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -185,10 +185,18 @@
 	}
 	o.Tiers = req.tierActions(service, version)
 	o.Until = clock + tiering.TransferTimeout
-	now := time.Now()
+	now, scope := time.Now(), req.handler.Tiers.Scope(o.Scope)
 	for i, a := range o.Tiers {
+		if a.Fetch != nil {
+			by := scope.FetchBy(a.Fetch.Name)
+			if by == 0 { // the store has become unknown since
+				o.Tiers[i].Fetch = nil
+				continue
+			}
+			o.Until = min(o.Until, by)
+		}
 		if a.Save != nil {
-			req.handler.Tiers.Scope(o.Scope).MarkSaving(a.Save.Name, req.meta.Parts[i], now)
+			scope.MarkSaving(a.Save.Name, req.meta.Parts[i], now)
 		}
 	}
 }
