Refuse late streams in a stop unless their deadline is before its end

Cause: a late stream was taken if a quarter above the longest of the earlier streams of its kind fits into the time left. Earlier streams don't bound the next one, which may be longer and whose endpoint may pause. Ruled out: that the connection should not bring another request; an answer that began before the stop cannot announce its close.

Change: a stream that comes late is refused as not run unless its deadline is before the end of the stop.

--- a/internal/request/forward/stop.go
+++ b/internal/request/forward/stop.go
@@ -16,7 +16,7 @@
 type Stop struct {
 	// EndBy is when each request has its final answer at the latest, or is broken off if its answer has begun.
 	EndBy time.Time
-	// LateFrom is the time from which a stream that may be broken off at EndBy is refused, so that its caller gets it elsewhere.
+	// LateFrom is the time from which a stream whose deadline is after EndBy is refused, so that its caller gets it elsewhere.
 	LateFrom time.Time
 }
 
@@ -30,8 +30,6 @@
 	// onceQuantile that of one that may not be repeated: its caller can come back after a refusal, but not after an unknown outcome.
 	typicalQuantile = 0.9
 	onceQuantile    = 0.99
-	// streamMargin is the factor on the longest of these times for a late stream.
-	streamMargin = 1.25
 )
 
 // Stop makes the handler end all requests by s.EndBy and refuse those that cannot end by then. It must not be called more than once.
@@ -78,45 +76,40 @@
 	req.giveUp("Stopping", stopRetryAfter)
 }
 
-// fitsStop reports whether the request can probably end before a stop does. If it cannot, it is refused, so that its caller can send it to
-// another gateway.
+// fitsStop reports whether the request can end before a stop does: probably, or certainly if it is a late stream, which cannot be answered
+// otherwise once it has begun. If it cannot, it is refused, so that its caller can send it to another gateway.
 func (req *request) fitsStop() bool {
 	s := req.handler.stopping.Load()
 	if s == nil || !req.deadline.After(s.EndBy) {
 		return true
 	}
 	now := time.Now()
-	left := s.EndBy.Sub(now)
-	expected, known := req.expectedTime(s, now)
-	if left > 0 && known && expected <= left {
+	left, expected := s.EndBy.Sub(now), req.expectedTime()
+	// How long earlier streams took does not bound a late one: it may be longer, and any endpoint may pause.
+	lateStream := req.route.Streaming && !now.Before(s.LateFrom)
+	if left > 0 && expected <= left && !lateStream {
 		return true
 	}
-	req.logStop("Refused", "expectedMs", expected.Milliseconds())
+	req.logStop("Refused", "expectedMs", expected.Milliseconds(), "lateStream", lateStream, "allowedMs", req.deadline.Sub(now).Milliseconds())
 	req.refuse(http.StatusServiceUnavailable, "Stopping", "the gateway stops before the request can end", stopRetryAfter)
 	return false
 }
 
-// expectedTime returns how long the request probably takes, by the answers to earlier ones of its kind of route and service. Without any,
-// the time is known to be 0, but unknown for a late stream, which cannot be answered otherwise once it has begun.
-func (req *request) expectedTime(s *Stop, now time.Time) (expected time.Duration, known bool) {
-	late := req.route.Streaming && !now.Before(s.LateFrom)
+// expectedTime returns how long the request probably takes, by the answers to earlier ones of its kind of route and service, or 0 if there
+// were none.
+func (req *request) expectedTime() time.Duration {
 	if req.handler.Metrics == nil {
-		return 0, !late
+		return 0
 	}
 	took, ok := req.handler.Metrics.Get(req.metricName("Took", endAnswered.String())).(metrics.Histogram)
-	if !ok || took.Count() == 0 {
-		return 0, !late
+	if !ok {
+		return 0
 	}
-	var micros float64
-	switch {
-	case late:
-		micros = streamMargin * float64(took.Max())
-	case req.route.Repeat == site.Never && !req.route.Streaming:
-		micros = took.Percentile(onceQuantile)
-	default:
-		micros = took.Percentile(typicalQuantile)
+	quantile := typicalQuantile
+	if req.route.Repeat == site.Never && !req.route.Streaming {
+		quantile = onceQuantile
 	}
-	return time.Duration(micros) * time.Microsecond, true
+	return time.Duration(took.Percentile(quantile)) * time.Microsecond
 }
 
 // logStop logs what a stop means for the request.
--- a/internal/request/forward/stop_test.go
+++ b/internal/request/forward/stop_test.go
@@ -83,7 +83,7 @@
 }
 
 // TestAdmissionAtStop guards against a request that is taken during a stop although it cannot end before the stop does, and against one that is refused although it
-// can. A stream that comes late must be sure to end, since nothing can be answered once it has begun.
+// can. A stream that comes late must be sure to end, since nothing can be answered once it has begun; earlier streams say nothing about that.
 func TestAdmissionAtStop(t *testing.T) {
 	const left, fast, slow = 800 * time.Millisecond, 20 * time.Millisecond, 1200 * time.Millisecond
 	for name, test := range map[string]struct {
@@ -100,16 +100,19 @@
 		"one was slow, idempotent":       {"/always/1", append(make([]time.Duration, 20), slow), true, "", true},
 		"slow, but its deadline is soon": {"/never/1", []time.Duration{slow}, true, "Deadline: 500", true},
 		"late stream, nothing known":     {"/stream/1", nil, true, "", false},
-		"late stream, fast":              {"/stream/1", []time.Duration{fast}, true, "", true},
+		"late stream, others were fast":  {"/stream/1", []time.Duration{fast}, true, "", false},
+		"late stream, may be resumed":    {"/resume/1", []time.Duration{fast}, true, "", false},
+		"late stream, is taken up":       {"/resume/1", []time.Duration{fast}, true, "After: 1", false},
 		"late stream, one was slow":      {"/stream/1", append(make([]time.Duration, 20), slow), true, "", false},
 		"early stream, one was slow":     {"/stream/1", append(make([]time.Duration, 20), slow), false, "", true},
 		"early stream, nothing known":    {"/stream/1", nil, false, "", true},
 		"late stream, deadline is soon":  {"/stream/1", []time.Duration{slow}, true, "Deadline: 500", true},
+		"early stream, fast":             {"/stream/1", []time.Duration{fast}, false, "", true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(t, func(_ int, id string, r *http.Request, c net.Conn) bool {
-				if !strings.HasPrefix(r.URL.Path, "/stream/") {
+				if r.URL.Path == "/never/1" || r.URL.Path == "/always/1" {
 					return writeOK(c, id, "good")
 				}
 				streamHead(c, id)
