Keep requests at silent engines that can go on nowhere else

Callers saw streams of a sound engine, which sends nothing for a second or so and then goes on, cut within the answer or answered 502 OutcomeUnknown.

Cause: the watch takes an engine for silent that sends nothing for 0.35 s and answers no question within 0.45 s, and released all requests in flight there, also those that may not be repeated. Their callers gain nothing by an early end and lose the answer if the engine is sound. Ruled out: a time limit of the connection, crash marks and the retry budget (with the watch off no stream was cut).

Change: silence releases a request only if it may be repeated and has a run and time left, the budget grants a retry, and there is another eligible endpoint. The others stay until the engine goes on, the connection breaks, the caller leaves or the deadline passes. A silent engine is still suspect at once, and is not asked again while nothing depends on its answer. EndpointSilent names the requests and tells how many stay; a released attempt is logged as "endpoint is silent" in place of "context canceled".

--- a/internal/request/forward/oldweights.go
+++ b/internal/request/forward/oldweights.go
@@ -72,9 +72,9 @@
 	return view.ReplacedFor(model, version)
 }
 
-// cause returns err, or errOldWeights or errStopping if the attempt was cancelled for that.
+// cause returns err, or errOldWeights, errSilent or errStopping if the attempt was cancelled for that.
 func (a *attempt) cause(err error) error {
-	if cause := context.Cause(a.ctx); errors.Is(cause, errOldWeights) || errors.Is(cause, errStopping) {
+	if cause := context.Cause(a.ctx); errors.IsAny(cause, errOldWeights, errSilent, errStopping) {
 		return cause
 	}
 	return err
--- a/internal/request/forward/silence.go
+++ b/internal/request/forward/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,10 +33,13 @@
 	questionTimeout = 450 * time.Millisecond
 	// maxQuestions bounds the endpoints that are asked at the same time.
 	maxQuestions = 32
+	// maxLoggedRequests bounds the requests that are named when an endpoint is found silent.
+	maxLoggedRequests = 32
 )
 
-// SilenceWatch finds engines that stopped sending although requests are in flight there, and releases these requests. Its exported
-// fields must be set before the first call.
+// SilenceWatch finds engines that stopped sending although requests are in flight there, so that new requests go elsewhere, and releases
+// those requests that can go on elsewhere. The others stay: a sound engine may be silent for a second or so. Its exported fields must be set
+// before the first call.
 type SilenceWatch struct {
 	Table  *placement.Table
 	Prober Prober
@@ -56,6 +60,8 @@
 	endpoint *site.Endpoint
 	flights  map[*flight]struct{}
 	asking   bool
+	// silentAt is when the endpoint was last found silent.
+	silentAt time.Time
 }
 
 // flight is an attempt in flight at an endpoint that is watched for silence.
@@ -158,6 +164,9 @@
 		for f := range e.flights {
 			state.Attempts = append(state.Attempts, f.state)
 		}
+		if e.silentAt.After(heardAt) && !slices.ContainsFunc(state.Attempts, func(a progress.Attempt) bool { return progress.Releasable(now, a) }) {
+			continue // nothing depends on the answer
+		}
 		if (accused && len(e.flights) > 0) || w.Rule.Doubtful(now, state) {
 			e.asking = true
 			w.asking++
@@ -195,29 +204,44 @@
 	}
 	w.count("Endpoints.Silent")
 	w.Table.Silent(now, e.endpoint)
-	released := w.releaseFlights(e, now, askedAt)
-	event.Info(w.Log, event.EndpointSilent, "endpoint", e.endpoint.ID, "released", released, "heardMs", agoMillis(now, heardAt),
-		"askedMs", now.Sub(askedAt).Milliseconds(), "reason", err.Error())
+	e.silentAt = now
+	released, withoutRetry := w.releaseFlights(e, now, askedAt)
+	event.Info(w.Log, event.EndpointSilent, "endpoint", e.endpoint.ID, "released", len(released), "kept", len(e.flights)-len(released), "withoutRetry", withoutRetry,
+		"heardMs", agoMillis(now, heardAt), "askedMs", now.Sub(askedAt).Milliseconds(), "reason", err.Error(), "requests", released[:min(len(released), maxLoggedRequests)])
 }
 
-// releaseFlights cancels the attempts that were sent to a silent endpoint before it was asked, in the order of
-// progress.ReleaseOrder, and takes retries for them from the budget in that order. It returns their number. The caller must hold mu,
-// so that no attempt ends meanwhile and the requests' own goroutines don't use their state.
-func (w *SilenceWatch) releaseFlights(e *watchedEndpoint, now, askedAt time.Time) int {
+// releaseFlights cancels the attempts that were sent to a silent endpoint before it was asked and whose requests can go on elsewhere, in the
+// order of progress.ReleaseOrder, and takes retries for them from the budget in that order. It returns the IDs of their requests, and the
+// number of attempts that stay since the budget is used up. The caller must hold mu, so that no attempt ends meanwhile and the requests' own
+// goroutines don't use their state.
+func (w *SilenceWatch) releaseFlights(e *watchedEndpoint, now, askedAt time.Time) (released []string, withoutRetry int) {
 	var flights []*flight
 	var states []progress.Attempt
 	for f := range e.flights {
-		if f.state.SentAt.Before(askedAt) {
+		if f.state.SentAt.Before(askedAt) && f.attempt.req.hasAlternative(now) {
 			flights, states = append(flights, f), append(states, f.state)
 		}
 	}
 	for _, i := range progress.ReleaseOrder(now, states) {
-		if req := flights[i].attempt.req; states[i].Repeatable {
-			req.retryTaken = req.takeRetry()
+		req := flights[i].attempt.req
+		if !req.takeRetry() {
+			withoutRetry++
+			continue
 		}
+		req.retryTaken = true
+		released = append(released, req.meta.ID)
 		flights[i].release(errSilent)
 	}
-	return len(flights)
+	return released, withoutRetry
+}
+
+// hasAlternative reports whether there is an eligible endpoint to which the request was not sent yet.
+func (req *request) hasAlternative(now time.Time) bool {
+	eligible := req.handler.serviceRing(req.snapshot, req.service, nil).eligible
+	if req.pinned.active {
+		eligible = req.endpointsOfBuild(now)
+	}
+	return slices.ContainsFunc(eligible, func(e *site.Endpoint) bool { return !slices.Contains(req.tried, e.ID) })
 }
 
 // agoMillis returns how long ago t was in milliseconds, or -1 if t is zero.
--- a/pkg/progress/doc.go
+++ b/pkg/progress/doc.go
@@ -8,6 +8,9 @@
 // usual pause between two events. A doubtful endpoint is asked for a sign of life, and only one that does not answer is silent. A
 // slow but sound engine answers and keeps its streams, whatever its pace.
 //
+// Silence is no proof of a crash: a sound engine may send nothing for a second or so and go on. So it decides where new requests go, and which
+// requests go on elsewhere, but it ends none.
+//
 // The package does not measure, call or cancel anything, and reads no clock.
 //
 // # Usage
