Release requests of silent engines after 1.3 s

Callers lost nothing, but requests that may be repeated ran twice, on the retry budget, when a sound engine sent nothing for a second.

Cause: one time limit decided both that new requests avoid an engine and that its requests go on elsewhere, 0.8 s after its last sign. The first is cheap to undo, the second is not.

Change: an engine is suspect after 0.8 s as before; its requests are released after 1.3 s of silence, counted from its last sign or from when the first of them was sent. An answer meanwhile ends the doubt.

--- a/internal/request/forward/silence.go
+++ b/internal/request/forward/silence.go
@@ -28,7 +28,7 @@
 	// silenceInterval is the time between two checks of the endpoints with attempts in flight.
 	silenceInterval = 50 * time.Millisecond
 	// A question is sent twice, questionDelay apart, since a packet may be lost; without an answer within questionTimeout, the
-	// endpoint is silent.
+	// endpoint is suspect, and silent without one until progress.Rule.ReleaseAt.
 	questionDelay   = 150 * time.Millisecond
 	questionTimeout = 450 * time.Millisecond
 	// maxQuestions bounds the endpoints that are asked at the same time.
@@ -60,8 +60,18 @@
 	endpoint *site.Endpoint
 	flights  map[*flight]struct{}
 	asking   bool
-	// silentAt is when the endpoint was last found silent.
-	silentAt time.Time
+	// silentAt is when the endpoint was last found silent. releaseAt is when its requests may be released if it does not answer the present
+	// question.
+	silentAt, releaseAt time.Time
+}
+
+// state returns what is known of the endpoint. The caller must hold the watch's mu.
+func (e *watchedEndpoint) state(heardAt, others time.Time) progress.Endpoint {
+	s := progress.Endpoint{HeardAt: heardAt, OthersHeardAt: others}
+	for f := range e.flights {
+		s.Attempts = append(s.Attempts, f.state)
+	}
+	return s
 }
 
 // flight is an attempt in flight at an endpoint that is watched for silence.
@@ -160,15 +170,12 @@
 			continue
 		}
 		heardAt, others, accused := w.Table.LastHeard(now, e.endpoint)
-		state := progress.Endpoint{HeardAt: heardAt, OthersHeardAt: others}
-		for f := range e.flights {
-			state.Attempts = append(state.Attempts, f.state)
-		}
+		state := e.state(heardAt, others)
 		if e.silentAt.After(heardAt) && !slices.ContainsFunc(state.Attempts, func(a progress.Attempt) bool { return progress.Releasable(now, a) }) {
 			continue // nothing depends on the answer
 		}
 		if (accused && len(e.flights) > 0) || w.Rule.Doubtful(now, state) {
-			e.asking = true
+			e.asking, e.releaseAt = true, w.Rule.ReleaseAt(state)
 			w.asking++
 			list = append(list, e)
 		}
@@ -179,7 +186,9 @@
 // examine asks a doubtful endpoint for a sign of life and releases its attempts if it gives none.
 func (w *SilenceWatch) examine(ctx context.Context, e *watchedEndpoint) {
 	askedAt := time.Now()
-	err := w.ask(ctx, e.endpoint)
+	suspicion := time.AfterFunc(questionTimeout, func() { w.suspect(e.endpoint, askedAt) })
+	err := w.ask(ctx, e.endpoint, latest(e.releaseAt, askedAt.Add(questionTimeout)))
+	suspicion.Stop()
 	now := time.Now()
 	if ctx.Err() != nil {
 		err = nil
@@ -252,10 +261,28 @@
 	return now.Sub(t).Milliseconds()
 }
 
+// suspect makes new requests avoid an endpoint that has sent nothing since askedAt.
+func (w *SilenceWatch) suspect(e *site.Endpoint, askedAt time.Time) {
+	now := time.Now()
+	heardAt, _, _ := w.Table.LastHeard(now, e)
+	if !heardAt.After(askedAt) && w.Table.Silent(now, e) {
+		event.Info(w.Log, event.EndpointSuspect, "endpoint", e.ID, "outcome", placement.Silent.String(), "heardMs", agoMillis(now, heardAt),
+			"askedMs", now.Sub(askedAt).Milliseconds())
+	}
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // ask asks an endpoint for a sign of life, twice unless the first question is answered soon. It returns the first error if neither
-// is answered in time. A refused connection is an error at once.
-func (w *SilenceWatch) ask(ctx context.Context, e *site.Endpoint) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+// is answered by a time. A refused connection is an error at once.
+func (w *SilenceWatch) ask(ctx context.Context, e *site.Endpoint, by time.Time) (err error) {
+	ctx, cancel := context.WithDeadline(ctx, by)
 	defer cancel()
 	answers := make(chan error, 2)
 	question := func() { answers <- w.Prober.Alive(ctx, e) }
--- a/internal/request/forward/silence_test.go
+++ b/internal/request/forward/silence_test.go
@@ -51,7 +51,7 @@
 	f.snapshot.Configuration.Services["S"].Engine = &site.Engine{}
 	p := &prober{dark: map[string]bool{}}
 	f.handler.Silence = &forward.SilenceWatch{Table: f.handler.Table, Prober: p, Log: logr.Discard(),
-		Rule: progress.Rule{MinSilence: 200 * time.Millisecond}}
+		Rule: progress.Rule{MinSilence: 200 * time.Millisecond, ReleaseSilence: 1100 * time.Millisecond}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var background sync.WaitGroup
 	background.Go(func() { _ = f.handler.Silence.Run(ctx) })
@@ -211,6 +211,63 @@
 	}
 }
 
+// TestShortSilenceRepeatsNothing guards against runs of a request at two endpoints, and retries of the budget, for an engine that is silent for a
+// second and goes on. New requests avoid it meanwhile.
+func TestShortSilenceRepeatsNothing(t *testing.T) {
+	for _, events := range []int{0, 2} { // before the silence
+		t.Run(fmt.Sprintf("%d events", events), func(t *testing.T) {
+			is := is.New(t)
+			var p *prober
+			var f *fixture
+			silent := make(chan string, 1)
+			f, p = newWatchedFixture(t, func(n int, id string, r *http.Request, c net.Conn) bool {
+				e := 0
+				if n == 0 {
+					if events > 0 {
+						streamHead(c, id)
+					}
+					for ; e < events; e++ {
+						writeEvent(c, e+1)
+					}
+					p.setDark(r.Header.Get("Endpoint"))
+					silent <- r.Header.Get("Endpoint")
+					time.Sleep(950 * time.Millisecond)
+				}
+				if e == 0 {
+					streamHead(c, id)
+				}
+				for ; e < 3; e++ {
+					writeEvent(c, e+1)
+				}
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+				return true
+			})
+			var others sync.WaitGroup
+			others.Go(func() {
+				id := <-silent
+				time.Sleep(800 * time.Millisecond)
+				told := false
+				for _, l := range f.handler.Table.UrgentLoads(time.Now()) {
+					told = told || (l.Silent && l.Endpoint == id)
+				}
+				is.True(told) // other gateways hear of the suspicion
+				for range 4 {
+					status, _, took, err := get(t, f, "/stream/")
+					is.NoErr(err)
+					is.Equal(status, 200)
+					is.True(took < 100*time.Millisecond)
+				}
+			})
+			status, body, _, err := get(t, f, "/resume/")
+			others.Wait()
+			is.NoErr(err)
+			is.Equal(status, 200)
+			is.Equal(body, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n")
+			is.Equal(f.arrivalCount(), 1+4)
+		})
+	}
+}
+
 // TestSlowButSoundEngine guards against cutting the stream of an engine that is slow: it sends an event each second, ten times slower
 // than its callers are used to, and answers questions.
 func TestSlowButSoundEngine(t *testing.T) {
--- a/pkg/progress/doc.go
+++ b/pkg/progress/doc.go
@@ -8,8 +8,9 @@
 // usual pause between two events. A doubtful endpoint is asked for a sign of life, and only one that does not answer is silent. A
 // slow but sound engine answers and keeps its streams, whatever its pace.
 //
-// Silence is no proof of a crash: a sound engine may send nothing for a second or so and go on. So it decides where new requests go, and which
-// requests go on elsewhere, but it ends none.
+// Silence is no proof of a crash: a sound engine may send nothing for a second or so and go on. So it decides at once where new requests go, later
+// which requests in flight go on elsewhere, since each of them draws on the retry budget and runs twice if the endpoint is sound, but it ends
+// none.
 //
 // The package does not measure, call or cancel anything, and reads no clock.
 //
@@ -17,7 +18,7 @@
 //
 //	rule := progress.Rule{}
 //	if rule.Doubtful(now, progress.Endpoint{HeardAt: heard, Attempts: attempts}) {
-//		// Ask the endpoint; if it does not answer:
+//		// Ask the endpoint; if it does not answer until rule.ReleaseAt:
 //		for _, i := range progress.ReleaseOrder(now, attempts) { ... }
 //	}
 package progress
--- a/pkg/progress/progress_test.go
+++ b/pkg/progress/progress_test.go
@@ -63,6 +63,17 @@
 	is.True(progress.Rule{}.Doubtful(at(5*time.Second), e))
 }
 
+// TestReleaseAt guards against releasing requests of an endpoint that had nothing to send before they were sent.
+func TestReleaseAt(t *testing.T) {
+	is := is.New(t)
+	attempts := []progress.Attempt{{SentAt: at(2 * time.Second)}, {SentAt: at(time.Second)}}
+	const silence = progress.DefaultReleaseSilence
+	is.Equal(progress.Rule{}.ReleaseAt(progress.Endpoint{Attempts: attempts}), at(time.Second+silence))
+	is.Equal(progress.Rule{}.ReleaseAt(progress.Endpoint{Attempts: attempts, HeardAt: start}), at(time.Second+silence))
+	is.Equal(progress.Rule{}.ReleaseAt(progress.Endpoint{Attempts: attempts, HeardAt: at(3 * time.Second)}), at(3*time.Second+silence))
+	is.Equal(progress.Rule{ReleaseSilence: time.Minute}.ReleaseAt(progress.Endpoint{Attempts: attempts}), at(time.Second+time.Minute))
+}
+
 // TestReleaseOrder plays the load of a quarter of the engines going dark with fewer retries left than requests: those who lose most
 // without a retry go first. It guards against ending what can go on nowhere else.
 func TestReleaseOrder(t *testing.T) {
--- a/pkg/progress/rule.go
+++ b/pkg/progress/rule.go
@@ -12,6 +12,8 @@
 	DefaultMinSilence = 350 * time.Millisecond
 	// DefaultMaxSilence bounds the silence that a long queue explains, since the engine would report on other work meanwhile.
 	DefaultMaxSilence = 2500 * time.Millisecond
+	// DefaultReleaseSilence is longer than a sound endpoint is usually silent, and leaves a request time to go on elsewhere.
+	DefaultReleaseSilence = 1300 * time.Millisecond
 )
 
 const (
@@ -54,6 +56,23 @@
 	// the defaults.
 	MinSilence time.Duration
 	MaxSilence time.Duration
+	// ReleaseSilence is the shortest silence after which requests go on elsewhere. Zero stands for the default.
+	ReleaseSilence time.Duration
+}
+
+// ReleaseAt returns when the requests at an endpoint that goes on being silent may be released: ReleaseSilence after its last sign or after the
+// first of the requests in flight was sent, whichever is later.
+func (r Rule) ReleaseAt(e Endpoint) time.Time {
+	var since time.Time
+	for i, a := range e.Attempts {
+		if i == 0 || a.SentAt.Before(since) {
+			since = a.SentAt
+		}
+	}
+	if e.HeardAt.After(since) {
+		since = e.HeardAt
+	}
+	return since.Add(cmp.Or(r.ReleaseSilence, DefaultReleaseSilence))
 }
 
 // Allowed returns how long an endpoint with an attempt may send nothing at all, from MinSilence to MaxSilence.
