Bound the memory for answers of all requests together

Another operator's gateways ran out of memory when a faulty server sent bytes without end. Callers here would lose all requests of a gateway that is killed for its memory.

Cause: each answer has limits (256 KiB for heads, 256 KiB of a body, 128 KiB of an event), but the sum had none, and a head in short lines takes up many times its length.

Change: answers share a budget of 0.05 of the allowed memory beyond 16 KiB each, heads beyond 4 KiB, each byte of those counted ten times. Without room a body is relayed as it arrives; a stream with so long an event and an answer with so long a head are broken. pkg/memory is the budget.

--- a/internal/connection/endpoint/conn.go
+++ b/internal/connection/endpoint/conn.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"primrosecourse/pkg/memory"
 )
 
 const (
@@ -31,21 +33,39 @@
 	// net/http's parser has no limit of its own: a head without end would be read until the memory is full.
 	maxHeadBytes = 256 << 10
 	maxStrayBody = 256 << 10
+	// freeHeadBytes is the length of a head that needs no memory of the pool's budget. headMemory is the memory for a byte beyond it, most of
+	// all in short lines, which take up many times their length once they are parsed.
+	freeHeadBytes = 4 << 10
+	headMemory    = 10
 )
 
-// errHeadTooLong means that the endpoint sent maxHeadBytes before the end of a head.
-var errHeadTooLong = errors.New("head of the response is too long")
+// Errors of reading a head.
+var (
+	// errHeadTooLong means that the endpoint sent maxHeadBytes before the end of a head.
+	errHeadTooLong = errors.New("head of the response is too long")
+	// errNoHeadMemory means that the heads of the responses to all requests would exceed the pool's budget.
+	errNoHeadMemory = errors.New("no memory for the head of the response")
+)
 
-// headLimiter reads from a connection and, while limited, no more than remaining bytes.
+// headLimiter reads from a connection and, while limited, no more than remaining bytes, for which there must be memory.
 type headLimiter struct {
 	net.Conn
 	limited   bool
 	remaining int
+	// read is the number of bytes that were read while limited, memory what they take up.
+	read   int
+	memory *memory.Holder
 }
 
 // limit allows n bytes from now on, and any number if n is negative.
 func (r *headLimiter) limit(n int) { r.limited, r.remaining = n >= 0, n }
 
+// reset releases the memory of the heads that were read.
+func (r *headLimiter) reset() {
+	r.read = 0
+	r.memory.Release()
+}
+
 // Read implements io.Reader.
 func (r *headLimiter) Read(p []byte) (n int, err error) {
 	if r.limited && r.remaining == 0 {
@@ -55,8 +75,12 @@
 		p = p[:r.remaining]
 	}
 	n, err = r.Conn.Read(p)
-	if r.limited {
-		r.remaining -= n
+	if !r.limited {
+		return n, err
+	}
+	r.remaining -= n
+	if r.read += n; r.read > freeHeadBytes && !r.memory.Grow(headMemory*(r.read-freeHeadBytes)) {
+		return 0, errNoHeadMemory
 	}
 	return n, err
 }
@@ -73,11 +97,11 @@
 	reused bool
 }
 
-func newConn(c net.Conn) *conn {
+func newConn(c net.Conn, budget *memory.Budget) *conn {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		setKeepAlive(tcp)
 	}
-	limiter := &headLimiter{Conn: c}
+	limiter := &headLimiter{Conn: c, memory: budget.Hold(0)}
 	return &conn{Conn: c, br: bufio.NewReaderSize(limiter, 4096), limiter: limiter, idleLimit: defaultIdleLimit}
 }
 
--- a/internal/connection/endpoint/endless_test.go
+++ b/internal/connection/endpoint/endless_test.go
@@ -7,12 +7,15 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+
+	"primrosecourse/pkg/memory"
 )
 
 // TestEndlessBytes guards against bytes without end that are no answer: the call ends with bounded memory, long before its deadline,
@@ -72,6 +75,43 @@
 	}
 }
 
+// TestHeadsWithoutMemory guards against heads of responses that outgrow the memory together though each keeps within its limit, and against
+// memory that stays drawn after the exchange.
+func TestHeadsWithoutMemory(t *testing.T) {
+	is := is.New(t)
+	const fields = "A: b\r\n"
+	s := startEndpoint(t, func(s *fakeEndpoint, _ int, c net.Conn, br *bufio.Reader) {
+		for {
+			id, ok := s.readRequest(br)
+			if !ok {
+				return
+			}
+			n, _ := strconv.Atoi(id)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 0\r\n"+strings.Repeat(fields, n)+"\r\n")
+		}
+	})
+	p := newPool(t)
+	p.Memory = memory.New(1 << 20)
+	exchange := func(lines string) (held int64, err error) {
+		a, err := p.Send(context.Background(), Target{ID: "e1", Address: s.addr}, newCall(lines))
+		held = p.Memory.Held()
+		if err == nil {
+			a.Close()
+		}
+		return held, err
+	}
+	held, err := exchange("20") // a usual head
+	is.NoErr(err)
+	is.Equal(held, int64(0))
+	held, err = exchange("5000")
+	is.NoErr(err)
+	is.True(held > 200_000)
+	is.Equal(p.Memory.Held(), int64(0))
+	_, err = exchange("30000")
+	is.True(errors.Is(err, ErrBroken))
+	is.Equal(p.Memory.Held(), int64(0))
+}
+
 // TestLateCopies guards against a second copy of an answer that arrives late, on a connection that is in use again, and becomes the
 // answer to another request.
 func TestLateCopies(t *testing.T) {
--- a/internal/connection/endpoint/fuzz_test.go
+++ b/internal/connection/endpoint/fuzz_test.go
@@ -33,7 +33,7 @@
 			_, _ = io.Copy(server, strings.NewReader(raw))
 			_ = server.Close()
 		}()
-		c := newConn(client)
+		c := newConn(client, nil)
 		defer client.Close()
 		call := &Call{Method: http.MethodGet, Target: "/x", Host: "h", Matches: func(_ int, h http.Header, _ bool) bool { return h.Get("Id") == "1" }}
 		x, err := c.send(ctx, call)
--- a/internal/connection/endpoint/pool.go
+++ b/internal/connection/endpoint/pool.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"primrosecourse/pkg/memory"
 )
 
 // Errors of Send and of reading the body of an Answer.
@@ -157,6 +159,8 @@
 type Pool struct {
 	// DialTimeout limits the time to open a connection. Default 1 s.
 	DialTimeout time.Duration
+	// Memory bounds the memory for long heads of responses; it may be nil.
+	Memory *memory.Budget
 	// Dialed is called with the ID of the endpoint for each new connection; it may be nil.
 	Dialed func(id string)
 
@@ -261,7 +265,7 @@
 	if p.Dialed != nil {
 		p.Dialed(k.id)
 	}
-	return newConn(c), nil
+	return newConn(c, p.Memory), nil
 }
 
 // awaitDeadline waits until ctx is done if its deadline has passed, since the timer of a dialer may fire just before that of the
@@ -305,6 +309,7 @@
 
 // release returns a connection to the pool if it is reusable and Run has not ended. Otherwise it closes the connection.
 func (p *Pool) release(k key, c *conn, reusable bool) {
+	c.limiter.reset()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g := p.groups[k]
--- a/internal/process/gateway/budget.go
+++ b/internal/process/gateway/budget.go
@@ -11,6 +11,8 @@
 	// connectionShare and bodyShare are the shares of the allowed memory for connections of callers and for request bodies.
 	connectionShare = 0.25
 	bodyShare       = 0.2
+	// answerShare is the share of the allowed memory for answers of endpoints that need more than a few kilobytes.
+	answerShare = 0.05
 	// kvPartShare is the share of the allowed memory for the index of the parts in KV stores, and kvPartBytes the memory for one
 	// part, including the growth of the maps of the index. See BenchmarkKnownParts of package kvstore.
 	kvPartShare = 0.1
@@ -33,6 +35,8 @@
 	Connections int
 	// HeldBytes bounds the bytes of the request bodies in memory.
 	HeldBytes int64
+	// AnswerBytes bounds the memory for the answers of endpoints, beyond a small allowance for each.
+	AnswerBytes int64
 	// KVParts bounds the index of the parts in KV stores.
 	KVParts int
 }
@@ -43,6 +47,7 @@
 func (s *Settings) Budget() (b Budget) {
 	memory := float64(s.MemoryMegabytes) * (1 << 20)
 	b.MemoryLimitBytes, b.HeldBytes = int64(memoryLimitShare*memory), int64(bodyShare*memory)
+	b.AnswerBytes = int64(answerShare * memory)
 	if memory > 0 {
 		b.Connections = int(max(1, connectionShare*memory/connectionBytes))
 		b.KVParts = int(max(1, kvPartShare*memory/kvPartBytes))
--- a/internal/process/gateway/budget_test.go
+++ b/internal/process/gateway/budget_test.go
@@ -19,7 +19,8 @@
 			b, memory := s.Budget(), int64(s.MemoryMegabytes)<<20
 			is.True(b.Connections >= 1 && b.Connections <= s.MaxDescriptors-fileReserve)
 			is.True(int64(b.Connections)*connectionBytes+b.HeldBytes <= memory/2)
-			is.True(b.KVParts >= 1 && int64(b.Connections)*connectionBytes+b.HeldBytes+int64(b.KVParts)*kvPartBytes <= b.MemoryLimitBytes)
+			is.True(b.KVParts >= 1 && int64(b.Connections)*connectionBytes+b.HeldBytes+int64(b.KVParts)*kvPartBytes+b.AnswerBytes <= b.MemoryLimitBytes)
+			is.True(b.AnswerBytes > 0)
 			is.True(b.MemoryLimitBytes < memory)
 		})
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"primrosecourse/internal/request/forward"
 	"primrosecourse/internal/version/registry"
 	"primrosecourse/pkg/builds"
+	"primrosecourse/pkg/memory"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
 	"primrosecourse/pkg/staleness"
@@ -147,6 +148,8 @@
 		g.front = front.New(handler)
 		g.front.Limits = g.limits
 		budget := g.Settings.Budget()
+		handler.Memory = memory.New(budget.AnswerBytes)
+		g.pool.Memory = handler.Memory
 		g.Tiers.MaxParts = budget.KVParts
 		g.front.MaxConnections, g.front.MaxHeldBytes = budget.Connections, budget.HeldBytes
 		g.front.Overloaded = func() http.Header { return g.Codec.Refusal("", minRetryAfter+rand.N(minRetryAfter)) }
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -54,9 +54,16 @@
 	body   []byte
 }
 
-// maxBufferedBytes is the body length up to which an answer that is not a stream is read completely before its first byte is
-// relayed, so that a truncated answer can still be replaced by that of another endpoint.
-const maxBufferedBytes = 256 << 10
+const (
+	// maxBufferedBytes is the body length up to which an answer that is not a stream is read completely before its first byte is
+	// relayed, so that a truncated answer can still be replaced by that of another endpoint. It is less if Handler.Memory is used up.
+	maxBufferedBytes = 256 << 10
+	// freeAnswerBytes is the memory for the answer to a request that needs none of Handler.Memory.
+	freeAnswerBytes = 16 << 10
+)
+
+// errNoAnswerMemory means that the answers to all requests would exceed Handler.Memory.
+var errNoAnswerMemory = errors.New("no memory for the answer")
 
 // handleSendError handles an attempt that ended without an answer.
 func (a *attempt) handleSendError(err error) verdict {
@@ -167,13 +174,13 @@
 	if answer.Length > maxBufferedBytes {
 		return a.relayLong(answer)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
+	body, whole, err := req.readShort(answer.Body)
 	if err != nil {
 		a.recordBrokenConnection(err)
 		a.logFailedAttempt(err.Error(), answer.Status)
 		return mayHaveRun
 	}
-	if len(body) > maxBufferedBytes {
+	if !whole {
 		answer.Body = io.MultiReader(bytes.NewReader(body), answer.Body)
 		return a.relayLong(answer)
 	}
@@ -195,6 +202,36 @@
 	return done
 }
 
+// readShort reads a body. whole is false if there is more: the body is longer than maxBufferedBytes, or Handler.Memory is used up.
+func (req *request) readShort(r io.Reader) (body []byte, whole bool, err error) {
+	for len(body) <= maxBufferedBytes {
+		if len(body) == cap(body) {
+			size := min(max(4<<10, 2*cap(body)), maxBufferedBytes+1)
+			if !req.memory.Grow(req.fallbackBytes() + size) {
+				return body, false, nil
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		}
+	}
+	return body, false, nil
+}
+
+// fallbackBytes returns the memory for the answer that is sent if the request is given up.
+func (req *request) fallbackBytes() int {
+	if req.fallback == nil {
+		return 0
+	}
+	return len(req.fallback.body)
+}
+
 // deliver sends a buffered answer to the caller.
 func (req *request) deliver(a *bufferedAnswer) {
 	req.status, req.firstPiece = a.status, time.Now()
@@ -279,6 +316,9 @@
 		a.prefillTokens = 0
 	}
 	complete, streamErr := req.stream.add(p)
+	if streamErr == nil && !req.memory.Grow(req.fallbackBytes()+cap(req.stream.partial)) {
+		streamErr = errNoAnswerMemory
+	}
 	if len(complete) == 0 {
 		return true, streamErr
 	}
--- a/internal/request/forward/broken_test.go
+++ b/internal/request/forward/broken_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"primrosecourse/pkg/memory"
 )
 
 // TestLostAnswers guards, for each place at which a connection to an endpoint can end, against a request that runs twice, an answer
@@ -193,3 +195,38 @@
 		is.Equal(body, "id: 1\ndata: 1\n\n")
 	}
 }
+
+// TestAnswersWithoutMemory guards against a gateway that keeps the beginnings of answers for all its requests without a limit, and against an
+// answer that is lost or spoiled since there is no memory left for it.
+func TestAnswersWithoutMemory(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("y", 100_000)
+	f := newFixture(t, func(n int, id string, r *http.Request, c net.Conn) bool {
+		if r.URL.Path == "/always/" {
+			return writeOK(c, id, long)
+		}
+		streamHead(c, id)
+		if n%2 == 0 {
+			_, _ = io.WriteString(c, fmt.Sprintf("%x\r\n%s\r\n", len(long), long)) // the beginning of an event
+			goDark(c)
+			return false
+		}
+		chunk(c, "id: 1\ndata: 1\n\n")
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+		return true
+	})
+	f.handler.Memory = memory.New(50_000)
+	status, body, err := f.send(t, http.MethodPost, "/always/")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.True(body == long) // relayed as it arrives
+	is.Equal(f.handler.Memory.Held(), int64(0))
+	if f.arrivalCount()%2 == 1 {
+		_, _, _ = f.send(t, http.MethodPost, "/always/")
+	}
+	status, body, err = f.send(t, http.MethodPost, "/resume/", "Deadline: 4000")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "id: 1\ndata: 1\n\n") // of another endpoint
+	is.Equal(f.handler.Memory.Held(), int64(0))
+}
--- a/internal/request/forward/giveup.go
+++ b/internal/request/forward/giveup.go
@@ -58,6 +58,7 @@
 // finish records the metrics of the request and logs how it ended.
 func (req *request) finish() {
 	req.releaseStream()
+	req.memory.Release()
 	duration := time.Since(req.started)
 	route := "None"
 	if req.route != nil {
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -20,6 +20,7 @@
 	"primrosecourse/internal/connection/kvstore"
 	"primrosecourse/internal/event"
 	"primrosecourse/pkg/builds"
+	"primrosecourse/pkg/memory"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/retry"
 	"primrosecourse/pkg/ring"
@@ -121,7 +122,10 @@
 	// Staleness bounds for how long requests may begin on replaced weights. The zero value allows it.
 	Staleness staleness.Rule
 	Limits    Limits
-	Log       logr.Logger
+	// Memory bounds the memory for answers that are read before they are relayed, and for incomplete events; it may be nil. Without memory,
+	// an answer is relayed as it arrives, and a stream whose event is that long is broken.
+	Memory *memory.Budget
+	Log    logr.Logger
 	// Metrics may be nil.
 	Metrics metrics.Registry
 
@@ -171,7 +175,7 @@
 
 // Handle implements front.Handler.
 func (h *Handler) Handle(ctx context.Context, r *front.Request, w *front.Writer) {
-	req := &request{handler: h, incoming: r, w: w, caller: ctx, started: r.Arrived}
+	req := &request{handler: h, incoming: r, w: w, caller: ctx, started: r.Arrived, memory: h.Memory.Hold(freeAnswerBytes)}
 	defer req.finish()
 	if !req.admit() {
 		return
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -11,6 +11,7 @@
 	"primrosecourse/internal/connection/endpoint"
 	"primrosecourse/internal/connection/front"
 	"primrosecourse/internal/event"
+	"primrosecourse/pkg/memory"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
 	"primrosecourse/pkg/tiering"
@@ -70,6 +71,8 @@
 	generated bool
 	// pinned is the build to which a resumable stream is bound.
 	pinned pinning
+	// memory is what the answer takes up in Handler.Memory.
+	memory *memory.Holder
 	// stream splits a streamed answer into events, over all attempts; nil until an endpoint begins one.
 	stream *eventSplitter
 }
--- a/test/site/process.go
+++ b/test/site/process.go
@@ -57,6 +57,9 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// Pid returns the ID of the process that was started last.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
 // Running reports whether the process was started and has not exited.
 func (p *Process) Running() bool {
 	if p.exited == nil {
