--- a/internal/connection/watchrelay/journal.go
+++ b/internal/connection/watchrelay/journal.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,7 +23,8 @@
 	objects  map[string]Change
 	revision uint64
 	known    bool
-	// steps are the last changes, oldest first; they begin after the revision first.
+	// steps are the last changes, oldest first; they begin after the revision first. They have no values: whoever missed several changes of an
+	// object needs its last state only, which objects has.
 	steps   []step
 	changes int
 	first   uint64
@@ -73,14 +76,18 @@
 	if len(changes) == 0 {
 		return
 	}
+	s := step{revision: revision, changes: make([]Change, 0, len(changes))}
 	for _, c := range changes {
+		// The name may lie in the memory of a whole response.
+		c.Name = strings.Clone(c.Name)
 		if c.Removed {
 			delete(j.objects, c.Name)
 		} else {
 			j.objects[c.Name] = c
 		}
+		s.changes = append(s.changes, Change{Name: c.Name, Revision: c.Revision, Removed: c.Removed})
 	}
-	j.steps = append(j.steps, step{revision: revision, changes: changes})
+	j.steps = append(j.steps, s)
 	for j.changes += len(changes) + 1; j.changes > maxJournalChanges && len(j.steps) > 1; j.steps = j.steps[1:] {
 		j.changes -= len(j.steps[0].changes) + 1
 		j.first = j.steps[0].revision
@@ -114,7 +121,7 @@
 	return j.known && j.directAt > 0 && j.directAt >= oldest
 }
 
-// since returns the changes after a revision, whether there is a gap, and a channel that is closed at the next change. ok is false as
+// since returns the last change after a revision of each object that has any, whether there is a gap, and a channel that is closed at the next change. ok is false as
 // for list.
 func (j *journal) since(after uint64, oldest time.Duration) (a answer, changed <-chan struct{}, ok bool) {
 	j.mu.Lock()
@@ -130,13 +137,30 @@
 		// The asking gateway knows more than this one, which will learn of it soon.
 		a.Revision = after
 	default:
-		for _, s := range j.steps {
-			if s.revision > after {
-				for _, c := range s.changes {
-					a.add(c)
-				}
+		for _, c := range j.lastChanges(after) {
+			if !c.Removed {
+				c = j.objects[c.Name]
 			}
+			a.add(c)
 		}
 	}
 	return a, j.changed, true
 }
+
+// lastChanges returns the last change after a revision of each object, oldest first and without values. The caller must hold mu.
+func (j *journal) lastChanges(after uint64) (list []Change) {
+	seen := map[string]bool{}
+	for _, s := range slices.Backward(j.steps) {
+		if s.revision <= after {
+			break
+		}
+		for _, c := range slices.Backward(s.changes) {
+			if !seen[c.Name] {
+				seen[c.Name] = true
+				list = append(list, c)
+			}
+		}
+	}
+	slices.Reverse(list)
+	return list
+}
