--- a/internal/connection/kvstore/catalog.go
+++ b/internal/connection/kvstore/catalog.go
@@ -73,8 +73,8 @@
 	known bool
 	// epoch is the epoch of the source, storeEpoch that of the store itself.
 	epoch, storeEpoch uint64
-	// term bounds what may be done with the contents.
-	term term
+	// lease bounds what may be done with the contents.
+	lease lease
 	// held maps the recorded parts to their length in tokens. used is the number of tokens that all parts in the store take up,
 	// including untracked ones and those that were unfinished at the last listing.
 	held map[Key]int
@@ -260,11 +260,11 @@
 	if source.direct {
 		storeEpoch, confirmedAt = listing.Epoch, c.confirmedAt(listing.Clock, sentAt)
 	}
-	if !state.term.begun() || storeEpoch != state.storeEpoch {
-		state.term.begin(c.now())
+	if !state.lease.begun() || storeEpoch != state.storeEpoch {
+		state.lease.begin(c.now())
 	}
 	state.storeEpoch = storeEpoch
-	state.term.confirm(confirmedAt)
+	state.lease.confirm(confirmedAt)
 	if listing.Epoch != state.epoch {
 		state.unfinished = nil
 	}
@@ -283,7 +283,7 @@
 	}
 	event.Info(c.Log, event.CacheStoreListed, "store", state.store.Name, "epoch", listing.Epoch, "parts", len(listing.Held),
 		"leftOut", state.untracked, "unfinished", len(listing.Unfinished), "tokens", state.used,
-		"from", source.address, "storeEpoch", storeEpoch, "savesInMs", state.term.savesIn(c.now()).Milliseconds())
+		"from", source.address, "storeEpoch", storeEpoch, "savesInMs", state.lease.savesIn(c.now()).Milliseconds())
 	return listing.Next, nil
 }
 
@@ -308,7 +308,7 @@
 	if source.direct {
 		confirmedAt = c.confirmedAt(changes.Clock, sentAt)
 	}
-	state.term.confirm(confirmedAt)
+	state.lease.confirm(confirmedAt)
 	for _, change := range changes.Changes {
 		if c.removePart(state, change.Key); !change.Gone {
 			c.addPart(state, change.Held)
--- a/internal/connection/kvstore/doc.go
+++ b/internal/connection/kvstore/doc.go
@@ -4,7 +4,7 @@
 // these. It is listed again after a failed call or lost events, when it has restarted, when saved parts did not appear, while saves are
 // unfinished, and when the gateway changes between the store itself and another gateway as its source. A part counts as held only once
 // a listing or an event of the store's current epoch has reported it as complete, so that no part is fetched while it is being written.
-// A store that does not answer counts as holding nothing. Gateways learn of a restart at different times. See term for how fetches by what
+// A store that does not answer counts as holding nothing. Gateways learn of a restart at different times. See lease for how fetches by what
 // was known before end before anything is saved again.
 //
 // Stores do not evict anything by themselves. For each store, its leader (see View.IsLeader) frees the parts of weight versions that
--- a/internal/connection/kvstore/relay.go
+++ b/internal/connection/kvstore/relay.go
@@ -122,7 +122,7 @@
 		return listing, false
 	}
 	listing = Listing{Epoch: state.changeLog.generation, Next: state.changeLog.next(), StoreEpoch: state.storeEpoch,
-		ConfirmedAt: state.term.confirmedAt}
+		ConfirmedAt: state.lease.confirmedAt}
 	if hasClock {
 		listing.Clock = clock
 	}
@@ -151,7 +151,7 @@
 			c.mu.Unlock()
 			return response, false
 		}
-		response = Changes{Epoch: state.changeLog.generation, Next: state.changeLog.next(), ConfirmedAt: state.term.confirmedAt,
+		response = Changes{Epoch: state.changeLog.generation, Next: state.changeLog.next(), ConfirmedAt: state.lease.confirmedAt,
 			Lost: since < state.changeLog.first || since > state.changeLog.next()}
 		if !response.Lost {
 			response.Changes = append([]Change(nil), state.changeLog.changes[since-state.changeLog.first:]...)
--- a/internal/connection/kvstore/scoped.go
+++ b/internal/connection/kvstore/scoped.go
@@ -27,7 +27,7 @@
 
 // mayFetch reports whether parts may be fetched from a store and there is time left for that. The caller must hold mu.
 func (c *Catalog) mayFetch(state *storeState) bool {
-	return state.known && c.clock.known && c.clock.serverTime(c.now())+minFetchTime <= state.term.fetchBy()
+	return state.known && c.clock.known && c.clock.serverTime(c.now())+minFetchTime <= state.lease.fetchBy()
 }
 
 // FetchBy returns the time by the servers' clock by which a fetch from a store must have ended, 0 if none may be requested.
@@ -38,7 +38,7 @@
 	if state == nil || !state.known {
 		return 0
 	}
-	return state.term.fetchBy()
+	return state.lease.fetchBy()
 }
 
 // Saving implements tiering.Catalog.
@@ -58,7 +58,7 @@
 	s.catalog.mu.Lock()
 	defer s.catalog.mu.Unlock()
 	state := s.catalog.stores[store]
-	if state == nil || !s.catalog.mayFetch(state) || state.term.savesIn(s.catalog.now()) > 0 {
+	if state == nil || !s.catalog.mayFetch(state) || state.lease.savesIn(s.catalog.now()) > 0 {
 		return 0
 	}
 	room := state.store.Tokens - state.used
