Send resumable streams to confirmed incarnations of endpoints only

Callers saw streams whose first events were of one build and the rest of another one (ORDER). Cause: the entry of an endpoint was taken for the process that answers. An endpoint that has started again under its ID and address with another build begins streams under its old entry, so that the plan names a build that did not begin them. The doubt arose only when the stream broke off, in the one process that relayed it, and not at all if the gateway was killed, the caller lost its connection or the endpoint was gone by then. Class: an entry read as what is there now; a plan taken for evidence.

Change: before a resumable stream, new or resumed, is written to a connection, the endpoint states its start on that connection; if it is not that of the entry, nothing is sent and another endpoint of the build is used. A connection does not outlive its process, so the statement holds for all that the connection carries and is asked for once. So each event that a caller gets is of the build of the plan, whoever is killed afterwards. The questions before a resume and after a break, each on a new connection, and the doubt that they left are gone; they remain for endpoints that state no start.

TestResumeAtLaterIncarnation now has endpoints that state their start on the connection; it checks the same.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -125,7 +125,7 @@
 		Tiers: &kvstore.Catalog{View: r, Stores: cacheStores, Log: log,
 			Relays: &kvstore.Relays{Calls: call.New(call.Settings{IdleConnections: 2})}, RelayPort: settings.RelayAddress().Port()},
 		EngineEvents: cacheStores, Engines: servers, Relay: relay, Metrics: metrics.NewRegistry(), Components: []gateway.Component{rollout, planner},
-		Builds: r.Builds, Plans: planner, Incarnations: servers, EndpointsChanged: planner.Changed}
+		Builds: r.Builds, Plans: planner, Identity: platform.Incarnations{}, EndpointsChanged: planner.Changed}
 	checkEnded := make(chan struct{})
 	go func() {
 		defer close(checkEnded)
--- a/internal/connection/endpoint/conn.go
+++ b/internal/connection/endpoint/conn.go
@@ -95,6 +95,10 @@
 	// reused is set after the first request. The send of a later request may fail because the endpoint has closed the idle
 	// connection.
 	reused bool
+	// openedAt is when the connection was open at the latest. startedAt is when the incarnation at its other end started, zero if it does not
+	// state that; it is valid once identified is set.
+	openedAt, startedAt time.Time
+	identified          bool
 }
 
 func newConn(c net.Conn, budget *memory.Budget) *conn {
@@ -102,7 +106,7 @@
 		setKeepAlive(tcp)
 	}
 	limiter := &headLimiter{Conn: c, memory: budget.Hold(0)}
-	return &conn{Conn: c, br: bufio.NewReaderSize(limiter, 4096), limiter: limiter, idleLimit: defaultIdleLimit}
+	return &conn{Conn: c, br: bufio.NewReaderSize(limiter, 4096), limiter: limiter, idleLimit: defaultIdleLimit, openedAt: time.Now()}
 }
 
 // setKeepAlive makes the kernel close a connection whose endpoint has acknowledged nothing for silenceTimeout.
--- /dev/null
+++ b/internal/connection/endpoint/incarnation.go
@@ -0,0 +1,170 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// incarnationTimeout limits the time until an endpoint has stated its incarnation.
+	incarnationTimeout = 500 * time.Millisecond
+	// maxIncarnationBytes limits the body of the response that states an incarnation.
+	maxIncarnationBytes = 256 << 10
+)
+
+// Identity is how endpoints state their incarnations.
+type Identity interface {
+	// Question returns the call that asks an endpoint for its incarnation.
+	Question(t Target) *Call
+	// StartedAt returns when the incarnation that sent a response started, zero if it states no start at all. Its errors are ErrOtherEndpoint,
+	// and others if the response does not tell.
+	StartedAt(status int, body []byte) (time.Time, error)
+}
+
+// ErrOtherEndpoint means that a response came from another endpoint than the one that was asked.
+var ErrOtherEndpoint = errors.New("another endpoint responded")
+
+// IncarnationError means that an endpoint is another incarnation than the one for which a call was meant. It is marked with ErrNotSent.
+type IncarnationError struct {
+	Wanted, StartedAt time.Time
+}
+
+// Error implements error.
+func (e *IncarnationError) Error() string {
+	return fmt.Sprintf("endpoint started at %s, not at %s", e.StartedAt.UTC().Format(time.RFC3339Nano), e.Wanted.UTC().Format(time.RFC3339Nano))
+}
+
+// incarnation is what an endpoint last stated. It was running, or about to start, at askedAt, which is zero if the endpoint was not asked.
+type incarnation struct {
+	startedAt, askedAt time.Time
+}
+
+// confirm reports whether a connection leads to the wanted incarnation, zero for any. If not, it has released the connection, and another one
+// may be tried unless there is an error.
+//
+// A connection does not outlive the process that accepted it. So what an endpoint states after a connection was opened holds for that
+// connection, or the connection is dead.
+func (p *Pool) confirm(ctx context.Context, t Target, k key, c *conn, wanted time.Time) (ok bool, err error) {
+	if wanted.IsZero() || p.Identity == nil {
+		return true, nil
+	}
+	if err := p.identify(ctx, t, k, c); err != nil {
+		tryNext := c.reused && ctx.Err() == nil
+		p.release(k, c, false)
+		if tryNext || errors.Is(err, errClosedAfterwards) {
+			return false, nil
+		}
+		awaitDeadline(ctx)
+		return false, errors.Mark(err, ErrNotSent)
+	}
+	switch {
+	case c.startedAt.IsZero() || c.startedAt.Equal(wanted):
+		return true, nil
+	case c.reused && c.startedAt.Before(wanted):
+		p.release(k, c, false)
+		return false, nil
+	}
+	p.release(k, c, true)
+	return false, errors.Mark(&IncarnationError{Wanted: wanted, StartedAt: c.startedAt}, ErrNotSent)
+}
+
+// errClosedAfterwards means that an endpoint closed the connection on which it stated its incarnation.
+var errClosedAfterwards = errors.New("endpoint closed the connection after it stated its incarnation")
+
+// identify finds out which incarnation a connection leads to, if that is not known yet.
+func (p *Pool) identify(ctx context.Context, t Target, k key, c *conn) (err error) {
+	defer func() { err = errors.Wrap(err, "incarnation") }()
+	if c.identified {
+		return nil
+	}
+	known, closes := p.stated(k)
+	if closes && known.askedAt.Before(c.openedAt) {
+		if known, err = p.askElsewhere(ctx, t, k); err != nil {
+			return err
+		}
+	}
+	if !known.askedAt.Before(c.openedAt) {
+		c.startedAt, c.identified = known.startedAt, true
+		return nil
+	}
+	known, err = p.ask(ctx, t, k, c)
+	c.startedAt, c.identified = known.startedAt, err == nil
+	return err
+}
+
+// askElsewhere asks an endpoint on a connection of its own.
+func (p *Pool) askElsewhere(ctx context.Context, t Target, k key) (known incarnation, err error) {
+	if err = p.takeSlot(k, t.MaxConnections); err != nil {
+		return known, err
+	}
+	c, err := p.dial(ctx, k)
+	if err != nil {
+		return known, err
+	}
+	known, err = p.ask(ctx, t, k, c)
+	p.release(k, c, err == nil)
+	if errors.Is(err, errClosedAfterwards) {
+		err = nil
+	}
+	return known, err
+}
+
+// ask asks an endpoint on a connection for its incarnation. The connection can be used afterwards unless there is an error.
+func (p *Pool) ask(ctx context.Context, t Target, k key, c *conn) (known incarnation, err error) {
+	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
+	defer cancel()
+	known.askedAt = time.Now()
+	question, reused := p.Identity.Question(t), c.reused
+	x, err := c.send(ctx, question)
+	if err != nil {
+		return known, err
+	}
+	response, err := x.readResponse(question)
+	if err != nil {
+		x.detach()
+		return known, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxIncarnationBytes+1))
+	whole := err == nil && len(body) <= maxIncarnationBytes
+	reusable := x.finish(response, whole)
+	// The response carries no ID, so that the next one can't be taken for a late copy of it.
+	c.reused = reused
+	if err == nil && !whole {
+		err = errors.New("response is too long")
+	}
+	if err == nil {
+		known.startedAt, err = p.Identity.StartedAt(response.StatusCode, body)
+	}
+	if err != nil {
+		return known, err
+	}
+	p.state(k, known, !reusable)
+	if !reusable {
+		err = errClosedAfterwards
+	}
+	return known, err
+}
+
+// stated returns what an endpoint last stated, and whether it closed the connection afterwards.
+func (p *Pool) stated(k key) (known incarnation, closes bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g := p.groups[k]; g != nil {
+		return g.incarnation, g.closes
+	}
+	return known, false
+}
+
+// state records what an endpoint stated.
+func (p *Pool) state(k key, known incarnation, closes bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.group(k)
+	if g.closes = closes; g.incarnation.askedAt.Before(known.askedAt) {
+		g.incarnation = known
+	}
+}
--- a/internal/connection/endpoint/pool.go
+++ b/internal/connection/endpoint/pool.go
@@ -58,6 +58,9 @@
 	// idle for less than half of its idle limit, because the endpoint is unlikely to close such a connection just as the request
 	// arrives.
 	RecentConn bool
+	// Incarnation is when the incarnation of the endpoint started for which the call is meant, zero for any. The call is sent only on a
+	// connection to that one; if Pool.Identity is set, an endpoint is asked on a connection that has not been confirmed yet.
+	Incarnation time.Time
 	// Wanted is called just before the first byte is written. If it returns false, the call is not sent. It may be nil.
 	Wanted func() bool
 	// Sent is called with the time just before the first byte is written, for each connection that is tried. It may be nil.
@@ -153,6 +156,9 @@
 type connGroup struct {
 	idle []*conn
 	open int
+	// incarnation is what the endpoint last stated. closes is set if it closed the connection afterwards.
+	incarnation incarnation
+	closes      bool
 }
 
 // Pool contains connections to endpoints. Its exported fields must be set before the first call of Send.
@@ -161,6 +167,8 @@
 	DialTimeout time.Duration
 	// Memory bounds the memory for long heads of responses; it may be nil.
 	Memory *memory.Budget
+	// Identity confirms the incarnations of endpoints for calls with an Incarnation. If it is nil, nothing is confirmed.
+	Identity Identity
 	// Dialed is called with the ID of the endpoint for each new connection; it may be nil.
 	Dialed func(id string)
 
@@ -204,8 +212,8 @@
 	p.expire(time.Now().Add(time.Hour))
 }
 
-// Send sends a call and returns its Answer after the header has been read. Its errors are ErrNotSent, ErrNoConnection and
-// ErrBroken. It retries a call on another connection only if no byte could be written to a reused connection.
+// Send sends a call and returns its Answer after the header has been read. Its errors are ErrNotSent, ErrNoConnection,
+// IncarnationError and ErrBroken. It retries a call on another connection only if no byte could be written to a reused connection.
 func (p *Pool) Send(ctx context.Context, t Target, call *Call) (a *Answer, err error) {
 	defer func() { err = errors.Wrapf(err, "endpoint %s at %s", t.ID, t.Address) }()
 	k := key{id: t.ID, addr: t.Address}
@@ -214,6 +222,13 @@
 		if err != nil {
 			return nil, err
 		}
+		ok, err := p.confirm(ctx, t, k, c, call.Incarnation)
+		if err != nil {
+			return nil, err
+		}
+		if !ok {
+			continue
+		}
 		x, err := c.send(ctx, call)
 		if errors.Is(err, ErrNotSent) && c.reused && ctx.Err() == nil {
 			p.release(k, c, false)
@@ -253,6 +268,11 @@
 		}
 		p.release(k, c, false)
 	}
+	return p.dial(ctx, k)
+}
+
+// dial opens a connection, which has been counted. If it fails, the connection no longer counts.
+func (p *Pool) dial(ctx context.Context, k key) (*conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, cmp.Or(p.DialTimeout, time.Second))
 	defer cancel()
 	dialer := net.Dialer{KeepAlive: -1}
@@ -282,11 +302,7 @@
 func (p *Pool) takeIdleOrSlot(k key, limit int, now time.Time, recentConn bool) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g := p.groups[k]
-	if g == nil {
-		g = &connGroup{}
-		p.groups[k] = g
-	}
+	g := p.group(k)
 	for len(g.idle) > 0 {
 		c := g.idle[len(g.idle)-1]
 		g.idle = g.idle[:len(g.idle)-1]
@@ -300,11 +316,33 @@
 		g.open--
 		_ = c.Close()
 	}
+	return nil, g.count(limit)
+}
+
+// takeSlot counts a connection that the caller must open, or returns ErrNoConnection if limit is reached.
+func (p *Pool) takeSlot(k key, limit int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.group(k).count(limit)
+}
+
+// group returns the connections to an endpoint. The caller must hold mu.
+func (p *Pool) group(k key) *connGroup {
+	g := p.groups[k]
+	if g == nil {
+		g = &connGroup{}
+		p.groups[k] = g
+	}
+	return g
+}
+
+// count counts a connection that is to be opened, or returns ErrNoConnection if limit is reached.
+func (g *connGroup) count(limit int) error {
 	if limit > 0 && g.open >= limit {
-		return nil, ErrNoConnection
+		return ErrNoConnection
 	}
 	g.open++
-	return nil, nil
+	return nil
 }
 
 // release returns a connection to the pool if it is reusable and Run has not ended. Otherwise it closes the connection.
--- a/internal/connection/endpoint/pool_test.go
+++ b/internal/connection/endpoint/pool_test.go
@@ -72,6 +72,18 @@
 	return len(s.requestIDs)
 }
 
+// countOf returns how many requests with an ID were read.
+func (s *fakeEndpoint) countOf(id string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, read := range s.requestIDs {
+		if read == id {
+			n++
+		}
+	}
+	return n
+}
+
 func formatResponse(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -139,7 +139,7 @@
 	StreamsReported
 	// StreamTakenUp is logged when a caller takes up a stream, with the build that began it and how that is known.
 	StreamTakenUp
-	// StreamBuildLost is logged when the build that wrote a part of a stream is no longer certain, with the endpoint.
+	// StreamBuildLost is logged when the build that an endpoint would write, or wrote, a part of a stream with is not certain.
 	StreamBuildLost
 	// RequestAtStop is logged when a request is refused because it cannot end before the gateway stops, or is ended since the gateway stops,
 	// with the time left.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -59,8 +59,8 @@
 	Builds *builds.Book
 	// Plans confirms the plan of Builds. It must not be nil if Builds is not.
 	Plans forward.Plans
-	// Incarnations asks endpoints for their incarnations; it may be nil.
-	Incarnations forward.Incarnations
+	// Identity is how endpoints state their incarnations; it may be nil.
+	Identity endpoint.Identity
 	// EndpointsChanged is called after each change of the endpoints. It must not block; it may be nil.
 	EndpointsChanged func()
 	// Components are additional components. Like the gateway's own, they run until the requests in flight have finished or have
@@ -117,7 +117,7 @@
 		g.listedAt = map[string]time.Time{}
 		g.links = &tiering.Links{}
 		g.pool = endpoint.New()
-		g.pool.DialTimeout = dialTimeout
+		g.pool.DialTimeout, g.pool.Identity = dialTimeout, g.Identity
 		rule := staleness.Rule{Limit: g.Settings.VersionTime}
 		if g.Registry.Ages == nil {
 			g.Registry.Ages = &staleness.Ages{StartAge: rule.StartAge()}
@@ -135,7 +135,7 @@
 		g.requests = &forward.RequestWatch{Marks: g.Registry, Log: g.Log}
 		g.crashes = &forward.CrashWatch{Endpoints: g.pool, Requests: g.requests, Parts: g.parts, Log: g.Log, Dropped: func() { discarded.Inc(1) }}
 		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table,
-			Endpoints: g.pool, Crashes: g.crashes, Requests: g.requests, Parts: g.parts, Tiers: g.Tiers, Links: g.links, Builds: g.Builds, Plans: g.Plans, Incarnations: g.Incarnations, Log: g.Log, Metrics: g.Metrics,
+			Endpoints: g.pool, Crashes: g.crashes, Requests: g.requests, Parts: g.parts, Tiers: g.Tiers, Links: g.links, Builds: g.Builds, Plans: g.Plans, Log: g.Log, Metrics: g.Metrics,
 			Staleness: rule,
 			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
 				RepeatSpan: g.Settings.RepeatSpan}}
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -69,7 +69,11 @@
 func (a *attempt) handleSendError(err error) verdict {
 	req := a.req
 	v := mayHaveRun
+	var other *endpoint.IncarnationError
 	switch {
+	case errors.As(err, &other):
+		a.handleOtherIncarnation(other)
+		v = notRun
 	case errors.Is(err, endpoint.ErrNoConnection):
 		a.recordOutcome(placement.Full)
 		v = notRun
--- a/internal/request/forward/builds.go
+++ b/internal/request/forward/builds.go
@@ -4,12 +4,15 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"primrosecourse/internal/connection/endpoint"
 	"primrosecourse/internal/event"
 	"primrosecourse/pkg/builds"
+	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/site"
 )
 
@@ -23,8 +26,6 @@
 	planPollInterval = 10 * time.Millisecond
 	// reportPatience is how long after a change of the plan reports are waited for.
 	reportPatience = 1500 * time.Millisecond
-	// incarnationTimeout is how long an endpoint may take to state its incarnation.
-	incarnationTimeout = 500 * time.Millisecond
 	// drainingUse is for how long an endpoint that begins to leave still gets streams of its build if no other endpoint has it.
 	drainingUse = 500 * time.Millisecond
 )
@@ -37,8 +38,10 @@
 	stream builds.Stream
 	// takenUp is set if the caller has a part of the stream already.
 	takenUp bool
-	// sources are the endpoints that brought events, as they were listed then.
-	sources []*site.Endpoint
+	// begun is set once an endpoint has brought an event.
+	begun bool
+	// unstated are the endpoints that brought events and state no start, as they were listed then.
+	unstated []*site.Endpoint
 }
 
 // isTakeUp reports whether the caller has a part of the stream already.
@@ -249,72 +252,49 @@
 	req.handler.Builds.Begun(now, req.pinned.stream, a.endpoint.Build)
 }
 
-// isCurrent reports whether an endpoint that is to resume the stream is still the listed incarnation: its entry may lag behind one that has
-// started again, with another build, under its ID.
-func (req *request) isCurrent(e *site.Endpoint) bool {
-	if !req.pinned.active || (!req.pinned.takenUp && !req.w.Started()) || req.handler.Incarnations == nil {
-		return true
-	}
-	startedAt, err := req.askIncarnation(e)
-	if err == nil && (startedAt.IsZero() || startedAt.Equal(e.StartedAt)) {
-		return true
+// incarnation returns the incarnation to which a resumable stream may be sent, zero for any: the entry states the build of that one only, and may
+// lag behind an endpoint that has started again, with another build, under its ID.
+func (req *request) incarnation(e *site.Endpoint) time.Time {
+	if !req.pinned.active || !e.StatesStart() {
+		return time.Time{}
 	}
-	req.logBuildLost(e, startedAt, err)
-	req.handler.count("Builds.NotCurrent")
-	return false
+	return e.StartedAt
 }
 
-func (req *request) askIncarnation(e *site.Endpoint) (startedAt time.Time, err error) {
-	ctx, cancel := context.WithTimeout(req.ctx, incarnationTimeout)
-	defer cancel()
-	return req.handler.Incarnations.StartedAt(ctx, e)
+// handleOtherIncarnation handles an attempt that was not sent since the endpoint is another incarnation than the listed one.
+func (a *attempt) handleOtherIncarnation(err *endpoint.IncarnationError) {
+	a.req.logBuildLost(a.endpoint, err.StartedAt)
+	a.req.handler.count("Builds.NotCurrent")
+	a.recordOutcome(placement.Misdirected)
 }
 
-func (req *request) logBuildLost(e *site.Endpoint, startedAt time.Time, err error) {
+func (req *request) logBuildLost(e *site.Endpoint, startedAt time.Time) {
 	event.Info(req.handler.Log, event.StreamBuildLost, "request", req.meta.ID, "endpoint", e.ID, "build", req.pinned.build,
-		"listed", e.StartedAt, "startedAt", startedAt, "error", message(err), "entry", e.Revision)
+		"listed", e.StartedAt, "startedAt", startedAt, "entry", e.Revision)
 }
 
-// recordSource records that the endpoint of the attempt brings events, and reports whether its build is certain: an entry may lag behind an
-// endpoint that has started again under its ID.
+// recordSource records that the endpoint of the attempt brings events, and reports whether its build is certain: if an endpoint does not state
+// its start, its entry may lag behind one that has started again under its ID.
 func (a *attempt) recordSource() bool {
 	req := a.req
 	if !req.pinned.active {
 		return true
 	}
-	for _, e := range req.pinned.sources {
-		if e == a.endpoint {
-			return true
-		}
+	req.pinned.begun = true
+	if a.endpoint.StatesStart() || slices.Contains(req.pinned.unstated, a.endpoint) {
+		return true
 	}
-	req.pinned.sources = append(req.pinned.sources, a.endpoint)
+	req.pinned.unstated = append(req.pinned.unstated, a.endpoint)
 	if !req.pinned.takenUp {
 		req.handler.Builds.BroughtBy(req.pinned.stream.ID, a.endpoint.ID)
 	}
 	return req.sourcesAreListed()
 }
 
-// sourcesAreCertain reports whether each endpoint that brought events is known to have been of the stream's build, as far as the endpoint
-// itself and its entry can tell.
-func (req *request) sourcesAreCertain() bool {
-	if !req.pinned.active || len(req.pinned.sources) == 0 {
-		return true
-	}
-	if req.handler.Incarnations != nil {
-		last := req.pinned.sources[len(req.pinned.sources)-1]
-		// One that does not answer has crashed or was cut off.
-		if startedAt, err := req.askIncarnation(last); err == nil && !startedAt.IsZero() && !startedAt.Equal(last.StartedAt) {
-			req.doubtBuild(last, startedAt)
-			return false
-		}
-	}
-	return req.sourcesAreListed()
-}
-
-// sourcesAreListed reports whether no endpoint that brought events is listed as a later incarnation of another build.
+// sourcesAreListed reports whether no endpoint that brought events without stating its start is listed with another build by now.
 func (req *request) sourcesAreListed() bool {
 	listed := req.handler.View.Current().Endpoints[req.service]
-	for _, source := range req.pinned.sources {
+	for _, source := range req.pinned.unstated {
 		for _, e := range listed {
 			if e.ID == source.ID && e.Build != req.pinned.build {
 				req.doubtBuild(source, e.StartedAt)
@@ -327,7 +307,7 @@
 
 // doubtBuild records that it is not certain which incarnation of an endpoint brought events.
 func (req *request) doubtBuild(e *site.Endpoint, startedAt time.Time) {
-	req.logBuildLost(e, startedAt, nil)
+	req.logBuildLost(e, startedAt)
 	req.handler.count("Builds.Lost")
 	if !req.pinned.takenUp {
 		req.handler.Builds.Doubt(time.Now(), req.pinned.stream)
@@ -337,7 +317,7 @@
 // releaseStream forgets the stream if no event of it was sent to the caller.
 func (req *request) releaseStream() {
 	p := &req.pinned
-	if p.active && !p.takenUp && req.handler.Builds != nil && len(p.sources) == 0 {
+	if p.active && !p.takenUp && req.handler.Builds != nil && !p.begun {
 		req.handler.Builds.Forget(p.stream)
 	}
 }
--- a/internal/request/forward/builds_test.go
+++ b/internal/request/forward/builds_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"primrosecourse/internal/connection/endpoint"
 	"primrosecourse/pkg/builds"
 	"primrosecourse/pkg/site"
 )
@@ -26,17 +27,21 @@
 func (p plans) Latest(context.Context) (uint64, error) { return p.book.Plan().Revision(), p.err }
 
 // newBuildFixture starts endpoints of the given builds, each of which writes events with the name of its build. A stream that does not resume
-// breaks after two of four events.
+// breaks after two of four events, except at endpoints of the build f.unbroken.
 func newBuildFixture(t *testing.T, names ...string) *fixture {
 	t.Helper()
 	byID := map[string]string{}
-	f := newFixture(t, func(_ int, id string, r *http.Request, c net.Conn) bool {
+	var f *fixture
+	f = newFixture(t, func(_ int, id string, r *http.Request, c net.Conn) bool {
 		build := byID[r.Header.Get("Endpoint")]
 		streamHead(c, id)
 		if r.Header.Get("After") == "" {
-			chunk(c, fmt.Sprintf("id: 1\ndata: %s\n\nid: 2\ndata: %s\n\nid: 3\nda", build, build))
-			time.Sleep(20 * time.Millisecond)
-			return false
+			chunk(c, fmt.Sprintf("id: 1\ndata: %s\n\nid: 2\ndata: %s\n\n", build, build))
+			if build != f.unbroken {
+				chunk(c, "id: 3\nda")
+				time.Sleep(20 * time.Millisecond)
+				return false
+			}
 		}
 		chunk(c, fmt.Sprintf("id: 3\ndata: %s\n\nid: 4\ndata: %s\n\n", build, build))
 		_, _ = io.WriteString(c, "0\r\n\r\n")
@@ -197,11 +202,13 @@
 	is.Equal(f.arrivalCount(), sent)
 }
 
-// restarted states for all endpoints that they started later than listed.
-type restarted struct{}
-
-func (restarted) StartedAt(_ context.Context, e *site.Endpoint) (time.Time, error) {
-	return e.StartedAt.Add(time.Minute), nil
+// setStarts makes the entries of all endpoints state a start, and the endpoints that of startOf.
+func (f *fixture) setStarts(listed time.Time, startOf func(id string) time.Time) {
+	for _, e := range f.snapshot.Endpoints["S"] {
+		e.StartedAt = listed
+	}
+	f.startOf = startOf
+	f.handler.Endpoints.(*endpoint.Pool).Identity = identity{}
 }
 
 // TestResumeAtLaterIncarnation guards against streams that are resumed at an endpoint whose entry is older than its present incarnation, which
@@ -210,7 +217,13 @@
 	is := is.New(t)
 	f := newBuildFixture(t, "old", "old", "old")
 	f.restore(nil, map[string]float64{"old": 3})
-	f.handler.Incarnations = restarted{}
+	listed := time.UnixMilli(1000)
+	f.setStarts(listed, func(string) time.Time {
+		if f.arrivalCount() > 0 {
+			return listed.Add(time.Minute)
+		}
+		return listed
+	})
 	_, body, err := f.send(t, http.MethodPost, "/resume/", "Deadline: 5000")
 	is.True(err != nil) // the answer does not look complete
 	is.Equal(strings.Count(body, "data:"), 2)
@@ -220,6 +233,34 @@
 	is.Equal(f.arrivalCount(), 1)
 }
 
+// TestStreamBeginsAtListedIncarnation guards against streams that begin at an endpoint whose entry is older than its present incarnation, of
+// another build, and go on at the build of the entry, in the same answer or at a gateway that knows the plan only.
+func TestStreamBeginsAtListedIncarnation(t *testing.T) {
+	f := newBuildFixture(t, "new", "old", "old")
+	f.unbroken, f.snapshot.Endpoints["S"][0].Build = "old", "old"
+	f.restore(nil, map[string]float64{"old": 3})
+	listed := time.UnixMilli(1000)
+	f.setStarts(listed, func(id string) time.Time {
+		if id == "e0" {
+			return listed.Add(time.Minute)
+		}
+		return listed
+	})
+	complete := 0
+	for i := range 24 {
+		_, body, err := f.sendRaw(t, fmt.Sprintf("POST /resume/ HTTP/1.1\r\nHost: h\r\nId: r%d\r\nDeadline: 5000\r\nContent-Length: 0\r\n\r\n", i))
+		if strings.Contains(body, "new") {
+			t.Fatalf("stream %d holds events of another build than the planned one: %q", i, body)
+		}
+		if err == nil && strings.Count(body, "data:") == 4 {
+			complete++
+		}
+	}
+	if complete < 24 {
+		t.Errorf("%d of 24 streams are complete", complete)
+	}
+}
+
 // TestTakeUpAfterRouteMoved guards against a stream that goes on at another service, to which its route was moved, at another build.
 func TestTakeUpAfterRouteMoved(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -26,6 +26,21 @@
 	"primrosecourse/pkg/site"
 )
 
+// startPath is the path at which endpoints state their starts.
+const startPath = "/start"
+
+// identity is a simplified endpoint.Identity for tests.
+type identity struct{}
+
+func (identity) Question(endpoint.Target) *endpoint.Call {
+	return &endpoint.Call{Method: http.MethodGet, Target: startPath, Host: "h"}
+}
+
+func (identity) StartedAt(_ int, body []byte) (time.Time, error) {
+	ms, err := strconv.ParseInt(string(body), 10, 64)
+	return time.UnixMilli(ms), err
+}
+
 // codec is a simplified header format for tests.
 type codec struct{}
 
@@ -77,6 +92,11 @@
 	replacedAt time.Time
 	versionAge time.Duration
 
+	// startOf returns the start that an endpoint states, zero for none. It may be nil.
+	startOf func(id string) time.Time
+	// unbroken is for newBuildFixture.
+	unbroken string
+
 	mu       sync.Mutex
 	arrivals []string // the endpoint of each request
 }
@@ -182,6 +202,11 @@
 						return
 					}
 					_, _ = io.Copy(io.Discard, r.Body)
+					if r.URL.Path == startPath {
+						body := strconv.FormatInt(f.startOf(id).UnixMilli(), 10)
+						_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+						continue
+					}
 					if !answer(f.arrive(id), r.Header.Get("Id"), r, c) {
 						return
 					}
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -65,12 +65,6 @@
 	AgreesOnPlan(now time.Time, number uint64) bool
 }
 
-// Incarnations asks endpoints for their incarnations.
-type Incarnations interface {
-	// StartedAt returns when the present incarnation of an endpoint started, zero if it does not state that.
-	StartedAt(ctx context.Context, e *site.Endpoint) (time.Time, error)
-}
-
 // Sender sends requests to endpoints. endpoint.Pool implements it.
 type Sender interface {
 	// Send sends a request and returns its answer, with the body unread. The answer must be closed.
@@ -111,14 +105,12 @@
 	Tiers Tiers
 	// Links finds stores that deliver late. It may be nil.
 	Links *tiering.Links
-	// Builds keeps each resumable stream at the build that began it. It may be nil.
+	// Builds keeps each resumable stream at the build that began it. It may be nil. Endpoints must then confirm the incarnation of a Call.
 	Builds *builds.Book
 	// Plans confirms the plan of Builds. It must not be nil if Builds is not.
 	Plans Plans
 	// Peers confirms the plan of Builds while the platform's store does not. If it is nil, this gateway is the only one.
 	Peers Peers
-	// Incarnations asks endpoints for their incarnations. It may be nil.
-	Incarnations Incarnations
 	// Staleness bounds for how long requests may begin on replaced weights. The zero value allows it.
 	Staleness staleness.Rule
 	Limits    Limits
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -108,16 +108,6 @@
 			req.giveUp("Quarantined", quarantinedRetryAfter)
 			return
 		}
-		if !req.isCurrent(choice.Endpoint) {
-			req.tried = append(req.tried, choice.Endpoint.ID)
-			req.attempts++
-			if req.attempts >= maxAttempts || !req.backOff() {
-				req.giveUp("BuildUnknown", minBuildPause)
-				return
-			}
-			req.snapshot = req.handler.View.Current()
-			continue
-		}
 		if !req.mayRetry() {
 			req.giveUp("RetryBudget", 500*time.Millisecond)
 			return
@@ -132,7 +122,7 @@
 		case req.ctx.Err() != nil:
 			req.giveUpLate()
 			return
-		case v == mayHaveRun && !req.sourcesAreCertain():
+		case v == mayHaveRun && !req.sourcesAreListed():
 			req.giveUp("BuildUnknown", 0)
 			return
 		case v == mayHaveRun && req.suspicion != "":
@@ -259,6 +249,7 @@
 		stop := a.releaseAtLimit(release)
 		defer stop()
 	}
+	call.Incarnation = req.incarnation(e)
 	call.Sent, call.Wanted = a.recordSent, func() bool { return !req.incoming.CallerLeft() }
 	answer, err := req.handler.Endpoints.Send(ctx, req.target(e, service), call)
 	if !errors.Is(err, endpoint.ErrNotSent) {
--- a/pkg/site/endpoint.go
+++ b/pkg/site/endpoint.go
@@ -33,7 +33,7 @@
 	State         State
 	// Slots is the number of requests that the endpoint runs concurrently. It is recorded but not used.
 	Slots int
-	// StartedAt is the start time of the current incarnation, by the endpoint's own clock.
+	// StartedAt is the start time of the current incarnation, by the endpoint's own clock; zero or the Unix epoch if that is not stated.
 	StartedAt time.Time
 	// ColdRemaining is how much longer the endpoint was cold when it last reported to the platform's store.
 	ColdRemaining time.Duration
@@ -46,6 +46,9 @@
 	Revision uint64
 }
 
+// StatesStart reports whether the entry states when the incarnation started.
+func (e *Endpoint) StatesStart() bool { return !e.StartedAt.IsZero() && e.StartedAt.UnixMilli() != 0 }
+
 // Version returns the weight version of a model at the endpoint.
 func (e *Endpoint) Version(model string) (uint64, bool) {
 	for _, m := range e.Models {
