Ask whether an endpoint still runs when its unframed answer ends

Cause: the end of the connection was taken for the end of the answer. The kernel closes the connections of a killed process as the process itself would, unless bytes were unread, so that a truncated answer looks like a whole one. Class: the end of a channel taken for the end of a message.

Change: once an answer without a length and chunks has ended, the endpoint is asked for its start on a new connection. If it accepts none, does not respond within 0.5 s, or states another start than the connection's (else than its entry's), the answer counts as broken off: a stream is resumed or broken off, a short answer is repeated if that is safe and 502 otherwise, a long one is cut. An endpoint that responds in another way or resets connections counts as running. Each check is logged (AnswerEndChecked). Framed answers cost nothing.

Not told apart: an endpoint that breaks such an answer off and runs on.

Measured: TestUnframedAnswerOfKilledEndpoint fails without the check in all 12 cases with a killed or restarted endpoint and passes with it, as do its 6 cases with one that runs on.

--- a/internal/connection/endpoint/incarnation.go
+++ b/internal/connection/endpoint/incarnation.go
@@ -117,6 +117,11 @@
 func (p *Pool) ask(ctx context.Context, t Target, k key, c *conn) (known incarnation, err error) {
 	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
 	defer cancel()
+	defer func() {
+		if err != nil && ctx.Err() != nil {
+			err = errors.Mark(err, context.DeadlineExceeded)
+		}
+	}()
 	known.askedAt = time.Now()
 	question, reused := p.Identity.Question(t), c.reused
 	x, err := c.send(ctx, question)
--- a/internal/connection/endpoint/pool.go
+++ b/internal/connection/endpoint/pool.go
@@ -29,6 +29,9 @@
 	ErrBroken = errors.New("connection broke during the request")
 )
 
+// errNotConnected means that no connection to the endpoint could be opened. It implies ErrNotSent.
+var errNotConnected = errors.New("endpoint accepts no connection")
+
 // discardTimeout and maxDiscardedBytes limit the rest of a body that Discard reads. A short body usually arrives with its head.
 const (
 	discardTimeout    = 50 * time.Millisecond
@@ -119,6 +122,9 @@
 	return a.Length < 0 && len(a.response.TransferEncoding) == 0 && a.response.Request.Method != http.MethodHead
 }
 
+// Incarnation returns when the incarnation of the endpoint started that responds, zero if its connection was not confirmed.
+func (a *Answer) Incarnation() time.Time { return a.exchange.conn.startedAt }
+
 // Discard reads the rest of the body so that the connection can be used again. It gives up if the rest is long or late, and does not read
 // a body that ends with the connection.
 func (a *Answer) Discard() {
@@ -280,7 +286,7 @@
 	if err != nil {
 		p.releaseSlot(k)
 		awaitDeadline(ctx)
-		return nil, errors.Mark(errors.Wrap(err, "dial"), ErrNotSent)
+		return nil, errors.Mark(errors.Mark(errors.Wrap(err, "dial"), ErrNotSent), errNotConnected)
 	}
 	if p.Dialed != nil {
 		p.Dialed(k.id)
--- a/internal/connection/endpoint/pool_test.go
+++ b/internal/connection/endpoint/pool_test.go
@@ -19,6 +19,8 @@
 // fakeEndpoint accepts connections as an endpoint does and records the requests that it reads.
 type fakeEndpoint struct {
 	addr netip.AddrPort
+	// stop makes it accept no more connections.
+	stop func()
 
 	mu         sync.Mutex
 	requestIDs []string
@@ -31,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &fakeEndpoint{addr: netip.MustParseAddrPort(l.Addr().String())}
+	s := &fakeEndpoint{addr: netip.MustParseAddrPort(l.Addr().String()), stop: func() { _ = l.Close() }}
 	var work sync.WaitGroup
 	work.Go(func() {
 		for n := 0; ; n++ {
--- /dev/null
+++ b/internal/connection/endpoint/running_test.go
@@ -0,0 +1,66 @@
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestRunning guards against an endpoint that ended, or that started again, and counts as running, and against one that is busy and does not.
+func TestRunning(t *testing.T) {
+	const reset = "reset"
+	for name, test := range map[string]struct {
+		responses []string // on each connection; the endpoint stops after the last one if stops is set, and repeats it otherwise
+		stops     bool
+		want      bool
+	}{
+		"the same incarnation":      {responses: []string{formatResponse("", "100")}, want: true},
+		"a later one":               {responses: []string{formatResponse("", "101")}},
+		"no start stated":           {responses: []string{formatResponse("", "")}, want: true},
+		"stopped":                   {stops: true},
+		"closes after its response": {responses: []string{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n100"}, want: true},
+		"refuses":                   {responses: []string{"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"}, want: true},
+		"resets each connection":    {responses: []string{reset}, want: true},
+		"resets one, has stopped":   {responses: []string{reset}, stops: true},
+		"resets one, started again": {responses: []string{reset, formatResponse("", "101")}},
+		"closes without a response": {responses: []string{""}, want: true},
+		"another endpoint":          {responses: []string{"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"}},
+		"no response":               {responses: []string{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var s *fakeEndpoint
+			s = startEndpoint(t, func(s *fakeEndpoint, n int, c net.Conn, br *bufio.Reader) {
+				if test.stops && n == len(test.responses)-1 {
+					defer s.stop()
+				}
+				if _, ok := s.readRequest(br); !ok {
+					return
+				}
+				switch response := test.responses[min(n, len(test.responses)-1)]; response {
+				case reset:
+					_ = c.(*net.TCPConn).SetLinger(0)
+				default:
+					_, _ = io.WriteString(c, response)
+					if name == "no response" {
+						_, _ = io.Copy(io.Discard, br)
+					}
+				}
+			})
+			if test.stops && len(test.responses) == 0 {
+				s.stop()
+			}
+			p := newPool(t)
+			p.Identity = identity{}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			err := p.Running(ctx, Target{ID: "e1", Address: s.addr, MaxConnections: 1}, time.Unix(100, 0))
+			is.Equal(err == nil, test.want)
+		})
+	}
+}
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -150,4 +150,7 @@
 	// RequestSentLate is logged when the first byte of a request was written to an endpoint at least 100 ms after the endpoint was chosen,
 	// or with less than a tenth of its time left: with the time from its header to the choice, from there to the write, and the time left.
 	RequestSentLate
+	// AnswerEndChecked is logged when an answer without a length and chunks has ended with its connection, with whether its endpoint still runs,
+	// so that it counts as whole.
+	AnswerEndChecked
 )
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -135,7 +135,7 @@
 		g.requests = &forward.RequestWatch{Marks: g.Registry, Log: g.Log}
 		g.crashes = &forward.CrashWatch{Endpoints: g.pool, Requests: g.requests, Parts: g.parts, Log: g.Log, Dropped: func() { discarded.Inc(1) }}
 		handler := &forward.Handler{Domain: g.Settings.FailureDomain, Codec: g.Codec, View: g.Registry, Table: g.table,
-			Endpoints: g.pool, Crashes: g.crashes, Requests: g.requests, Parts: g.parts, Tiers: g.Tiers, Links: g.links, Builds: g.Builds, Plans: g.Plans, Log: g.Log, Metrics: g.Metrics,
+			Endpoints: g.pool, Incarnations: g.pool, Crashes: g.crashes, Requests: g.requests, Parts: g.parts, Tiers: g.Tiers, Links: g.links, Builds: g.Builds, Plans: g.Plans, Log: g.Log, Metrics: g.Metrics,
 			Staleness: rule,
 			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
 				RepeatSpan: g.Settings.RepeatSpan}}
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -179,6 +179,9 @@
 		return a.relayLong(answer)
 	}
 	body, whole, err := req.readShort(answer.Body)
+	if whole {
+		err = a.confirmEnd(answer)
+	}
 	if err != nil {
 		a.recordBrokenConnection(err)
 		a.logFailedAttempt(err.Error(), answer.Status)
@@ -253,8 +256,11 @@
 		return done
 	}
 	_, err := io.Copy(req.w, answer.Body)
+	if err == nil {
+		err = a.confirmEnd(answer)
+	}
 	switch {
-	case errors.Is(err, endpoint.ErrBroken):
+	case errors.Is(err, endpoint.ErrBroken), errors.Is(err, errEndUnknown):
 		if req.reason = "Cut"; req.endedByStop() {
 			req.giveUpLate()
 		}
@@ -378,6 +384,9 @@
 	case answer.Unframed() && !req.stream.hasEvents:
 		return a.handleBrokenStream(errors.New("stream without an announced end has no event"))
 	}
+	if err := a.confirmEnd(answer); err != nil {
+		return a.handleBrokenStream(err)
+	}
 	a.recordEnd(answer.Status)
 	if !a.begunAt.IsZero() {
 		a.recordBegun(true)
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -97,8 +97,9 @@
 	// unbroken is for newBuildFixture.
 	unbroken string
 
-	mu       sync.Mutex
-	arrivals []string // the endpoint of each request
+	mu        sync.Mutex
+	arrivals  []string // the endpoint of each request
+	listeners map[string]net.Listener
 }
 
 func (f *fixture) Current() *site.Snapshot {
@@ -136,7 +137,7 @@
 // idempotent), /always/ (idempotent), /stream/ (not resumable), /resume/ (resumable) and /private/ (requires a credential).
 func newFixture(t testing.TB, answer answerFunc) *fixture {
 	t.Helper()
-	f := &fixture{}
+	f := &fixture{listeners: map[string]net.Listener{}}
 	routes := []site.Route{
 		{Name: "never", Host: "h", PathPrefix: "/never/", Attempts: 1},
 		{Name: "always", Host: "h", PathPrefix: "/always/", Attempts: 2, Repeat: site.Always},
@@ -186,6 +187,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	f.listeners[id] = l
 	var goroutines sync.WaitGroup
 	goroutines.Go(func() {
 		for {
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -71,6 +71,12 @@
 	Send(ctx context.Context, t endpoint.Target, call *endpoint.Call) (*endpoint.Answer, error)
 }
 
+// Incarnations asks endpoints whether they still run. endpoint.Pool implements it.
+type Incarnations interface {
+	// Running returns nil if an endpoint runs, as far as it tells, and is the incarnation that started at the given time, zero for any.
+	Running(ctx context.Context, t endpoint.Target, startedAt time.Time) error
+}
+
 // Crashes investigates connections that broke during a request. CrashWatch implements it.
 type Crashes interface {
 	// ConnectionBroke reports an attempt during which the connection to an endpoint broke.
@@ -105,6 +111,8 @@
 	Tiers Tiers
 	// Links finds stores that deliver late. It may be nil.
 	Links *tiering.Links
+	// Incarnations tells whether an answer that ended with its connection is whole. It may be nil.
+	Incarnations Incarnations
 	// Builds keeps each resumable stream at the build that began it. It may be nil. Endpoints must then confirm the incarnation of a Call.
 	Builds *builds.Book
 	// Plans confirms the plan of Builds. It must not be nil if Builds is not.
--- a/internal/request/forward/unframed_test.go
+++ b/internal/request/forward/unframed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"primrosecourse/internal/connection/endpoint"
 )
 
 // unframedHead is the header of an answer whose body ends with the connection.
@@ -182,6 +185,67 @@
 	}
 }
 
+// TestUnframedAnswerOfKilledEndpoint guards against an answer without length and chunks that ends as its endpoint is killed, which closes the
+// connection in the same way, and looks complete.
+func TestUnframedAnswerOfKilledEndpoint(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 40_000)
+	stream := event1 + event2
+	for _, test := range []struct {
+		path, body string
+		// status, answer and arrivals are what the caller gets after a kill, and how many requests it takes; status 0 stands for a broken answer.
+		status   int
+		answer   string
+		arrivals int
+	}{
+		{"/resume/", stream, 200, stream + "id: 9\ndata: end\n\n", 2},
+		{"/stream/", stream, 0, stream, 1},
+		{"/always/", "answer", 200, "id: 9\ndata: end\n\n", 2},
+		{"/never/", "answer", 502, `{"reason":"OutcomeUnknown","outcome":"outcome unknown"}` + "\n", 1},
+		{"/always/", long, 0, long, 1},
+		{"/never/", long, 0, long, 1},
+	} {
+		for name, killed := range map[string]string{"runs on": "", "killed": "stopped", "restarted": "started later"} {
+			t.Run(fmt.Sprintf("%s %d bytes, %s", test.path, len(test.body), name), func(t *testing.T) {
+				is := is.New(t)
+				listed := time.UnixMilli(1000)
+				var f *fixture
+				f = newFixture(t, func(n int, id string, r *http.Request, c net.Conn) bool {
+					if n > 0 {
+						_, _ = io.WriteString(c, unframedHead(id)+"id: 9\ndata: end\n\n")
+						return end(c, false)
+					}
+					_, _ = io.WriteString(c, unframedHead(id)+test.body)
+					if killed == "stopped" {
+						_ = f.listeners[r.Header.Get("Endpoint")].Close()
+					}
+					return end(c, false)
+				})
+				f.setStarts(listed, func(id string) time.Time {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					if killed == "started later" && len(f.arrivals) > 0 && f.arrivals[0] == id {
+						return listed.Add(time.Second)
+					}
+					return listed
+				})
+				f.handler.Incarnations = f.handler.Endpoints.(*endpoint.Pool)
+				status, body, err := f.send(t, http.MethodPost, test.path)
+				if killed == "" {
+					is.NoErr(err)
+					is.Equal(status, http.StatusOK)
+					is.True(body == test.body)
+					is.Equal(f.arrivalCount(), 1)
+					return
+				}
+				is.Equal(err != nil, test.status == 0)
+				is.True(body == test.answer)
+				is.True(test.status == 0 || status == test.status)
+				is.Equal(f.arrivalCount(), test.arrivals)
+			})
+		}
+	}
+}
+
 // TestAnswersWithoutBody guards against waiting for the end of the connection where an answer has no body, and against a stream that is
 // run again because such an answer has no events.
 func TestAnswersWithoutBody(t *testing.T) {
