Confirm connections each, and leave endpoints to requests that need no confirmation

- Entries without a start, and endpoints that state none though their entry does, counted as certain, so that the checks of the code before were gone (2 of 24 streams joined inside one answer).
Whether a build is certain now follows from what the connection stated; a stream is not resumed at an endpoint that states a start which its entry lacks.
- A call asked a silent endpoint on each of its kept connections, 0.5 s each (4 questions in TestSilentEndpointIsAskedOnce).
It stops at the first that times out.
- An endpoint that is another incarnation than listed, or whose question failed, was suspect for all requests, and 10 of 10 plain ones were refused.
The first now counts for nothing, the other as one broken attempt.
- The question needed a second connection below the limit, so that streams were refused at the limit.
It may exceed the limit, whose share for health checks is meant for that.
- A statement on one connection vouched for others that were older.
Now it does so only for endpoints that close each connection on which they are asked.
- A kept connection of an earlier incarnation was used again and again.
It is closed.
- A stream that no plan covers stayed bound to the build of an endpoint that it was not sent to.

The limit of the question is 1 s, as a sound endpoint may send nothing for so long.

--- a/internal/connection/endpoint/conn.go
+++ b/internal/connection/endpoint/conn.go
@@ -95,10 +95,11 @@
 	// reused is set after the first request. The send of a later request may fail because the endpoint has closed the idle
 	// connection.
 	reused bool
-	// openedAt is when the connection was open at the latest. startedAt is when the incarnation at its other end started, zero if it does not
-	// state that; it is valid once identified is set.
-	openedAt, startedAt time.Time
-	identified          bool
+	// kept is set once the connection has been idle in the pool.
+	kept bool
+	// startedAt is when the incarnation at its other end started, zero if it does not state that; it is valid once identified is set.
+	startedAt  time.Time
+	identified bool
 }
 
 func newConn(c net.Conn, budget *memory.Budget) *conn {
@@ -106,7 +107,7 @@
 		setKeepAlive(tcp)
 	}
 	limiter := &headLimiter{Conn: c, memory: budget.Hold(0)}
-	return &conn{Conn: c, br: bufio.NewReaderSize(limiter, 4096), limiter: limiter, idleLimit: defaultIdleLimit, openedAt: time.Now()}
+	return &conn{Conn: c, br: bufio.NewReaderSize(limiter, 4096), limiter: limiter, idleLimit: defaultIdleLimit}
 }
 
 // setKeepAlive makes the kernel close a connection whose endpoint has acknowledged nothing for silenceTimeout.
--- a/internal/connection/endpoint/incarnation.go
+++ b/internal/connection/endpoint/incarnation.go
@@ -11,7 +11,7 @@
 
 const (
 	// incarnationTimeout limits the time until an endpoint has stated its incarnation.
-	incarnationTimeout = 500 * time.Millisecond
+	incarnationTimeout = time.Second
 	// maxIncarnationBytes limits the body of the response that states an incarnation.
 	maxIncarnationBytes = 256 << 10
 )
@@ -28,6 +28,9 @@
 // ErrOtherEndpoint means that a response came from another endpoint than the one that was asked.
 var ErrOtherEndpoint = errors.New("another endpoint responded")
 
+// ErrNotStated means that an endpoint did not state its incarnation, so that a call was not sent. It implies ErrNotSent.
+var ErrNotStated = errors.New("endpoint did not state its incarnation")
+
 // IncarnationError means that an endpoint is another incarnation than the one for which a call was meant. It is marked with ErrNotSent.
 type IncarnationError struct {
 	Wanted, StartedAt time.Time
@@ -38,33 +41,29 @@
 	return fmt.Sprintf("endpoint started at %s, not at %s", e.StartedAt.UTC().Format(time.RFC3339Nano), e.Wanted.UTC().Format(time.RFC3339Nano))
 }
 
-// incarnation is what an endpoint last stated. It was running, or about to start, at askedAt, which is zero if the endpoint was not asked.
-type incarnation struct {
-	startedAt, askedAt time.Time
-}
-
 // confirm reports whether a connection leads to the wanted incarnation, zero for any. If not, it has released the connection, and another one
 // may be tried unless there is an error.
 //
-// A connection does not outlive the process that accepted it. So what an endpoint states after a connection was opened holds for that
-// connection, or the connection is dead.
+// A connection does not outlive the process that accepted it, so that what is stated on it holds for all that it carries. If an endpoint closes
+// each connection on which it is asked, what it states on another one after a connection was opened holds for that one, or that one is dead.
 func (p *Pool) confirm(ctx context.Context, t Target, k key, c *conn, wanted time.Time) (ok bool, err error) {
 	if wanted.IsZero() || p.Identity == nil {
 		return true, nil
 	}
 	if err := p.identify(ctx, t, k, c); err != nil {
-		tryNext := c.reused && ctx.Err() == nil
+		// A kept connection may have been closed; one on which nothing came in time shows that the endpoint is silent.
+		tryNext := c.kept && !errors.Is(err, context.DeadlineExceeded)
 		p.release(k, c, false)
 		if tryNext || errors.Is(err, errClosedAfterwards) {
 			return false, nil
 		}
 		awaitDeadline(ctx)
-		return false, errors.Mark(err, ErrNotSent)
+		return false, errors.Mark(errors.Mark(err, ErrNotSent), ErrNotStated)
 	}
 	switch {
 	case c.startedAt.IsZero() || c.startedAt.Equal(wanted):
 		return true, nil
-	case c.reused && c.startedAt.Before(wanted):
+	case c.kept && c.startedAt.Before(wanted):
 		p.release(k, c, false)
 		return false, nil
 	}
@@ -81,40 +80,33 @@
 	if c.identified {
 		return nil
 	}
-	known, closes := p.stated(k)
-	if closes && known.askedAt.Before(c.openedAt) {
-		if known, err = p.askElsewhere(ctx, t, k); err != nil {
-			return err
-		}
-	}
-	if !known.askedAt.Before(c.openedAt) {
-		c.startedAt, c.identified = known.startedAt, true
-		return nil
+	var startedAt time.Time
+	if p.closes(k) {
+		startedAt, err = p.askElsewhere(ctx, t, k)
+	} else {
+		startedAt, err = p.ask(ctx, t, k, c)
 	}
-	known, err = p.ask(ctx, t, k, c)
-	c.startedAt, c.identified = known.startedAt, err == nil
+	c.startedAt, c.identified = startedAt, err == nil
 	return err
 }
 
-// askElsewhere asks an endpoint on a connection of its own.
-func (p *Pool) askElsewhere(ctx context.Context, t Target, k key) (known incarnation, err error) {
-	if err = p.takeSlot(k, t.MaxConnections); err != nil {
-		return known, err
-	}
+// askElsewhere asks an endpoint on a connection of its own, whatever the limit, which leaves room for health checks.
+func (p *Pool) askElsewhere(ctx context.Context, t Target, k key) (startedAt time.Time, err error) {
+	p.takeSlot(k)
 	c, err := p.dial(ctx, k)
 	if err != nil {
-		return known, err
+		return startedAt, err
 	}
-	known, err = p.ask(ctx, t, k, c)
+	startedAt, err = p.ask(ctx, t, k, c)
 	p.release(k, c, err == nil)
 	if errors.Is(err, errClosedAfterwards) {
 		err = nil
 	}
-	return known, err
+	return startedAt, err
 }
 
 // ask asks an endpoint on a connection for its incarnation. The connection can be used afterwards unless there is an error.
-func (p *Pool) ask(ctx context.Context, t Target, k key, c *conn) (known incarnation, err error) {
+func (p *Pool) ask(ctx context.Context, t Target, k key, c *conn) (startedAt time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
 	defer cancel()
 	defer func() {
@@ -122,16 +114,15 @@
 			err = errors.Mark(err, context.DeadlineExceeded)
 		}
 	}()
-	known.askedAt = time.Now()
 	question, reused := p.Identity.Question(t), c.reused
 	x, err := c.send(ctx, question)
 	if err != nil {
-		return known, err
+		return startedAt, err
 	}
 	response, err := x.readResponse(question)
 	if err != nil {
 		x.detach()
-		return known, err
+		return startedAt, err
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxIncarnationBytes+1))
 	whole := err == nil && len(body) <= maxIncarnationBytes
@@ -142,34 +133,24 @@
 		err = errors.New("response is too long")
 	}
 	if err == nil {
-		known.startedAt, err = p.Identity.StartedAt(response.StatusCode, body)
-	}
-	if err != nil {
-		return known, err
+		startedAt, err = p.Identity.StartedAt(response.StatusCode, body)
 	}
-	p.state(k, known, !reusable)
-	if !reusable {
+	if err == nil && !reusable {
 		err = errClosedAfterwards
 	}
-	return known, err
+	p.setCloses(k, errors.Is(err, errClosedAfterwards))
+	return startedAt, err
 }
 
-// stated returns what an endpoint last stated, and whether it closed the connection afterwards.
-func (p *Pool) stated(k key) (known incarnation, closes bool) {
+// closes reports whether an endpoint closed the connection on which it was last asked.
+func (p *Pool) closes(k key) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if g := p.groups[k]; g != nil {
-		return g.incarnation, g.closes
-	}
-	return known, false
+	return p.group(k).closes
 }
 
-// state records what an endpoint stated.
-func (p *Pool) state(k key, known incarnation, closes bool) {
+func (p *Pool) setCloses(k key, closes bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g := p.group(k)
-	if g.closes = closes; g.incarnation.askedAt.Before(known.askedAt) {
-		g.incarnation = known
-	}
+	p.group(k).closes = closes
 }
--- a/internal/connection/endpoint/pool.go
+++ b/internal/connection/endpoint/pool.go
@@ -162,9 +162,8 @@
 type connGroup struct {
 	idle []*conn
 	open int
-	// incarnation is what the endpoint last stated. closes is set if it closed the connection afterwards.
-	incarnation incarnation
-	closes      bool
+	// closes is set if the endpoint closed the connection on which it last stated its incarnation.
+	closes bool
 }
 
 // Pool contains connections to endpoints. Its exported fields must be set before the first call of Send.
@@ -219,7 +218,7 @@
 }
 
 // Send sends a call and returns its Answer after the header has been read. Its errors are ErrNotSent, ErrNoConnection,
-// IncarnationError and ErrBroken. It retries a call on another connection only if no byte could be written to a reused connection.
+// ErrNotStated, IncarnationError and ErrBroken. It retries a call on another connection only if no byte could be written to a reused connection.
 func (p *Pool) Send(ctx context.Context, t Target, call *Call) (a *Answer, err error) {
 	defer func() { err = errors.Wrapf(err, "endpoint %s at %s", t.ID, t.Address) }()
 	k := key{id: t.ID, addr: t.Address}
@@ -322,14 +321,18 @@
 		g.open--
 		_ = c.Close()
 	}
-	return nil, g.count(limit)
+	if limit > 0 && g.open >= limit {
+		return nil, ErrNoConnection
+	}
+	g.open++
+	return nil, nil
 }
 
-// takeSlot counts a connection that the caller must open, or returns ErrNoConnection if limit is reached.
-func (p *Pool) takeSlot(k key, limit int) error {
+// takeSlot counts a connection that the caller must open.
+func (p *Pool) takeSlot(k key) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.group(k).count(limit)
+	p.group(k).open++
 }
 
 // group returns the connections to an endpoint. The caller must hold mu.
@@ -342,15 +345,6 @@
 	return g
 }
 
-// count counts a connection that is to be opened, or returns ErrNoConnection if limit is reached.
-func (g *connGroup) count(limit int) error {
-	if limit > 0 && g.open >= limit {
-		return ErrNoConnection
-	}
-	g.open++
-	return nil
-}
-
 // release returns a connection to the pool if it is reusable and Run has not ended. Otherwise it closes the connection.
 func (p *Pool) release(k key, c *conn, reusable bool) {
 	c.limiter.reset()
@@ -362,7 +356,7 @@
 		g.open--
 		return
 	}
-	c.idleSince = time.Now()
+	c.idleSince, c.kept = time.Now(), true
 	g.idle = append(g.idle, c)
 }
 
--- a/internal/connection/endpoint/running.go
+++ b/internal/connection/endpoint/running.go
@@ -18,13 +18,12 @@
 	if p.Identity == nil {
 		return nil
 	}
-	t.MaxConnections = 0 // the question must not wait for the requests
 	k := key{id: t.ID, addr: t.Address}
 	for last := false; ; last = true {
-		known, err := p.askElsewhere(ctx, t, k)
+		stated, err := p.askElsewhere(ctx, t, k)
 		switch {
-		case err == nil && !startedAt.IsZero() && !known.startedAt.IsZero() && !known.startedAt.Equal(startedAt):
-			return &IncarnationError{Wanted: startedAt, StartedAt: known.startedAt}
+		case err == nil && !startedAt.IsZero() && !stated.IsZero() && !stated.Equal(startedAt):
+			return &IncarnationError{Wanted: startedAt, StartedAt: stated}
 		case err == nil:
 			return nil
 		case errors.Is(err, errNotConnected), errors.Is(err, ErrOtherEndpoint), errors.Is(err, context.DeadlineExceeded), ctx.Err() != nil:
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -28,6 +28,8 @@
 	// first bytes of a streamed answer have arrived or the outcome is recorded.
 	prefillTokens int
 	started       time.Time
+	// bound is set if the attempt bound a stream that no plan covers to the build of its endpoint.
+	bound bool
 	// known is the evidence against the request when the attempt began.
 	known quarantine.Evidence
 	// ctx is done with the request, and with the cause errSilent once the endpoint has been found silent.
@@ -77,6 +79,9 @@
 	case errors.Is(err, endpoint.ErrNoConnection):
 		a.recordOutcome(placement.Full)
 		v = notRun
+	case errors.Is(err, endpoint.ErrNotStated):
+		a.recordOutcome(a.failureOutcome(placement.Broken))
+		v = notRun
 	case connectFailed(err):
 		a.recordOutcome(a.failureOutcome(placement.Unreachable))
 		v = notRun
@@ -334,7 +339,7 @@
 	}
 	a.flight.progress(time.Now())
 	a.recordBegun(false)
-	if !a.recordSource() && (req.w.Started() || req.pinned.takenUp) {
+	if !a.recordSource(answer) && (req.w.Started() || req.pinned.takenUp) {
 		return true, errBuildUnknown
 	}
 	if !a.startStream(answer) {
--- a/internal/request/forward/builds.go
+++ b/internal/request/forward/builds.go
@@ -40,7 +40,7 @@
 	takenUp bool
 	// begun is set once an endpoint has brought an event.
 	begun bool
-	// unstated are the endpoints that brought events and state no start, as they were listed then.
+	// unstated are the endpoints that brought events and whose start was not confirmed, as they were listed then.
 	unstated []*site.Endpoint
 }
 
@@ -248,14 +248,16 @@
 	if req.handler.Builds == nil || req.route.Repeat != site.Resume || req.pinned.active {
 		return
 	}
+	a.bound = true
 	req.pinned.active, req.pinned.build = true, a.endpoint.Build
 	req.handler.Builds.Begun(now, req.pinned.stream, a.endpoint.Build)
 }
 
 // incarnation returns the incarnation to which a resumable stream may be sent, zero for any: the entry states the build of that one only, and may
-// lag behind an endpoint that has started again, with another build, under its ID.
+// lag behind an endpoint that has started again, with another build, under its ID. If an entry states no start, a stream may begin there, but is
+// resumed only if the endpoint states none either.
 func (req *request) incarnation(e *site.Endpoint) time.Time {
-	if !req.pinned.active || !e.StatesStart() {
+	if !req.pinned.active || (!e.StatesStart() && !req.pinned.takenUp && !req.w.Started()) {
 		return time.Time{}
 	}
 	return e.StartedAt
@@ -265,7 +267,11 @@
 func (a *attempt) handleOtherIncarnation(err *endpoint.IncarnationError) {
 	a.req.logBuildLost(a.endpoint, err.StartedAt)
 	a.req.handler.count("Builds.NotCurrent")
-	a.recordOutcome(placement.Misdirected)
+	a.recordOutcome(placement.Abandoned)
+	if a.bound {
+		a.req.handler.Builds.Forget(a.req.pinned.stream)
+		a.req.pinned.active = false
+	}
 }
 
 func (req *request) logBuildLost(e *site.Endpoint, startedAt time.Time) {
@@ -273,15 +279,15 @@
 		"listed", e.StartedAt, "startedAt", startedAt, "entry", e.Revision)
 }
 
-// recordSource records that the endpoint of the attempt brings events, and reports whether its build is certain: if an endpoint does not state
-// its start, its entry may lag behind one that has started again under its ID.
-func (a *attempt) recordSource() bool {
+// recordSource records that the endpoint of the attempt brings events, and reports whether its build is certain: if its start was not confirmed,
+// its entry may lag behind one that has started again under its ID.
+func (a *attempt) recordSource(answer *endpoint.Answer) bool {
 	req := a.req
 	if !req.pinned.active {
 		return true
 	}
 	req.pinned.begun = true
-	if a.endpoint.StatesStart() || slices.Contains(req.pinned.unstated, a.endpoint) {
+	if !answer.Incarnation().IsZero() && a.endpoint.StatesStart() || slices.Contains(req.pinned.unstated, a.endpoint) {
 		return true
 	}
 	req.pinned.unstated = append(req.pinned.unstated, a.endpoint)
@@ -291,7 +297,7 @@
 	return req.sourcesAreListed()
 }
 
-// sourcesAreListed reports whether no endpoint that brought events without stating its start is listed with another build by now.
+// sourcesAreListed reports whether no endpoint that brought events without a confirmed start is listed with another build by now.
 func (req *request) sourcesAreListed() bool {
 	listed := req.handler.View.Current().Endpoints[req.service]
 	for _, source := range req.pinned.unstated {
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -38,6 +38,9 @@
 
 func (identity) StartedAt(_ int, body []byte) (time.Time, error) {
 	ms, err := strconv.ParseInt(string(body), 10, 64)
+	if ms == 0 {
+		return time.Time{}, err
+	}
 	return time.UnixMilli(ms), err
 }
 
