Believe endpoints that started before the request at the end of an answer

Change: if the connection was not confirmed, an endpoint that states the start of its entry, or any start before the request was sent, is the one that answered. A reset while connecting counts as a reset.

Not told apart, and left as broken off: an endpoint that closes its port before its last unframed answer has ended. Left as whole: one that is killed behind a proxy that goes on accepting.

--- a/internal/connection/endpoint/running.go
+++ b/internal/connection/endpoint/running.go
@@ -2,36 +2,35 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// rebootPause is the time between two questions to an endpoint that accepts connections and does not respond: the first one may have reached
+// repeatPause is the time between two questions to an endpoint that accepts connections and does not respond: the first one may have reached
 // it while it ended.
-const rebootPause = 20 * time.Millisecond
+const repeatPause = 20 * time.Millisecond
 
-// Running returns nil if an endpoint runs, as far as it tells, and is the incarnation that started at the given time, zero for any. The
-// endpoint is asked on a connection of its own; one that responds in another way, or resets the connection twice, counts as running.
-func (p *Pool) Running(ctx context.Context, t Target, startedAt time.Time) (err error) {
+// Running returns nil if an endpoint runs, as far as it tells, and when it started, zero if it does not state that. The endpoint is asked on a
+// connection of its own. One that responds in another way, or resets or closes the connection twice, counts as running.
+func (p *Pool) Running(ctx context.Context, t Target) (startedAt time.Time, err error) {
 	defer func() { err = errors.Wrapf(err, "endpoint %s at %s is not known to run", t.ID, t.Address) }()
 	if p.Identity == nil {
-		return nil
+		return startedAt, nil
 	}
-	k := key{id: t.ID, addr: t.Address}
 	for last := false; ; last = true {
-		stated, err := p.askElsewhere(ctx, t, k)
+		startedAt, err = p.askElsewhere(ctx, t, key{id: t.ID, addr: t.Address})
 		switch {
-		case err == nil && !startedAt.IsZero() && !stated.IsZero() && !stated.Equal(startedAt):
-			return &IncarnationError{Wanted: startedAt, StartedAt: stated}
 		case err == nil:
-			return nil
-		case errors.Is(err, errNotConnected), errors.Is(err, ErrOtherEndpoint), errors.Is(err, context.DeadlineExceeded), ctx.Err() != nil:
-			return err
+			return startedAt, nil
+		case errors.Is(err, ErrOtherEndpoint), errors.Is(err, context.DeadlineExceeded), ctx.Err() != nil,
+			errors.Is(err, errNotConnected) && !errors.Is(err, syscall.ECONNRESET):
+			return startedAt, err
 		case last:
-			return nil
+			return time.Time{}, nil
 		}
-		timer := time.NewTimer(rebootPause)
+		timer := time.NewTimer(repeatPause)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -73,8 +73,8 @@
 
 // Incarnations asks endpoints whether they still run. endpoint.Pool implements it.
 type Incarnations interface {
-	// Running returns nil if an endpoint runs, as far as it tells, and is the incarnation that started at the given time, zero for any.
-	Running(ctx context.Context, t endpoint.Target, startedAt time.Time) error
+	// Running returns nil if an endpoint runs, as far as it tells, and when it started, zero if it does not state that.
+	Running(ctx context.Context, t endpoint.Target) (startedAt time.Time, err error)
 }
 
 // Crashes investigates connections that broke during a request. CrashWatch implements it.
