--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -102,6 +102,7 @@
 
 	mu        sync.Mutex
 	arrivals  []string // the endpoint of each request
+	requests  []string // the request line and ID of each request
 	listeners map[string]net.Listener
 }
 
@@ -130,6 +131,13 @@
 	return len(f.arrivals) - 1
 }
 
+// record keeps what is printed of a request if the test fails.
+func (f *fixture) record(r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.requests = append(f.requests, fmt.Sprintf("%s %s %s", r.Method, r.URL.Path, r.Header.Get("Id")))
+}
+
 func (f *fixture) arrivalCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -179,6 +187,11 @@
 		server.CloseAll()
 		cancel()
 		background.Wait()
+		if t.Failed() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			t.Logf("requests at the endpoints: %q", f.requests)
+		}
 	})
 	return f
 }
@@ -212,6 +225,7 @@
 						_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 						continue
 					}
+					f.record(r)
 					if !answer(f.arrive(id), r.Header.Get("Id"), r, c) {
 						return
 					}
