Take streams up by plans and reports, not by the endpoints listed now

Callers could get streams joined of two builds (ORDER) in two more ways of the same class, an entry read as what was there when the stream began. Found by an independent review, with a test each:

- A stream that no plan covers, whose gateway was killed before its report, went on at whatever build the endpoints state now.
- After a route was moved to another service, the build of the former one was taken from its entries, though its plan says another one.
The plan and reports of the former service decide now.

Measured: TestTakeUpWithoutPlan and the case of TestTakeUpAfterRouteMoved in which the former service has been replaced got 200 before and get 503 now; a former service that was replaced while the build of the stream serves elsewhere got 503 and gets 200.

--- a/internal/request/forward/builds.go
+++ b/internal/request/forward/builds.go
@@ -102,8 +102,8 @@
 			return knowledge != builds.Behind || book.PlanAge(now) > reportPatience
 		})
 	}
-	if knowledge == builds.Unplanned {
-		build, knowledge = req.onlyBuild()
+	if knowledge == builds.Unplanned { // the endpoints that are listed now may not be those that were there when the stream began
+		knowledge = builds.Uncertain
 	}
 	if knowledge == builds.Planned && !req.mayHaveBegunHere(build) {
 		build, knowledge = "", builds.Uncertain
@@ -133,10 +133,16 @@
 }
 
 // mayHaveBegunHere reports whether a stream that the plan assigns to a build began at it if it began at another service from which the route
-// was moved a moment ago.
+// was moved a moment ago, by the plan of that service.
 func (req *request) mayHaveBegunHere(build string) bool {
-	for _, former := range req.snapshot.FormerServices(req.route, time.Now()) {
-		if only, k := req.onlyBuildOf(former); former != req.service && (k != builds.Planned || only != build) {
+	now := time.Now()
+	for _, former := range req.snapshot.FormerServices(req.route, now) {
+		if former == req.service {
+			continue
+		}
+		stream := req.pinned.stream
+		stream.Service = former
+		if began, k, _ := req.handler.Builds.TakeUp(now, stream); k != builds.Planned || began != build {
 			return false
 		}
 	}
@@ -210,21 +216,6 @@
 	return defaultTimeout
 }
 
-// onlyBuild returns the build of all endpoints of the service, or builds.Uncertain if there are several.
-func (req *request) onlyBuild() (build string, k builds.Knowledge) {
-	return req.onlyBuildOf(req.service)
-}
-
-func (req *request) onlyBuildOf(service string) (build string, k builds.Knowledge) {
-	for i, e := range req.snapshot.Endpoints[service] {
-		if i > 0 && e.Build != build {
-			return "", builds.Uncertain
-		}
-		build = e.Build
-	}
-	return build, builds.Planned
-}
-
 // endpointsOfBuild returns the eligible endpoints of the build to which the stream is bound. If there are none, it returns those that began
 // to leave a moment ago.
 func (req *request) endpointsOfBuild(now time.Time) []*site.Endpoint {
--- a/internal/request/forward/builds_test.go
+++ b/internal/request/forward/builds_test.go
@@ -300,10 +300,11 @@
 // TestTakeUpAfterRouteMoved guards against a stream that goes on at another service, to which its route was moved, at another build.
 func TestTakeUpAfterRouteMoved(t *testing.T) {
 	for _, c := range []struct {
+		former string // the build that the entries of the former service state by now; by the plan it is old
 		build  string
 		status int
-	}{{"new", 503}, {"old", 200}} {
-		f := newBuildFixture(t, "old", "old", c.build)
+	}{{"old", "new", 503}, {"old", "old", 200}, {"new", "new", 503}, {"new", "old", 200}} {
+		f := newBuildFixture(t, c.former, c.former, c.build)
 		list := f.snapshot.Endpoints["S"]
 		list[2].Service = "T"
 		f.snapshot.Endpoints["S"], f.snapshot.Endpoints["T"] = list[:2], list[2:]
@@ -318,11 +319,24 @@
 		f.handler.Builds.Heard(time.Now(), "g", &builds.Report{Number: 1})
 		status, body, _ := f.send(t, http.MethodPost, "/resume/", "Deadline: 5000", "After: 2", "Origin: r0")
 		if status != c.status {
-			t.Errorf("other service at build %s: %d %q, want %d", c.build, status, body, c.status)
+			t.Errorf("former service now at build %s, other service at build %s: %d %q, want %d", c.former, c.build, status, body, c.status)
 		}
 	}
 }
 
+// TestTakeUpWithoutPlan guards against a stream that no plan covers and that goes on at the build of the endpoints that are listed now, since the
+// gateway that began it was killed before its report.
+func TestTakeUpWithoutPlan(t *testing.T) {
+	is := is.New(t)
+	f := newBuildFixture(t, "new", "new", "new")
+	f.restore(nil)
+	f.handler.Builds.Heard(time.Now(), "g", &builds.Report{})
+	status, body, _ := f.send(t, http.MethodPost, "/resume/", "Deadline: 5000", "After: 2", "Origin: r0")
+	is.Equal(status, 503)
+	is.True(strings.Contains(body, "not run"))
+	is.Equal(f.arrivalCount(), 0)
+}
+
 // TestMissingReportIsNotAwaited guards against take-ups that are held back for a report that a gateway which is gone does not make.
 func TestMissingReportIsNotAwaited(t *testing.T) {
 	is := is.New(t)
