--- a/internal/connection/endpoint/running_test.go
+++ b/internal/connection/endpoint/running_test.go
@@ -36,8 +36,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var s *fakeEndpoint
-			s = startEndpoint(t, func(s *fakeEndpoint, n int, c net.Conn, br *bufio.Reader) {
+			s := startEndpoint(t, func(s *fakeEndpoint, n int, c net.Conn, br *bufio.Reader) {
 				if test.stops && n == len(test.responses)-1 {
 					defer s.stop()
 				}
