Derive the owners of orders from the configuration in force at the call

TestScenarios/lagging_list failed beside load: the first order after Order1 was killed and Order2 drained got 503 NotOwner ("another agent owns the shard", "not run") in place of 201.

Order3 accepts version 6, in which Order2 is leaving, at 17.311041 and refuses the order 92 us later, at 17.311132. The order had waited for that version, but the endpoints that may own a shard were derived from it by the goroutine that polls the platform's list, which had not run yet: Order2 was still one. The entry does not ask Order2, which its configuration has as leaving, and NotOwner is not tried again. While the platform's list was being read, the goroutine did not look at the configuration at all.

Change: preferredOwner derives the endpoints anew if the configuration in force is another one. Polling only replaces the platform's list.

Evidence: TestPreferredOwnerOfNewConfiguration fails without it (29 of 64 shards, 64 wanted).

--- a/internal/process/agent/orders.go
+++ b/internal/process/agent/orders.go
@@ -14,6 +14,7 @@
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/platform"
 	"primrosecourse/internal/request/order"
+	"primrosecourse/internal/version/config"
 	"primrosecourse/pkg/claim"
 	"primrosecourse/pkg/settings"
 	"primrosecourse/pkg/wire"
@@ -37,9 +38,13 @@
 
 	owner atomic.Pointer[order.Owner]
 
-	mu     sync.Mutex
-	active []string // endpoints of the service that are not leaving according to the configuration
-	live   []string // those of active that the platform lists as not leaving
+	mu sync.Mutex
+	// listed contains the instances of the platform's last list, with whether they are not leaving; nil before the first.
+	listed map[string]bool
+	// snapshot is the configuration that active and live were derived from.
+	snapshot *config.Snapshot
+	active   []string // endpoints of the service that are not leaving according to the configuration
+	live     []string // those of active that the platform lists as not leaving
 }
 
 // instancesInterval is the mean time between two reads of the platform's instance list. Entries report unreachable
@@ -91,25 +96,18 @@
 	return owner.Execute(ctx, call)
 }
 
-// pollInstances follows the platform's instance list and the configuration. During an outage it uses the last list.
+// pollInstances follows the platform's instance list. During an outage the last list stays.
 func (o *OrderOwner) pollInstances(ctx context.Context) {
-	var listed map[string]bool
-	var nextRead time.Time
 	for ctx.Err() == nil {
-		changed := o.Configuration.Changed()
-		if !time.Now().Before(nextRead) {
-			if instances, err := o.Platform.Instances(ctx); err == nil {
-				listed = make(map[string]bool, len(instances))
-				for _, i := range instances {
-					listed[i.Name] = !i.Leaving
-				}
+		if instances, err := o.Platform.Instances(ctx); err == nil {
+			listed := make(map[string]bool, len(instances))
+			for _, i := range instances {
+				listed[i.Name] = !i.Leaving
 			}
-			nextRead = time.Now().Add(instancesInterval*3/4 + rand.N(instancesInterval/2))
+			o.updateEndpoints(listed)
 		}
-		o.updateEndpoints(listed)
-		timer := time.NewTimer(time.Until(nextRead))
+		timer := time.NewTimer(instancesInterval*3/4 + rand.N(instancesInterval/2))
 		select {
-		case <-changed:
 		case <-timer.C:
 		case <-ctx.Done():
 		}
@@ -117,9 +115,16 @@
 	}
 }
 
-// updateEndpoints sets active and live from the configuration and the instances that the platform lists as not leaving.
+// updateEndpoints replaces the platform's list of instances.
 func (o *OrderOwner) updateEndpoints(listed map[string]bool) {
-	s := o.Configuration.Current()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.listed = listed
+	o.deriveEndpoints(o.Configuration.Current())
+}
+
+// deriveEndpoints sets active and live from a configuration and the platform's list. The caller must hold mu.
+func (o *OrderOwner) deriveEndpoints(s *config.Snapshot) {
 	cfg := newLocalConfig(s, o.Name)
 	leaving := map[string]bool{}
 	for _, domain := range s.Deployment.FailureDomains {
@@ -132,13 +137,11 @@
 			continue
 		}
 		active = append(active, e.Name)
-		if listed[e.Name] {
+		if o.listed[e.Name] {
 			live = append(live, e.Name)
 		}
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.active, o.live = active, live
+	o.snapshot, o.active, o.live = s, active, live
 }
 
 // preferredOwner returns the preferred owner of a shard among the endpoints of the service that are not leaving according
@@ -148,9 +151,14 @@
 //
 // The platform's list lags: without the entry's report, orders for the shards of a stopping endpoint would be refused
 // until the list is updated. A wrong report costs only a takeover, since the claim log fences the former owner.
+//
+// The configuration is the one in force at the call, which the entry that sent the order uses too.
 func (o *OrderOwner) preferredOwner(shard int, unavailable []string) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if s := o.Configuration.Current(); s != o.snapshot {
+		o.deriveEndpoints(s)
+	}
 	for _, names := range [][]string{o.live, o.active} {
 		reachable := make([]string, 0, len(names))
 		for _, name := range names {
--- a/internal/process/agent/orders_test.go
+++ b/internal/process/agent/orders_test.go
@@ -61,3 +61,41 @@
 		})
 	}
 }
+
+// changedConfig is a configuration that a test replaces.
+type changedConfig struct {
+	Configuration
+	snapshot *config.Snapshot
+}
+
+func (c *changedConfig) Current() *config.Snapshot { return c.snapshot }
+
+// TestPreferredOwnerOfNewConfiguration guards against an order that is refused right after a configuration has come into force, since the
+// owner of its shard is still taken from the one before.
+func TestPreferredOwnerOfNewConfiguration(t *testing.T) {
+	is := is.New(t)
+	deployment := func(second settings.TargetState) *settings.Deployment {
+		d := &settings.Deployment{}
+		for _, e := range []settings.Endpoint{{Name: "S1"}, {Name: "S2", State: second}} {
+			e.Kind, e.Service = settings.ServiceEndpoint, "Orders"
+			d.Endpoints = append(d.Endpoints, e)
+		}
+		return d
+	}
+	c := &changedConfig{snapshot: &config.Snapshot{Version: 1, Deployment: deployment(settings.Active)}}
+	o := &OrderOwner{Name: "S1", Configuration: c}
+	o.updateEndpoints(map[string]bool{"S1": true, "S2": true})
+	owned := func() (shards int) {
+		for shard := range 64 {
+			if o.preferredOwner(shard, nil) == "S1" {
+				shards++
+			}
+		}
+		return shards
+	}
+	is.True(owned() > 0 && owned() < 64)
+	c.snapshot = &config.Snapshot{Version: 2, Deployment: deployment(settings.Leaving)}
+	is.Equal(owned(), 64) // the platform's list was not read since
+	c.snapshot = &config.Snapshot{Version: 3, Deployment: deployment(settings.Active)}
+	is.True(owned() > 0 && owned() < 64)
+}
