Answer requests that cross the stop of an entry

TestScenarios/rolling_restart failed beside load: one to four requests "connection reset by peer" or EOF at an entry that restarts. A caller can't tell such an end from that of a request that ran.

Cause: an entry without requests in progress closed its listener and its idle connections at once. What lay in the kernel then, on kept connections or on new ones that were not accepted yet, was closed unread. By the source of net/http, Shutdown also waits up to 5 s for a new connection without a request; the entry gave it one second and then closed it, whatever had arrived on it.

TestRequestsAsStopBegins fails without the change (64 of 64 kept connections, 3 of 3 runs). TestArrivedRequestsAtEndOfStop, without callers.closeIdle: 3 of 3 runs.

Change: the entry answers on kept and new connections for a second (NoticeTime) after its readiness check has begun to fail, as gateways do for 2.7 s. Then connections without a request close, by an interrupted read that still takes what has arrived, and those with one after their answer. A stop thus takes a second at least; a second signal ends it as before.

Not covered: a caller that sends later than the second on a kept connection, or whose connection waits in the listener's queue when that closes, can still get a reset.

--- a/cmd/primrose-entry/main.go
+++ b/cmd/primrose-entry/main.go
@@ -1,8 +1,8 @@
 // Command primrose-entry runs an entry. It serves callers over HTTP, routes each request to an endpoint, and relays the
 // configuration to the entries and agents that subscribe to it. It logs JSON lines to standard error.
 //
-// SIGTERM and SIGINT start a graceful shutdown: the entry is no longer ready, refuses new requests, and gives running ones
-// the drain timeout of the configuration to finish. After the timeout, or at a second signal, it cuts off the remaining
+// SIGTERM and SIGINT start a graceful shutdown: the entry is no longer ready, refuses new requests for at least a second, and gives
+// running ones the drain timeout of the configuration to finish. After the timeout, or at a second signal, it cuts off the remaining
 // requests and logs how many they are. The exit code is 2 for invalid flags and 1 for other errors.
 //
 // # Usage
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -55,6 +55,9 @@
 	// DrainTimeout is the time that requests in progress have to finish in a graceful shutdown. Default: DrainTimeout of
 	// the configuration, or 30 s if that is not set.
 	DrainTimeout time.Duration
+	// NoticeTime is how long the entry still answers on kept and new connections after its readiness check has begun to fail, within
+	// DrainTimeout, so that load balancers learn of the stop before connections are closed. Default 1 s.
+	NoticeTime time.Duration
 	// Dial connects to an agent. Default: TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	// Listen opens a listener. Default: TCP.
@@ -81,6 +84,7 @@
 		e.abort, e.serving, e.done = make(chan struct{}), make(chan struct{}), make(chan struct{})
 		e.Incarnation = cmp.Or(e.Incarnation, rand.Uint64())
 		e.Marks = cmp.Or(e.Marks, &peer.Relay{})
+		e.NoticeTime = cmp.Or(e.NoticeTime, time.Second)
 		if e.Metrics == nil {
 			e.Metrics = metrics.NewRegistry()
 		}
@@ -147,7 +151,8 @@
 	// The components outlive ctx, since requests in progress need them until they are drained.
 	workCtx, cancelWork := context.WithCancel(context.Background())
 	defer cancelWork()
-	server := &http.Server{Handler: e.handler, ReadHeaderTimeout: cmp.Or(e.HeaderTimeout, 5*time.Second),
+	callers := newCallers(callerListener)
+	server := &http.Server{Handler: e.handler, ConnState: callers.track, ReadHeaderTimeout: cmp.Or(e.HeaderTimeout, 5*time.Second),
 		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10,
 		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(e.Log.V(1)), slog.LevelDebug)}
 	server.Protocols = new(http.Protocols)
@@ -159,7 +164,7 @@
 		func() error { return peerServer.Run(workCtx, peerListener) },
 		func() error { return e.pool.Run(workCtx) },
 		func() error { return e.watchConfiguration(workCtx) },
-		func() error { return serve(server, callerListener) },
+		func() error { return serve(server, callers) },
 	}
 	results := make(chan error, len(components))
 	for _, run := range components {
@@ -176,7 +181,7 @@
 		}
 	}
 	e.drain()
-	e.closeServer(server)
+	e.closeServer(server, callers)
 	cancelWork()
 	for range running {
 		err = errors.CombineErrors(err, <-results)
@@ -192,18 +197,21 @@
 	return nil
 }
 
-// closeServer shuts the HTTP server down. After drain, there remain idle connections, responses that are being flushed, and
-// requests that did not end within errorEventTimeout of their cancellation.
-func (e *Entry) closeServer(server *http.Server) {
+// closeServer shuts the HTTP server down. After drain, there remain idle connections, requests that have just arrived, responses that are being
+// flushed, and requests that did not end within errorEventTimeout of their cancellation.
+func (e *Entry) closeServer(server *http.Server, callers *callers) {
 	ctx, cancel := context.WithTimeout(context.Background(), errorEventTimeout)
 	defer cancel()
+	for callers.closeIdle() > 0 && ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+	}
 	if server.Shutdown(ctx) != nil {
 		_ = server.Close()
 	}
 }
 
-// drain waits until the requests in progress have ended. It cancels those that remain after the drain timeout or when
-// Abort is called, and then waits for at most errorEventTimeout.
+// drain waits until the requests in progress have ended and NoticeTime has passed. It cancels those that remain after the drain timeout or
+// when Abort is called, and then waits for at most errorEventTimeout.
 func (e *Entry) drain() {
 	ctx, cancel := context.WithTimeout(context.Background(), e.drainTimeout())
 	defer cancel()
@@ -218,7 +226,13 @@
 		}
 	}()
 	event.Info(e.Log, event.EntryDraining, "name", e.Name, "timeout", e.drainTimeout().String())
+	notice := time.NewTimer(e.NoticeTime)
+	defer notice.Stop()
 	remaining := e.handler.Drain(ctx)
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
 	close(drained)
 	<-watcherDone
 	if len(remaining) == 0 {
--- a/internal/process/entry/stop_test.go
+++ b/internal/process/entry/stop_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -72,3 +76,133 @@
 	defer mu.Unlock()
 	f.is.Equal(strings.Join(ran, ","), "before,slow")
 }
+
+// TestRequestsAsStopBegins guards against a stop that closes connections on which a request has just arrived, unread: their callers can't tell that
+// from a request that ran. The requests come on kept connections and on new ones; new ones may also be refused.
+func TestRequestsAsStopBegins(t *testing.T) {
+	f := startOrderFixture(t)
+	connections := f.keptConnections(64)
+	defer f.load()()
+	begin := make(chan struct{})
+	var callers sync.WaitGroup
+	for i, c := range connections {
+		callers.Go(func() {
+			<-begin
+			err := c.send()
+			if err == nil {
+				err = c.awaitAnswer()
+			}
+			if err != nil {
+				t.Errorf("kept connection %d: %v", i, err)
+			}
+		})
+		callers.Go(func() {
+			<-begin
+			c, err := f.dial()
+			if err == nil {
+				defer c.Close()
+				if err = c.send(); err == nil {
+					err = c.awaitAnswer()
+				}
+			}
+			if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+				t.Errorf("new connection %d: %v", i, err)
+			}
+		})
+	}
+	close(begin)
+	f.shutDown()
+	callers.Wait()
+	f.is.NoErr(<-f.result)
+}
+
+// TestArrivedRequestsAtEndOfStop guards against a stop that closes kept connections at its end although requests have arrived on them, whose bytes
+// lie in the kernel.
+func TestArrivedRequestsAtEndOfStop(t *testing.T) {
+	f := startOrderFixture(t)
+	connections := f.keptConnections(64)
+	defer f.load()()
+	f.entry.NoticeTime = 1 // the end is the beginning
+	for _, c := range connections {
+		f.is.NoErr(c.send())
+	}
+	f.shutDown()
+	for i, c := range connections {
+		if err := c.awaitAnswer(); err != nil {
+			t.Errorf("connection %d: %v", i, err)
+		}
+	}
+	f.is.NoErr(<-f.result)
+}
+
+func startOrderFixture(t *testing.T) *fixture {
+	return startFixture(t, &behaviour{call: func(_ string, m wire.Call) wire.Message {
+		return wire.Reply{Stream: m.Stream, Status: 201, Body: m.Body}
+	}})
+}
+
+// callerConnection is a connection of a caller, which sends orders on it.
+type callerConnection struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func (f *fixture) dial() (*callerConnection, error) {
+	c, err := net.Dial("tcp", f.entry.BoundAddress().String())
+	if err != nil {
+		return nil, err
+	}
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	return &callerConnection{c, bufio.NewReader(c)}, nil
+}
+
+// keptConnections returns n connections on each of which an order was answered.
+func (f *fixture) keptConnections(n int) (connections []*callerConnection) {
+	for range n {
+		c, err := f.dial()
+		f.is.NoErr(err)
+		f.is.NoErr(c.send())
+		f.is.NoErr(c.awaitAnswer())
+		connections = append(connections, c)
+	}
+	return connections
+}
+
+// load keeps the goroutines of the connections from running at once, until the function that it returns is called.
+func (f *fixture) load() (end func()) {
+	var stop atomic.Bool
+	var load sync.WaitGroup
+	for range runtime.NumCPU() {
+		load.Go(func() {
+			for !stop.Load() {
+				runtime.KeepAlive(f)
+			}
+		})
+	}
+	return func() {
+		stop.Store(true)
+		load.Wait()
+	}
+}
+
+func (c *callerConnection) send() error {
+	_, err := fmt.Fprintf(c, "POST /services/Orders/new HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\nIdempotency-Key: k\r\nContent-Length: 3\r\n\r\none")
+	return err
+}
+
+// awaitAnswer returns an error if the order is neither run nor refused as not run since the entry stops.
+func (c *callerConnection) awaitAnswer() error {
+	response, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	refused := response.StatusCode == 503 && strings.Contains(string(body), `"outcome":"not run","reason":"Draining"`)
+	if response.StatusCode != 201 && !refused {
+		return fmt.Errorf("status %d: %s", response.StatusCode, body)
+	}
+	return nil
+}
