Close connections with the answers of a stopping entry

Only refusals during a stop said Connection: close. An answer to a request from before the stop kept its connection, so that the caller's next request was refused at best, and crossed the close of the connection at worst.

Change: every answer whose header is sent while the entry stops says Connection: close.

Evidence: TestAnswersDuringStopCloseConnections, for a call, a prompt and a stream, fails without the change in all three. Not covered: a stream whose header was sent before the stop.

--- a/internal/process/entry/stop_test.go
+++ b/internal/process/entry/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -135,6 +136,48 @@
 	f.is.NoErr(<-f.result)
 }
 
+// TestAnswersDuringStopCloseConnections guards against an answer during a stop that keeps the connection open, if its request came before the stop:
+// the caller's next request would cross the close.
+func TestAnswersDuringStopCloseConnections(t *testing.T) {
+	for name, test := range map[string]struct{ path, body string }{
+		"call":   {"/services/Orders/new", "one"},
+		"prompt": {"/v1/completions", `{"model":"M","prompt":"a story","max_tokens":7}`},
+		"stream": {"/v1/completions", streamRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			release, started := make(chan struct{}), make(chan struct{})
+			f := startFixture(t, &behaviour{
+				call: func(_ string, m wire.Call) wire.Message {
+					close(started)
+					<-release
+					return wire.Reply{Stream: m.Stream, Status: 201, Body: m.Body}
+				},
+				submit: func(_ context.Context, _ string, m wire.Submit, send func(wire.Message)) {
+					send(wire.Accepted{Stream: m.Stream})
+					close(started)
+					<-release
+					send(tokensMessage(m, "one"))
+					send(wire.End{Stream: m.Stream, Finish: wire.FinishStop})
+				},
+			})
+			response := make(chan *http.Response, 1)
+			go func() { response <- f.post(test.path, test.body) }()
+			<-started
+			f.shutDown()
+			for f.get("/readyz") == 200 {
+				time.Sleep(time.Millisecond)
+			}
+			close(release)
+			r := <-response
+			body, err := io.ReadAll(r.Body)
+			f.is.NoErr(err)
+			f.is.True(r.StatusCode < 300 && strings.Contains(string(body), "one"))
+			f.is.True(r.Close)
+			f.is.NoErr(<-f.result)
+		})
+	}
+}
+
 func startOrderFixture(t *testing.T) *fixture {
 	return startFixture(t, &behaviour{call: func(_ string, m wire.Call) wire.Message {
 		return wire.Reply{Stream: m.Stream, Status: 201, Body: m.Body}
--- a/internal/request/caller/call.go
+++ b/internal/request/caller/call.go
@@ -80,6 +80,7 @@
 		status = http.StatusBadGateway
 	}
 	_ = req.control.SetWriteDeadline(time.Now().Add(req.limits.BodyTimeout))
+	h.announceStop(req.w)
 	req.w.WriteHeader(status)
 	_, _ = req.w.Write(reply.Body)
 	return nil
--- a/internal/request/caller/completion_writer.go
+++ b/internal/request/caller/completion_writer.go
@@ -48,11 +48,13 @@
 
 // completionWriter writes the answer to a prompt, either as one JSON object or as a stream of server-sent events.
 type completionWriter struct {
-	w          http.ResponseWriter
-	control    *http.ResponseController
-	completion *completion
-	id         string
-	created    time.Time
+	w       http.ResponseWriter
+	control *http.ResponseController
+	// announceStop is called before the header is sent.
+	announceStop func(http.ResponseWriter)
+	completion   *completion
+	id           string
+	created      time.Time
 	// writeTimeout bounds each write, so that a caller that stops reading does not keep its request running.
 	writeTimeout time.Duration
 
@@ -111,6 +113,7 @@
 		}
 		body := cw.newBody(false)
 		body.Choices, body.Usage = []choice{c}, &u
+		cw.announceStop(cw.w)
 		cw.w.Header().Set("Content-Type", "application/json")
 		cw.extendWriteDeadline()
 		cw.started = true
@@ -177,6 +180,7 @@
 	}
 	if !cw.started {
 		cw.started = true
+		cw.announceStop(cw.w)
 		cw.w.Header().Set("Content-Type", "text/event-stream")
 		cw.w.Header().Set("Cache-Control", "no-store")
 	}
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -176,7 +176,16 @@
 	return remaining
 }
 
+// announceStop makes an answer whose header has not been sent state that the connection closes, if the entry stops: the caller's next request then
+// reaches another instance, and does not cross the close of the connection.
+func (h *Handler) announceStop(w http.ResponseWriter) {
+	if h.activeRequests.isDraining() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func (h *Handler) serveReady(w http.ResponseWriter, _ *http.Request) {
+	h.announceStop(w)
 	if h.snapshot.Load() == nil || h.activeRequests.isDraining() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = io.WriteString(w, "not ready\n")
@@ -228,13 +237,11 @@
 		if h.activeRequests.begin(kind) {
 			defer h.activeRequests.end(kind)
 			f = h.admitAndServe(req, serve)
-		} else {
-			// Close the connection, so that the caller's next request reaches another instance.
-			w.Header().Set("Connection", "close")
 		}
 		if f == nil {
 			return
 		}
+		h.announceStop(w)
 		name := ""
 		if req.organisation != nil {
 			name = req.organisation.Name
@@ -341,6 +348,7 @@
 			models = append(models, modelEntry{ID: name, Object: "model", OwnedBy: req.snapshot.deployment.Site})
 		}
 	}
+	h.announceStop(req.w)
 	req.w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(req.w).Encode(map[string]any{"object": "list", "data": models})
 	return nil
--- a/internal/request/caller/prompt.go
+++ b/internal/request/caller/prompt.go
@@ -42,7 +42,7 @@
 	if !slices.Contains(req.organisation.Models, c.model) {
 		return newFailure("NotEntitled", "")
 	}
-	r := &promptRun{h: h, req: req, completion: &c, writer: &completionWriter{w: req.w, control: req.control,
+	r := &promptRun{h: h, req: req, completion: &c, writer: &completionWriter{w: req.w, control: req.control, announceStop: h.announceStop,
 		completion: &c, id: req.id, created: req.receivedAt, writeTimeout: req.limits.BodyTimeout},
 		fingerprint: fingerprint(req.organisation.Name, &c)}
 	if h.Marks != nil {
