Count an agent as live for its orders before the platform lists it

Callers of an order got 503 NotOwner from all agents while the agents' lists of the platform differed: the one that the entry asks first had read the list before it was in it itself and named another one as the owner, and the others, which had read it later, named the first. Each reads it every 7.5 to 12.5 s, longer than any wait of the entry.

Change: an agent whose endpoint the configuration has as active is a candidate for its own shards if the platform's list lacks it, next to those that are listed and in reach. If the list has it as leaving, it is none, as before. A wrong claim costs a takeover, since the claim log fences the former owner.

Evidence: TestOwnersWithDifferentLists (no agent accepts) and a new row of TestPreferredOwner fail without the change.

--- a/internal/process/agent/orders.go
+++ b/internal/process/agent/orders.go
@@ -45,6 +45,7 @@
 	snapshot *config.Snapshot
 	active   []string // endpoints of the service that are not leaving according to the configuration
 	live     []string // those of active that the platform lists as not leaving
+	unlisted bool     // this agent's endpoint is in active and not in the platform's list
 }
 
 // instancesInterval is the mean time between two reads of the platform's instance list. Entries report unreachable
@@ -141,7 +142,8 @@
 			live = append(live, e.Name)
 		}
 	}
-	o.snapshot, o.active, o.live = s, active, live
+	_, listed := o.listed[o.Name]
+	o.snapshot, o.active, o.live, o.unlisted = s, active, live, !listed && slices.Contains(active, o.Name)
 }
 
 // preferredOwner returns the preferred owner of a shard among the endpoints of the service that are not leaving according
@@ -149,7 +151,8 @@
 // agent's own endpoint is a candidate even if it is in unavailable. If there is no candidate, the platform's list is
 // ignored, and if there is still none, this agent's endpoint is the owner.
 //
-// The platform's list lags: without the entry's report, orders for the shards of a stopping endpoint would be refused
+// The platform's list lags. This agent's own endpoint is a candidate also if the list lacks it: otherwise agents that have read the list
+// before and after this one was in it would all name another one as the owner. And without the entry's report, orders for the shards of a stopping endpoint would be refused
 // until the list is updated. A wrong report costs only a takeover, since the claim log fences the former owner.
 //
 // The configuration is the one in force at the call, which the entry that sent the order uses too.
@@ -166,6 +169,9 @@
 				reachable = append(reachable, name)
 			}
 		}
+		if len(reachable) > 0 && o.unlisted && !slices.Contains(reachable, o.Name) {
+			reachable = append(reachable, o.Name)
+		}
 		if owners := claim.Owners(shard, reachable); len(owners) > 0 {
 			return owners[0]
 		}
--- a/internal/process/agent/orders_test.go
+++ b/internal/process/agent/orders_test.go
@@ -30,6 +30,8 @@
 		{"platform lists none", nil, nil, nil, "S1 S2 S3"},
 		{"one is not listed", nil, map[string]bool{"S1": true, "S3": true}, nil, "S1 S3"},
 		{"one is listed as leaving", nil, map[string]bool{"S1": true, "S2": false, "S3": true}, nil, "S1 S3"},
+		{"this one is not listed yet", nil, map[string]bool{"S2": true, "S3": true}, nil, "S1 S2 S3"},
+		{"this one is listed as leaving", nil, map[string]bool{"S1": false, "S2": true, "S3": true}, nil, "S2 S3"},
 		{"entry cannot reach one", nil, map[string]bool{"S1": true, "S2": true}, []string{"S2"}, "S1"},
 		{"entry cannot reach those listed", nil, map[string]bool{"S2": true}, []string{"S2"}, "S1 S3"},
 		{"endpoint leaves", func(d *settings.Deployment) { d.Endpoints[0].State = settings.Leaving }, nil, nil, "S2 S3"},
@@ -99,3 +101,27 @@
 	c.snapshot = &config.Snapshot{Version: 3, Deployment: deployment(settings.Active)}
 	is.True(owned() > 0 && owned() < 64)
 }
+
+// TestOwnersWithDifferentLists guards against an order that every agent refuses, each naming another one as the owner: the agent that the entry asks
+// first has read the platform's list before it was in it itself, and the others after that.
+func TestOwnersWithDifferentLists(t *testing.T) {
+	is := is.New(t)
+	c := &fixedConfig{}
+	names := []string{"S1", "S2", "S3"}
+	for _, name := range names {
+		c.deployment.Endpoints = append(c.deployment.Endpoints, settings.Endpoint{Name: name, Kind: settings.ServiceEndpoint, Service: "Orders"})
+	}
+	owners := map[string]*OrderOwner{}
+	for _, name := range names {
+		owners[name] = &OrderOwner{Name: name, Configuration: c}
+		owners[name].updateEndpoints(map[string]bool{"S1": true, "S2": true, "S3": true})
+	}
+	owners["S1"].updateEndpoints(map[string]bool{"S2": true, "S3": true})
+	for shard := range 64 {
+		accepted := false
+		for _, name := range names {
+			accepted = accepted || owners[name].preferredOwner(shard, nil) == name
+		}
+		is.True(accepted)
+	}
+}
