Report unplanned streams before they begin

Callers saw take-ups refused for 10 s after a kill of all gateways, with 503 BuildUnknown, though their versions served: 8 of 12 in a failing run of TestTakeUpInSeveralSteps. Cause: a gateway that had not read the first plan of a service when it was killed restarted with a report of an earlier number. All buckets of the service had been "moved" by that plan, so that all its streams counted as lost at all gateways. But nothing can have been lost: without a plan a gateway begins unplanned streams only, and reports each; only the last report could be missing. Class: absence of a record taken for the loss of one.

Reports state that no unplanned stream is missing, unless they are truncated, too many streams were known, or the store came back from a copy. A plan states the number of the first plan that covered a service, if no plan has dropped a service before. Buckets that only that plan has moved are then not lost after a restart. Why it works: a stream that began there before the plan is listed, or did not begin.

The two rapid models begin unplanned streams only once they are reported, at any build, and drop services from plans; before, the first one knew one build for them and dropped no service. The fixture of the builds tests in forward stores reports that are due, as the planner does.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -28,8 +28,6 @@
 	// first bytes of a streamed answer have arrived or the outcome is recorded.
 	prefillTokens int
 	started       time.Time
-	// bound is set if the attempt bound a stream that no plan covers to the build of its endpoint.
-	bound bool
 	// known is the evidence against the request when the attempt began.
 	known quarantine.Evidence
 	// ctx is done with the request, and with the cause errSilent once the endpoint has been found silent.
--- a/internal/request/forward/builds.go
+++ b/internal/request/forward/builds.go
@@ -36,6 +36,8 @@
 	active bool
 	build  string
 	stream builds.Stream
+	// unplanned is set if no plan covers the stream, so that the first endpoint determined the build.
+	unplanned bool
 	// takenUp is set if the caller has a part of the stream already.
 	takenUp bool
 	// begun is set once an endpoint has brought an event.
@@ -233,15 +235,16 @@
 	return leaving
 }
 
-// bind binds a stream that no plan covers to the build of the endpoint to which it is sent first.
-func (a *attempt) bind(now time.Time) {
-	req := a.req
-	if req.handler.Builds == nil || req.route.Repeat != site.Resume || req.pinned.active {
-		return
+// bind binds a stream that no plan covers to the build of the endpoint to which it is to be sent first. It returns false if the stream may not begin,
+// since it could not be reported before.
+func (req *request) bind(e *site.Endpoint) bool {
+	book := req.handler.Builds
+	if book == nil || req.route.Repeat != site.Resume || req.pinned.active {
+		return true
 	}
-	a.bound = true
-	req.pinned.active, req.pinned.build = true, a.endpoint.Build
-	req.handler.Builds.Begun(now, req.pinned.stream, a.endpoint.Build)
+	req.pinned.active, req.pinned.unplanned, req.pinned.build = true, true, e.Build
+	number := book.Begun(time.Now(), req.pinned.stream, e.Build)
+	return req.await(func() bool { return book.ReportsUnplanned(number) })
 }
 
 // incarnation returns the incarnation to which a resumable stream may be sent, zero for any: the entry states the build of that one only, and may
@@ -259,9 +262,9 @@
 	a.req.logBuildLost(a.endpoint, err.StartedAt)
 	a.req.handler.count("Builds.NotCurrent")
 	a.recordOutcome(placement.Abandoned)
-	if a.bound {
-		a.req.handler.Builds.Forget(a.req.pinned.stream)
-		a.req.pinned.active = false
+	if p := &a.req.pinned; p.unplanned && !p.begun {
+		a.req.handler.Builds.Forget(p.stream)
+		p.active, p.unplanned = false, false
 	}
 }
 
--- a/internal/request/forward/builds_test.go
+++ b/internal/request/forward/builds_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,10 +53,18 @@
 		byID[e.ID] = names[i]
 	}
 	f.handler.Builds = &builds.Book{}
+	f.handler.Builds.Wake = f.report
 	f.handler.Plans = plans{book: f.handler.Builds}
 	return f
 }
 
+// report stores the report that is due, as the planner does.
+func (f *fixture) report() {
+	if _, due := f.handler.Builds.Due(time.Now()); due {
+		f.handler.Builds.Stored(f.handler.Builds.Plan().Revision())
+	}
+}
+
 // restore makes the book of a fixture ready, as that of a gateway that has restarted if report is not nil, with the plan for a supply.
 func (f *fixture) restore(report *builds.Report, supplies ...map[string]float64) {
 	book := f.handler.Builds
@@ -138,6 +147,48 @@
 	}
 }
 
+// TestUnplannedStreamIsReportedFirst guards against an unplanned stream that begins before the store has a report of it, so that nothing tells where it
+// began once the gateway is killed.
+func TestUnplannedStreamIsReportedFirst(t *testing.T) {
+	for _, stored := range []bool{true, false} {
+		t.Run(fmt.Sprintf("stored %v", stored), func(t *testing.T) {
+			is := is.New(t)
+			f := newBuildFixture(t, "old", "old", "old")
+			f.unbroken = "old"
+			f.restore(nil)
+			book := f.handler.Builds
+			var listed, arrived atomic.Int64
+			arrived.Store(-1)
+			book.Wake = func() {
+				r, due := book.Due(time.Now())
+				if !due {
+					return
+				}
+				time.AfterFunc(100*time.Millisecond, func() {
+					listed.Store(int64(len(r.Streams)))
+					arrived.Store(int64(f.arrivalCount()))
+					if stored {
+						book.Stored(0)
+					} else {
+						book.Failed()
+					}
+				})
+			}
+			status, body, err := f.send(t, http.MethodPost, "/resume/", "Deadline: 5000")
+			is.Equal(listed.Load(), int64(1))  // the report tells of the stream
+			is.Equal(arrived.Load(), int64(0)) // no endpoint had the request before
+			is.NoErr(err)
+			if stored {
+				is.Equal(status, http.StatusOK)
+				return
+			}
+			is.Equal(status, http.StatusServiceUnavailable)
+			is.True(strings.Contains(body, "not run"))
+			is.Equal(f.arrivalCount(), 0)
+		})
+	}
+}
+
 // agreement is a Peers whose other gateways know a plan.
 type agreement uint64
 
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -219,13 +219,19 @@
 // attempt sends the request to an endpoint and relays its answer.
 func (req *request) attempt(choice placement.Choice, placementRequest *placement.Request) verdict {
 	e := choice.Endpoint
+	if !req.bind(e) {
+		if req.ctx.Err() == nil {
+			req.giveUp("BuildsNotReported", minBuildPause+rand.N(minBuildPause))
+			return done
+		}
+		return notRun
+	}
 	now := time.Now()
 	req.handler.Table.Sent(now, e, placementRequest, choice.PrefillTokens)
 	req.tried = append(req.tried, e.ID)
 	req.attempts++
 	a := &attempt{req: req, endpoint: e, placed: placementRequest, prefillTokens: choice.PrefillTokens, started: now,
 		known: req.handler.Requests.Known(req.snapshot, req.fingerprint)}
-	a.bind(now)
 	perSecond, agoMs := req.handler.statedRate(now, e.ID)
 	event.Debug(req.handler.Log, event.RequestSent, "request", req.meta.ID, "route", req.route.Name, "endpoint", e.ID,
 		"reason", choice.Reason.String(), "waitMs", choice.Wait.Milliseconds(), "roomMs", req.awaitedRoom.Milliseconds(), "unread", choice.PrefillTokens, "shared", placementRequest.Shared, "stored", placementRequest.Stored, "avoided", req.avoidedFetches,
--- a/internal/version/buildplan/planner.go
+++ b/internal/version/buildplan/planner.go
@@ -153,7 +153,7 @@
 		}
 		if era := registry.Era(revision); era > report.Era {
 			// The store came back from a copy: later plans and reports may be lost.
-			report.Number = 0
+			report.Number, report.ListsUnplanned = 0, false
 		}
 	}
 	number, err := p.latest(ctx)
--- a/internal/version/buildplan/restore_test.go
+++ b/internal/version/buildplan/restore_test.go
@@ -137,3 +137,36 @@
 		})
 	}
 }
+
+// TestRestartAfterRestoreLacksUnplannedStreams guards against streams that are looked for at the build of the first plan though they began without a plan
+// and the report that told of them was lost with the state that the store had before it came back from a copy.
+func TestRestartAfterRestoreLacksUnplannedStreams(t *testing.T) {
+	for _, c := range []struct {
+		era  uint64
+		want builds.Knowledge
+	}{{1, builds.Planned}, {2, builds.Lost}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(0)
+			defer f.close()
+			f.store.revision = c.era*registry.EraSize + 100
+			plan, _, _ := builds.Next(nil, builds.Supply{"S": {"old": 4}})
+			report := &builds.Report{ListsUnplanned: true, Era: 1}
+			for name, object := range map[string]any{registry.BuildPlanName(): plan, registry.StreamsName("g0"): report} {
+				f.store.objects[name], _ = json.Marshal(object)
+				f.store.revisions[name] = f.store.revision
+			}
+			f.store.changed = func(string, json.RawMessage) {}
+			book := &builds.Book{}
+			book.SetPlan(time.Now(), plan)
+			p := &buildplan.Planner{Name: "g0", View: view{f, 0}, Objects: f.store, Book: book, Log: logr.Discard()}
+			ctx, stop := context.WithCancel(t.Context())
+			go func() { _ = p.Run(ctx) }()
+			time.Sleep(4 * time.Second)
+			if _, k, _ := book.TakeUp(time.Now(), stream(1)); k != c.want {
+				t.Errorf("era %d: %s, want %s", c.era, k, c.want)
+			}
+			stop()
+			<-p.Done()
+		})
+	}
+}
--- a/pkg/builds/book.go
+++ b/pkg/builds/book.go
@@ -64,6 +64,11 @@
 	// unlistedFrom and unlistedUntil are as in Report.
 	unlistedFrom  uint64
 	unlistedUntil time.Time
+	// lacksUnplanned is set if streams that began without a plan may be missing until unlistedUntil, too.
+	lacksUnplanned bool
+	// unplanned counts the streams that began without a plan, or are to begin, reportingUnplanned those of them of which the last report that was due
+	// tells, and reportedUnplanned those of which the stored one does.
+	unplanned, reportingUnplanned, reportedUnplanned uint64
 	// covered is the time for which streams can be taken up by the report that is stored, reporting the same by the last one that was due.
 	covered   time.Duration
 	reporting time.Duration
@@ -144,13 +149,23 @@
 	}
 }
 
-// Begun records the build of a stream that began without a plan.
-func (b *Book) Begun(now time.Time, s Stream, build string) {
+// Begun records the build of a stream that begins without a plan. It may begin once ReportsUnplanned is true of the returned number: an unplanned stream
+// that no report lists could not be found after a restart.
+func (b *Book) Begun(now time.Time, s Stream, build string) (number uint64) {
 	defer b.wake()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.record(now, s, build, false)
 	b.changed = true
+	b.unplanned++
+	return b.unplanned
+}
+
+// ReportsUnplanned reports whether the store has a report that tells of the unplanned stream for which Begun returned the number.
+func (b *Book) ReportsUnplanned(number uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reportedUnplanned >= number
 }
 
 // Doubt records that it is not certain which build began a stream.
@@ -260,6 +275,7 @@
 	if now.After(b.unlistedUntil) {
 		b.unlistedFrom = from
 	}
+	b.lacksUnplanned = true
 	b.unlistedFrom = min(b.unlistedFrom, from)
 	if until.After(b.unlistedUntil) {
 		b.unlistedUntil = until
@@ -317,7 +333,7 @@
 	if !b.stored {
 		b.stored, b.storedPlan = true, number
 	}
-	b.covered = b.reporting
+	b.covered, b.reportedUnplanned = b.reporting, b.reportingUnplanned
 }
 
 // Require states the number of the plan that the store has, without which no stream may begin.
--- a/pkg/builds/book_test.go
+++ b/pkg/builds/book_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	reports  []*builds.Report
 	gateways []*gateway
 	streams  []begun
+	ids      uint64
 }
 
 type gateway struct {
@@ -25,11 +27,15 @@
 	up   bool
 	// writing is a report that has been computed and not been stored yet.
 	writing *builds.Report
+	// unplanned are streams without a plan that may begin once they are reported.
+	unplanned []begun
 }
 
 type begun struct {
 	stream builds.Stream
 	build  string
+	// number is that of an unplanned stream.
+	number uint64
 }
 
 const timeout = 8 * time.Second
@@ -45,7 +51,7 @@
 // start starts a gateway, which reads the store before it serves.
 func (f *fleet) start(i int) {
 	g := f.gateways[i]
-	g.book, g.up, g.writing = &builds.Book{}, true, nil
+	g.book, g.up, g.writing, g.unplanned = &builds.Book{}, true, nil, nil
 	f.read(i)
 	g.book.Restore(f.now, f.reports[i])
 }
@@ -72,15 +78,29 @@
 	}
 }
 
-func (f *fleet) begin(i int, key uint64) {
-	s := builds.Stream{Service: "S", ID: uint64(len(f.streams) + 1), Key: key, KeyKnown: true, Until: f.now.Add(timeout)}
-	book := f.gateways[i].book
-	build, ok := book.Begin(f.now, s)
+func (f *fleet) begin(i int, key uint64, free string) {
+	f.ids++
+	s := builds.Stream{Service: "S", ID: f.ids, Key: key, KeyKnown: true, Until: f.now.Add(timeout)}
+	g := f.gateways[i]
+	build, ok := g.book.Begin(f.now, s)
 	if !ok {
-		build = "old"
-		book.Begun(f.now, s, build)
+		number := g.book.Begun(f.now, s, free)
+		g.unplanned = append(g.unplanned, begun{s, free, number})
+		return
 	}
-	f.streams = append(f.streams, begun{s, build})
+	f.streams = append(f.streams, begun{s, build, 0})
+}
+
+// beginReported begins the unplanned streams of a gateway that are reported.
+func (f *fleet) beginReported(i int) {
+	g := f.gateways[i]
+	g.unplanned = slices.DeleteFunc(g.unplanned, func(s begun) bool {
+		reported := g.book.ReportsUnplanned(s.number)
+		if reported {
+			f.streams = append(f.streams, s)
+		}
+		return reported
+	})
 }
 
 // TestTakeUpNeverJoinsBuilds lets gateways with stale knowledge restart, plan, report and take up streams in any order. A build that is
@@ -102,18 +122,23 @@
 			case !g.up:
 				f.start(i)
 			case step <= 2 && g.book.Ready():
-				f.begin(i, rapid.Uint64Range(0, 15).Draw(t, "key"))
+				f.begin(i, rapid.Uint64Range(0, 15).Draw(t, "key"), rapid.SampledFrom([]string{"old", "new"}).Draw(t, "free"))
 			case step == 3:
 				f.read(i)
 			case step == 4:
 				build := rapid.SampledFrom([]string{"old", "new", "newer"}).Draw(t, "build")
 				capacity[build] = float64(rapid.IntRange(0, 4).Draw(t, "capacity"))
-				f.propose(i, builds.Supply{"S": capacity})
+				supply := builds.Supply{"S": capacity}
+				if rapid.IntRange(0, 9).Draw(t, "without") == 0 {
+					supply = builds.Supply{}
+				}
+				f.propose(i, supply)
 			case step == 5 && g.writing == nil:
 				g.writing, _ = g.book.Due(f.now)
 			case step == 5:
 				f.reports[i], g.writing = g.writing, nil
 				g.book.Stored(f.plan.Revision())
+				f.beginReported(i)
 			case step == 6:
 				g.up = false
 			case step == 7:
--- a/pkg/builds/doc.go
+++ b/pkg/builds/doc.go
@@ -10,7 +10,7 @@
 // gateway knows: the plan, its own streams, and the reports of the others. When a plan moves streams to another build, each gateway reports
 // the streams that it had begun under the plans before and that the new plan would look for at the wrong build. Until all gateways have
 // reported, and after the restart of one whose streams are lost, the build of a stream that was moved is unknown; a stream that was not
-// moved is always known.
+// moved is always known. A stream that begins without a plan is reported before.
 //
 // The package does no input or output and reads no clock. It does not store the plan and the reports; package buildplan does.
 //
--- a/pkg/builds/plan.go
+++ b/pkg/builds/plan.go
@@ -25,6 +25,8 @@
 	// Number increases with each change of the plan.
 	Number   uint64
 	Services map[string]*Assignment
+	// Cumulative is set if no service that an earlier plan covered is missing.
+	Cumulative bool `json:",omitempty"`
 }
 
 // Assignment assigns the streams of one service to builds.
@@ -33,6 +35,8 @@
 	// Owners has for each bucket the index of its build in Builds, and Moved the number of the plan that assigned the bucket to this build.
 	Owners []int
 	Moved  []uint64
+	// Since is the number of the first plan that covered the service, 0 if that is not known.
+	Since uint64 `json:",omitempty"`
 }
 
 // Revision returns the number of the plan, 0 for a nil plan.
@@ -73,6 +77,12 @@
 // bucketOf returns the bucket of a key.
 func bucketOf(key uint64) int { return int(key % Buckets) }
 
+// isFirst reports whether the plan of the given number, which moved a bucket of a service to its build, was the first one that covered the service.
+// The streams of the bucket that began before it began without a plan.
+func (p *Plan) isFirst(service string, moved uint64) bool {
+	return p != nil && p.Services[service] != nil && moved > 0 && p.Services[service].Since == moved
+}
+
 // build returns the build to which a plan assigns a key, and the number of the plan that did so. A nil plan has no services.
 func (p *Plan) build(service string, key uint64) (build string, moved uint64, ok bool) {
 	if p == nil || p.Services[service] == nil {
@@ -94,21 +104,27 @@
 // Next returns the plan that follows p, nil for none, for a supply. It moves as few buckets as needed. changed is false if p may stay;
 // urgent is true if the change can't wait, since streams are assigned to a build that takes no more.
 func Next(p *Plan, supply Supply) (next *Plan, changed, urgent bool) {
-	next = &Plan{Number: 1, Services: map[string]*Assignment{}}
+	next = &Plan{Number: 1, Services: map[string]*Assignment{}, Cumulative: true}
 	if p != nil {
-		next.Number = p.Number + 1
+		next.Number, next.Cumulative = p.Number+1, p.Cumulative
 		next.Services = maps.Clone(p.Services)
 	}
 	for service := range next.Services {
 		if _, ok := supply[service]; !ok {
 			delete(next.Services, service)
-			changed = true
+			changed, next.Cumulative = true, false
 		}
 	}
 	for service, capacities := range supply {
 		before := next.Services[service]
 		after, lacking := rebalance(before, capacities, next.Number)
 		if after != before {
+			switch {
+			case before != nil:
+				after.Since = before.Since
+			case next.Cumulative:
+				after.Since = next.Number
+			}
 			next.Services[service] = after
 			changed, urgent = true, urgent || lacking
 		}
--- a/pkg/builds/prefix_test.go
+++ b/pkg/builds/prefix_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 	up      bool
 	writing *builds.Report
 	stored  bool // Put done, latest not read yet
+	// unplanned are streams without a plan that may begin once they are reported.
+	unplanned []begun
 }
 
 // TestTakeUpByAnyPrefixOfWrites guards against streams joined from two builds. Each gateway sees any prefix of the writes of the store, and stops
@@ -35,11 +38,8 @@
 		var plan *builds.Plan
 		reports := make([]*builds.Report, n)
 		gs := make([]*logGateway, n)
-		type st struct {
-			s     builds.Stream
-			build string
-		}
-		var streams []st
+		var streams []begun
+		ids := uint64(0)
 		see := func(i, to int) {
 			g := gs[i]
 			for ; g.at < to; g.at++ {
@@ -72,13 +72,15 @@
 				if !g.book.Ready() {
 					continue
 				}
-				s := builds.Stream{Service: "S", ID: uint64(len(streams) + 1), Key: rapid.Uint64Range(0, 15).Draw(t, "key"), KeyKnown: true, Until: now.Add(8 * time.Second)}
+				ids++
+				s := builds.Stream{Service: "S", ID: ids, Key: rapid.Uint64Range(0, 15).Draw(t, "key"), KeyKnown: true, Until: now.Add(8 * time.Second)}
 				build, ok := g.book.Begin(now, s)
 				if !ok {
 					build = rapid.SampledFrom([]string{"old", "new"}).Draw(t, "free")
-					g.book.Begun(now, s, build)
+					g.unplanned = append(g.unplanned, begun{s, build, g.book.Begun(now, s, build)})
+					continue
 				}
-				streams = append(streams, st{s, build})
+				streams = append(streams, begun{s, build, 0})
 			case step == 3:
 				see(i, min(len(log), g.at+rapid.IntRange(1, 8).Draw(t, "more")))
 			case step == 4:
@@ -96,6 +98,13 @@
 			case step == 5 && g.stored:
 				g.book.Stored(plan.Revision())
 				g.stored = false
+				g.unplanned = slices.DeleteFunc(g.unplanned, func(s begun) bool {
+					reported := g.book.ReportsUnplanned(s.number)
+					if reported {
+						streams = append(streams, s)
+					}
+					return reported
+				})
 			case step == 5 && g.writing == nil:
 				g.writing, _ = g.book.Due(now)
 			case step == 5:
@@ -108,15 +117,15 @@
 				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			case len(streams) > 0:
 				s := rapid.SampledFrom(streams).Draw(t, "stream")
-				if now.After(s.s.Until) || g.book.Plan().Revision() < plan.Revision() {
+				if now.After(s.stream.Until) || g.book.Plan().Revision() < plan.Revision() {
 					continue
 				}
-				build, k, _ := g.book.TakeUp(now, s.s)
+				build, k, _ := g.book.TakeUp(now, s.stream)
 				if k != builds.Own && k != builds.Reported && k != builds.Planned {
 					continue
 				}
 				if build != s.build {
-					t.Fatalf("gateway %d takes stream %d up at %q (%s), began at %q", i, s.s.ID, build, k, s.build)
+					t.Fatalf("gateway %d takes stream %d up at %q (%s), began at %q", i, s.stream.ID, build, k, s.build)
 				}
 			}
 		}
--- a/pkg/builds/report.go
+++ b/pkg/builds/report.go
@@ -24,6 +24,8 @@
 	// after the report.
 	UnlistedFrom uint64 `json:",omitempty"`
 	UnlistedMs   int64  `json:",omitempty"`
+	// ListsUnplanned is set if streams that began without a plan are not missing even so.
+	ListsUnplanned bool `json:",omitempty"`
 	// Era is the era of the store in which the report was written.
 	Era uint64 `json:",omitempty"`
 	// LongestMs is at least the time for which a stream of the gateway can be taken up, in milliseconds, if that exceeds 10 s.
@@ -46,7 +48,9 @@
 	streams       map[uint64]begun
 	unlistedFrom  uint64
 	unlistedUntil time.Time
-	longest       time.Duration
+	// listsUnplanned is as in Report.
+	listsUnplanned bool
+	longest        time.Duration
 	// goneSince is when the gateway was first seen to be absent, zero while it is present.
 	goneSince time.Time
 }
@@ -75,7 +79,7 @@
 		}
 	}
 	b.reported, b.storedPlan = r.Number, r.Number
-	b.unlistedFrom, b.unlistedUntil = r.Number, now.Add(r.longest())
+	b.unlistedFrom, b.unlistedUntil, b.lacksUnplanned = r.Number, now.Add(r.longest()), !r.ListsUnplanned || len(r.Streams) > maxListed
 	if r.UnlistedMs > 0 {
 		b.unlistedFrom = min(b.unlistedFrom, r.UnlistedFrom)
 	}
@@ -91,7 +95,7 @@
 		b.reports = map[string]*received{}
 	}
 	in := &received{number: r.Number, streams: make(map[uint64]begun, len(r.Streams)), unlistedFrom: r.UnlistedFrom, longest: r.longest(),
-		unlistedUntil: now.Add(listedTime(r.UnlistedMs))}
+		unlistedUntil: now.Add(listedTime(r.UnlistedMs)), listsUnplanned: r.ListsUnplanned && len(r.Streams) <= maxListed}
 	if len(r.Streams) > maxListed {
 		in.unlistedUntil = now.Add(MaxTakeUpTime)
 		in.unlistedFrom = 0
@@ -116,8 +120,8 @@
 	if !b.restored || number < b.reported || (b.stored && number == b.reported && !b.changed && !complete) {
 		return nil, false
 	}
-	b.reported, b.changed, b.reporting = number, false, b.longest
-	r = &Report{Number: number, LongestMs: b.longest.Milliseconds()}
+	b.reported, b.changed, b.reporting, b.reportingUnplanned = number, false, b.longest, b.unplanned
+	r = &Report{Number: number, LongestMs: b.longest.Milliseconds(), ListsUnplanned: true}
 	truncated := false
 	for id, s := range b.streams {
 		planned, _, _ := b.plan.build(s.stream.Service, s.stream.Key)
@@ -133,9 +137,10 @@
 	}
 	if now.Before(b.unlistedUntil) {
 		r.UnlistedFrom, r.UnlistedMs = b.unlistedFrom, b.unlistedUntil.Sub(now).Milliseconds()+1
+		r.ListsUnplanned = !b.lacksUnplanned
 	}
 	if truncated { // Streams that the present plan misplaces are missing, whichever plan began them.
-		r.UnlistedFrom, r.UnlistedMs = 0, MaxTakeUpTime.Milliseconds()
+		r.UnlistedFrom, r.UnlistedMs, r.ListsUnplanned = 0, MaxTakeUpTime.Milliseconds(), false
 	}
 	b.reportedUnlisted = r.UnlistedMs > 0 && !truncated
 	return r, true
--- a/pkg/builds/report_test.go
+++ b/pkg/builds/report_test.go
@@ -167,3 +167,56 @@
 		t.Errorf("due %v, %+v", due, r)
 	}
 }
+
+// TestRestartBesideFirstPlan guards against streams that count as lost after a restart though none can be missing: the gateway had not reported on the
+// first plan that covers their service, so that it had begun only unplanned streams, and each of these was reported before.
+func TestRestartBesideFirstPlan(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		supplies []builds.Supply
+		restored func(r *builds.Report)
+		known    bool
+	}{
+		{"first plan", []builds.Supply{{"S": {"old": 1, "new": 1}}}, nil, true},
+		{"first plan of the service", []builds.Supply{{"T": {"old": 1}}, {"S": {"old": 1, "new": 1}, "T": {"old": 1}}}, nil, true},
+		{"moved since", []builds.Supply{{"S": {"old": 1}}, {"S": {"new": 1}}}, nil, false},
+		{"covered by an earlier plan", []builds.Supply{{"S": {"old": 1}}, {}, {"S": {"new": 1}}}, nil, false},
+		{"earlier report", []builds.Supply{{"S": {"old": 1, "new": 1}}}, func(r *builds.Report) { r.ListsUnplanned = false }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, h := &builds.Book{}, &builds.Book{}
+			g.Restore(t0, nil)
+			number := g.Begun(t0, st(1), "new")
+			if g.ReportsUnplanned(number) {
+				t.Fatal("an unplanned stream may begin before it is reported")
+			}
+			last, _ := g.Due(t0)
+			g.Stored(0)
+			if !g.ReportsUnplanned(number) {
+				t.Fatal("a reported stream may not begin")
+			}
+			if c.restored != nil {
+				c.restored(last)
+			}
+			again := &builds.Book{}
+			again.Restore(t0, last)
+			h.Restore(t0, nil)
+			var p *builds.Plan
+			for _, s := range c.supplies {
+				p, _, _ = builds.Next(p, s)
+				again.SetPlan(t0, p)
+				h.SetPlan(t0, p)
+			}
+			next, _ := again.Due(t0)
+			h.Heard(t0, "g", next)
+			for name, b := range map[string]*builds.Book{"g": again, "h": h} {
+				if build, k, _ := b.TakeUp(t0, st(1)); build != "new" || k != builds.Reported {
+					t.Errorf("%s: the unplanned stream has build %q, %s", name, build, k)
+				}
+				if _, k, _ := b.TakeUp(t0, st(2)); (k == builds.Planned) != c.known {
+					t.Errorf("%s: a stream of the plan is %s", name, k)
+				}
+			}
+		})
+	}
+}
--- a/pkg/builds/takeup.go
+++ b/pkg/builds/takeup.go
@@ -47,7 +47,7 @@
 	}
 	build, moved, ok := b.plan.build(s.Service, s.Key)
 	if !ok {
-		if k, wait = b.mayBeMissing(now, b.plan.Revision()); k != Planned {
+		if k, wait = b.mayBeMissing(now, b.plan.Revision(), false); k != Planned {
 			return "", k, wait
 		}
 		return "", Unplanned, 0
@@ -61,7 +61,7 @@
 	if s.ID == 0 && b.lists(now, s.Service, build) {
 		return "", Unnamed, 0
 	}
-	if k, wait = b.mayBeMissing(now, moved); k != Planned {
+	if k, wait = b.mayBeMissing(now, moved, b.plan.isFirst(s.Service, moved)); k != Planned {
 		return "", k, wait
 	}
 	return build, Planned, 0
@@ -77,13 +77,13 @@
 	return s.build, k, 0
 }
 
-// mayBeMissing returns Planned if all streams are reported that began before a bucket was moved by the plan of the given number. The caller
-// must hold mu.
-func (b *Book) mayBeMissing(now time.Time, moved uint64) (k Knowledge, wait time.Duration) {
+// mayBeMissing returns Planned if all streams are reported that began before a bucket was moved by the plan of the given number. unplanned is true if
+// these can only have begun without a plan. The caller must hold mu.
+func (b *Book) mayBeMissing(now time.Time, moved uint64, unplanned bool) (k Knowledge, wait time.Duration) {
 	switch {
 	case !b.restored:
 		return Lost, reportTime
-	case moved > b.unlistedFrom && now.Before(b.unlistedUntil):
+	case moved > b.unlistedFrom && now.Before(b.unlistedUntil) && (!unplanned || b.lacksUnplanned):
 		return Lost, b.unlistedUntil.Sub(now)
 	}
 	for _, r := range b.reports {
@@ -91,7 +91,7 @@
 		case r.isPast(now):
 		case r.number < moved || r.number > b.plan.Revision():
 			return Behind, reportTime
-		case moved > r.unlistedFrom && now.Before(r.unlistedUntil):
+		case moved > r.unlistedFrom && now.Before(r.unlistedUntil) && (!unplanned || !r.listsUnplanned):
 			return Lost, r.unlistedUntil.Sub(now)
 		}
 	}
