Record a stream once its build has an endpoint

Callers got a stream joined of two builds (ORDER): three events of build B, the rest of A. Cause: a new stream whose planned build has no endpoint waits for the next plan and was recorded at that build meanwhile. The report on the next plan listed it there; then it was forgotten and began at another build. Nothing corrected the report, and other gateways took the stream up at the build that it named once an endpoint of that build had come. Class: an intention reported as what happened.

Change: Book.Planned tells the build without recording the stream, which is recorded once that build has an endpoint and then begins there or not at all. A stream that no plan covers is no longer bound again to another build after it was reported.

Measured: TestWaitingStreamIsNotReported fails before ("old" reported, begun at "new") and passes now; tests of forward on builds, pkg/builds and buildplan pass.

--- a/internal/request/forward/builds.go
+++ b/internal/request/forward/builds.go
@@ -36,8 +36,6 @@
 	active bool
 	build  string
 	stream builds.Stream
-	// unplanned is set if no plan covers the stream, so that the first endpoint determined the build.
-	unplanned bool
 	// takenUp is set if the caller has a part of the stream already.
 	takenUp bool
 	// begun is set once an endpoint has brought an event.
@@ -78,16 +76,13 @@
 		req.refuse(http.StatusServiceUnavailable, "BuildsNotReported", "the gateway has not reported its streams yet", minBuildPause+rand.N(minBuildPause))
 		return false
 	}
-	p.build, p.active = book.Begin(now, p.stream)
-	if p.active && len(req.endpointsOfBuild(now)) == 0 {
-		// The next plan is under way.
-		req.await(func() bool {
-			book.Forget(p.stream)
-			req.snapshot = req.handler.View.Current()
-			p.build, p.active = book.Begin(time.Now(), p.stream)
-			return !p.active || len(req.endpointsOfBuild(time.Now())) > 0
-		})
-	}
+	// If the build has no endpoint, the next plan is under way. The stream is recorded at one build only, as the record may be reported at once.
+	req.await(func() bool {
+		req.snapshot = req.handler.View.Current()
+		p.build, p.active = book.Planned(p.stream)
+		return !p.active || len(req.endpointsOfBuild(time.Now())) > 0
+	})
+	p.build, p.active = book.Begin(time.Now(), p.stream)
 	return true
 }
 
@@ -242,7 +237,7 @@
 	if book == nil || req.route.Repeat != site.Resume || req.pinned.active {
 		return true
 	}
-	req.pinned.active, req.pinned.unplanned, req.pinned.build = true, true, e.Build
+	req.pinned.active, req.pinned.build = true, e.Build
 	number := book.Begun(time.Now(), req.pinned.stream, e.Build)
 	return req.await(func() bool { return book.ReportsUnplanned(number) })
 }
@@ -262,10 +257,6 @@
 	a.req.logBuildLost(a.endpoint, err.StartedAt)
 	a.req.handler.count("Builds.NotCurrent")
 	a.recordOutcome(placement.Abandoned)
-	if p := &a.req.pinned; p.unplanned && !p.begun {
-		a.req.handler.Builds.Forget(p.stream)
-		p.active, p.unplanned = false, false
-	}
 }
 
 func (req *request) logBuildLost(e *site.Endpoint, startedAt time.Time) {
--- a/internal/request/forward/builds_test.go
+++ b/internal/request/forward/builds_test.go
@@ -401,3 +401,27 @@
 	is.Equal(status, 503)
 	is.True(time.Since(started) < 500*time.Millisecond)
 }
+
+// TestWaitingStreamIsNotReported guards against a stream that waits for the next plan, is reported at a build at which it does not begin, and is
+// taken up there.
+func TestWaitingStreamIsNotReported(t *testing.T) {
+	is := is.New(t)
+	f := newBuildFixture(t, "new", "new", "new")
+	f.unbroken = "new"
+	f.restore(nil, map[string]float64{"old": 3})
+	book := f.handler.Builds
+	reported := make(chan *builds.Report, 1)
+	time.AfterFunc(100*time.Millisecond, func() {
+		next, _, _ := builds.Next(book.Plan(), builds.Supply{"S": {"new": 3}})
+		book.SetPlan(time.Now(), next)
+		report, _ := book.Due(time.Now())
+		reported <- report
+	})
+	status, body, err := f.send(t, http.MethodPost, "/resume/", "Deadline: 5000")
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.True(strings.Contains(body, "new"))
+	for _, s := range (<-reported).Streams {
+		is.Equal(s.Build, "new")
+	}
+}
--- a/pkg/builds/book.go
+++ b/pkg/builds/book.go
@@ -111,7 +111,7 @@
 }
 
 // Begin returns the build at which a new stream is to begin and records it. ok is false if no plan covers the service; the caller then
-// calls Begun.
+// calls Begun. From then on the stream may be reported, so that it must not begin at another build, also if it is forgotten.
 func (b *Book) Begin(now time.Time, s Stream) (build string, ok bool) {
 	defer b.wake()
 	b.mu.Lock()
@@ -123,6 +123,14 @@
 	return build, ok
 }
 
+// Planned returns the build at which a new stream is to begin, without recording it. ok is false if no plan covers the service.
+func (b *Book) Planned(s Stream) (build string, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	build, _, ok = b.plan.build(s.Service, s.Key)
+	return build, ok
+}
+
 // wake calls Wake if a report is due. The caller must not hold mu.
 func (b *Book) wake() {
 	b.mu.Lock()
