Wait for endpoints that are silent at the end of an unframed answer

Logs: AnswerEndChecked of r25550, "i/o timeout", tookMs 700; endpoint-1 silent for 1.3 s. Class: not hearing taken for there being nothing.

A closed port still tells at once.

Measured: TestRunningWaitsForSilentEndpoint (1.4 s of silence) passes; before, the time limit was below that. Tests of the pool on Running and of forward on unframed answers pass.

--- a/internal/connection/endpoint/running_test.go
+++ b/internal/connection/endpoint/running_test.go
@@ -67,3 +67,23 @@
 		})
 	}
 }
+
+// TestRunningWaitsForSilentEndpoint guards against an endpoint that sends nothing for a moment, accepts connections, and counts as gone.
+func TestRunningWaitsForSilentEndpoint(t *testing.T) {
+	is := is.New(t)
+	until := time.Now().Add(incarnationTimeout + 400*time.Millisecond)
+	s := startEndpoint(t, func(s *fakeEndpoint, _ int, c net.Conn, br *bufio.Reader) {
+		if _, ok := s.readRequest(br); !ok {
+			return
+		}
+		time.Sleep(time.Until(until))
+		_, _ = io.WriteString(c, formatResponse("", "100"))
+	})
+	p := newPool(t)
+	p.Identity = identity{}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	startedAt, err := p.Running(ctx, Target{ID: "e1", Address: s.addr})
+	is.NoErr(err)
+	is.Equal(startedAt.Unix(), int64(100))
+}
--- a/internal/request/forward/ending.go
+++ b/internal/request/forward/ending.go
@@ -10,8 +10,8 @@
 	"primrosecourse/internal/event"
 )
 
-// endTimeout is how long an endpoint may take to show that it still runs.
-const endTimeout = 700 * time.Millisecond
+// endTimeout is how long an endpoint may take to show that it still runs. A sound one may send nothing for a second or so.
+const endTimeout = 3 * time.Second
 
 // Errors of confirmEnd.
 var (
