Bound what abusive clients hold at an entry

Cause: an entry served its callers by net/http, which allows each connection 64 KB of header whatever it takes up once parsed, bounds neither connections nor pipelined requests, and leaves kernel buffers to grow. The handler then read bodies without a common limit.

Change: entries use the server of the gateway (internal/connection/front) with an adapter for net/http handlers. The division of memory and descriptors moves from package gateway to internal/process/budget, and entries get -MemoryMegabytes (1024) and -MaxDescriptors (the limit of the operating system). Refusals before the handler are problems as before, with the new reasons HeaderTooLarge, HTTPVersion and Overloaded; HeaderTimeout of the configuration is now applied.

Ruled out: a listener that limits connections beside net/http.

--- a/cmd/primrose-entry/main.go
+++ b/cmd/primrose-entry/main.go
@@ -9,6 +9,8 @@
 //
 //	primrose-entry -Name Entry1 -Listen 127.0.0.1:8080 -PeerListen 127.0.0.1:7100 -FailureDomain Domain1 \
 //		-Platform 127.0.0.1:7000 -Peers 127.0.0.1:7101,127.0.0.1:7102
+//
+// -MemoryMegabytes and -MaxDescriptors bound what callers can make the process hold. Connections and requests above these bounds are refused.
 package main
 
 import (
@@ -19,6 +21,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 
@@ -26,6 +29,7 @@
 	"github.com/go-logr/logr"
 
 	"primrosecourse/internal/connection/peer"
+	"primrosecourse/internal/process/budget"
 	"primrosecourse/internal/process/daemon"
 	"primrosecourse/internal/process/entry"
 	"primrosecourse/internal/process/platform"
@@ -43,8 +47,19 @@
 	name, failureDomain          string
 	listen, peerListen, platform netip.AddrPort
 	peers                        []netip.AddrPort
+	megabytes, descriptors       int
 }
 
+// defaultMegabytes allows for 8,000 connections of callers and 200 MB of headers and bodies.
+const defaultMegabytes = 1024
+
+// The ranges of the limits. A process with less memory or fewer descriptors than the least would serve hardly any callers.
+const (
+	minMegabytes   = 32
+	minDescriptors = 256
+	maxDescriptors = 1 << 20
+)
+
 // parse parses the flags. An error names the flag and what is expected.
 func parse(args []string, out io.Writer) (f flags, err error) {
 	set := flag.NewFlagSet("primrose-entry", flag.ContinueOnError)
@@ -55,6 +70,8 @@
 	peerListen := set.String("PeerListen", "", "listen address for peers, an IP address and a port")
 	platformAddr := set.String("Platform", "", "address of the platform's object API")
 	peers := set.String("Peers", "", "peer addresses of other entries, separated by commas")
+	set.IntVar(&f.megabytes, "MemoryMegabytes", defaultMegabytes, "memory that the process may use, in MiB")
+	set.IntVar(&f.descriptors, "MaxDescriptors", openFilesLimit(), "files and sockets that the process may have open")
 	if err = set.Parse(args); err != nil {
 		return f, err
 	}
@@ -64,6 +81,9 @@
 	if f.name == "" || f.failureDomain == "" {
 		return f, errors.New("-Name and -FailureDomain are required")
 	}
+	if f.megabytes < minMegabytes || f.descriptors < minDescriptors {
+		return f, errors.Newf("-MemoryMegabytes must be at least %d and -MaxDescriptors at least %d", minMegabytes, minDescriptors)
+	}
 	for _, a := range []struct {
 		name, value string
 		target      *netip.AddrPort
@@ -85,6 +105,15 @@
 	return f, nil
 }
 
+// openFilesLimit returns the limit of the operating system on the descriptors of the process.
+func openFilesLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > maxDescriptors {
+		return maxDescriptors
+	}
+	return max(minDescriptors, int(limit.Cur))
+}
+
 // parseAddress parses the value of the flag with this name.
 func parseAddress(name, value string) (netip.AddrPort, error) {
 	if value == "" {
@@ -107,12 +136,13 @@
 		fmt.Fprintln(stderr, "primrose-entry:", err)
 		return 2
 	}
+	debug.SetMemoryLimit(budget.New(f.megabytes, f.descriptors).MemoryLimitBytes)
 	log := logr.FromSlogHandler(slog.NewJSONHandler(stderr, nil)).WithName(f.name)
 	client := platform.New(f.platform)
 	defer client.Close()
 	marks := &peer.Relay{}
 	e := &entry.Entry{Name: f.name, Address: f.listen, PeerAddress: f.peerListen, FailureDomain: f.failureDomain, Marks: marks,
-		Log: log, Configuration: &config.Tracker{Name: f.name, FailureDomain: f.failureDomain, Platform: client, Peers: f.peers,
+		MemoryMegabytes: f.megabytes, MaxDescriptors: f.descriptors, Log: log, Configuration: &config.Tracker{Name: f.name, FailureDomain: f.failureDomain, Platform: client, Peers: f.peers,
 			Address: f.peerListen, IsEntry: true, Marks: marks, Log: log}}
 	if err := daemon.Run(e, signals); err != nil {
 		fmt.Fprintln(stderr, "primrose-entry:", err)
--- a/internal/connection/front/bounds_test.go
+++ b/internal/connection/front/bounds_test.go
@@ -99,7 +99,11 @@
 			h := &blocking{arrived: make(chan struct{}, 100), answer: make(chan struct{})}
 			addr := startServer(t, h, func(s *Server) {
 				s.MaxHeldBytes = 1000
-				s.Overloaded = func() http.Header { return http.Header{"Retry-After": {"0.50"}} }
+				s.Refusal = func(_ int, reason string) (http.Header, []byte) {
+					header, body := PlainRefusal(reason)
+					header.Set("Retry-After", "0.50")
+					return header, body
+				}
 			})
 			send := func() net.Conn {
 				c := dial(t, addr)
--- a/internal/connection/front/reading.go
+++ b/internal/connection/front/reading.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -66,7 +67,7 @@
 	w.http10 = !parsed.ProtoAtLeast(1, 1)
 	w.noBody = parsed.Method == http.MethodHead
 	r = &Request{Method: parsed.Method, Target: parsed.RequestURI, Path: parsed.URL.Path, Host: parsed.Host, Header: parsed.Header,
-		Arrived: arrived}
+		Arrived: arrived, url: parsed.URL}
 	if escaped := parsed.URL.EscapedPath(); escaped != "" {
 		r.Path = escaped
 	}
@@ -86,11 +87,11 @@
 	return r, !parsed.Close && !w.http10, err
 }
 
-// extendBody lets the rest of a body whose header arrived at a given time arrive within the idle timeout from now, and within bodyTimeout in
-// all.
+// extendBody lets the rest of a body whose header arrived at a given time arrive within the idle timeout from now, and within the body timeout
+// in all.
 func (s *Server) extendBody(p *place, arrived time.Time, limits site.Limits) {
 	end := time.Now().Add(limits.IdleTimeout)
-	if last := arrived.Add(max(bodyTimeout, limits.IdleTimeout)); end.After(last) {
+	if last := arrived.Add(cmp.Or(limits.BodyTimeout, max(bodyTimeout, limits.IdleTimeout))); end.After(last) {
 		end = last
 	}
 	p.setReadDeadline(end)
--- a/internal/connection/front/refusal.go
+++ b/internal/connection/front/refusal.go
@@ -29,17 +29,14 @@
 		return Incomplete
 	}
 	w.closeAfter = true
-	header := http.Header{}
-	if refused.status == http.StatusServiceUnavailable {
-		if refused != errEvicted { // counted by the eviction
-			s.shed(HeldBytes)
-		}
-		if s.Overloaded != nil {
-			header = s.Overloaded()
-		}
+	if refused.status == http.StatusServiceUnavailable && refused != errEvicted { // an eviction has been counted
+		s.shed(HeldBytes)
 	}
-	header.Set("Content-Type", "text/plain")
-	if w.Answer(refused.status, header, []byte(refused.reason+"\n")) != nil {
+	header, body := PlainRefusal(refused.reason)
+	if s.Refusal != nil {
+		header, body = s.Refusal(refused.status, refused.reason)
+	}
+	if w.Answer(refused.status, header, body) != nil {
 		return WriteFailed
 	}
 	if refused != errEvicted { // an evicted connection gives up its place at once
@@ -48,6 +45,11 @@
 	return Refused
 }
 
+// PlainRefusal returns the header and the body of a refusal as plain text.
+func PlainRefusal(reason string) (header http.Header, body []byte) {
+	return http.Header{"Content-Type": {"text/plain"}}, []byte(reason + "\n")
+}
+
 // linger closes the sending side, and discards what arrives until the caller closes its side, or lingerTime or lingerBytes have passed.
 func linger(c net.Conn) {
 	if halfCloser, ok := c.(interface{ CloseWrite() error }); ok && halfCloser.CloseWrite() == nil {
--- a/internal/connection/front/request.go
+++ b/internal/connection/front/request.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
+	"net/url"
 	"os"
 	"time"
 )
@@ -24,6 +25,7 @@
 	// Arrived is the time at which the whole header had been read.
 	Arrived time.Time
 
+	url    *url.URL
 	caller *callerWatch
 }
 
--- a/internal/connection/front/server.go
+++ b/internal/connection/front/server.go
@@ -49,10 +49,11 @@
 	// Turns limits the requests in progress that were sent before the answer to the one before; 0 means no limit. Others wait for a turn, for
 	// up to the header timeout.
 	Turns int
-	// Overloaded returns the header of the 503 response; it may be nil. Shed is called for each connection or request above a
-	// limit; it may be nil.
-	Overloaded func() http.Header
-	Shed       func(what Excess)
+	// Refusal returns the header and the body of the response to a request that is refused with a status before it is handled. If it is nil,
+	// the body is the reason as plain text.
+	Refusal func(status int, reason string) (header http.Header, body []byte)
+	// Shed is called for each connection or request above a limit; it may be nil.
+	Shed func(what Excess)
 	// Ended is called at the end of each connection; it may be nil. It must not block.
 	Ended func(e End)
 
--- a/internal/connection/front/writer.go
+++ b/internal/connection/front/writer.go
@@ -25,6 +25,9 @@
 	// draining, unless nil, is set once each answer that starts is the last one of its connection.
 	draining *atomic.Bool
 
+	// deadline of writes in place of one writeTimeout from each; zero means none was set.
+	deadline time.Time
+
 	// onStart, unless nil, is called before the first byte of the response is written.
 	onStart func()
 
@@ -156,7 +159,11 @@
 }
 
 func (w *Writer) extendDeadline() {
-	if err := w.place.setWriteDeadline(time.Now().Add(writeTimeout)); err != nil && w.err == nil {
+	end := w.deadline
+	if end.IsZero() {
+		end = time.Now().Add(writeTimeout)
+	}
+	if err := w.place.setWriteDeadline(end); err != nil && w.err == nil {
 		w.err = err
 	}
 }
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -33,4 +33,6 @@
 	EntryCutOff
 	// EntryConfigApplied is logged when the routing of an entry switches to a new configuration version.
 	EntryConfigApplied
+	// EntryOverloaded is logged when connections or requests exceed the resource limits of an entry, or stalled ones were evicted for others.
+	EntryOverloaded
 )
--- a/internal/process/budget/budget.go
+++ b/internal/process/budget/budget.go
@@ -1,8 +1,21 @@
-package gateway
+// Package budget divides the memory and descriptors that a process may use among what callers make it hold: connections, requests, answers and
+// records.
+//
+// Each part has a fixed share. The shares leave room for the program, for garbage that has not been collected, and for kernel buffers. The
+// package measures nothing and enforces nothing: Bound sets the limits of a server for callers, and the other fields are applied by the
+// process.
+//
+// # Usage
+//
+//	b := budget.New(megabytes, descriptors)
+//	debug.SetMemoryLimit(b.MemoryLimitBytes)
+//	b.Bound(server)
+package budget
 
 import (
 	"cmp"
 
+	"primrosecourse/internal/connection/front"
 	"primrosecourse/internal/connection/sockets"
 )
 
@@ -45,7 +58,7 @@
 	callerShare = 0.6
 )
 
-// Budget holds the limits of a gateway on memory, connections and recorded parts.
+// Budget holds the limits of a process on memory, connections and recorded parts.
 type Budget struct {
 	// MemoryLimitBytes is the soft memory limit of the Go runtime, from which the garbage collector runs more often.
 	MemoryLimitBytes int64
@@ -61,11 +74,10 @@
 	KVParts int
 }
 
-// Budget divides the memory and descriptors that the settings allow. A field is 0, for no bound, if the settings do not bound
-// its resource. A MaxDescriptors of fileReserve+1 or less, which a settings file cannot set, counts as
-// no bound.
-func (s *Settings) Budget() (b Budget) {
-	memory := float64(s.MemoryMegabytes) * (1 << 20)
+// New divides the given memory and descriptors. 0 stands for no limit; the fields for a resource without a limit are 0. At most fileReserve
+// descriptors count as no limit, since connections would get none.
+func New(megabytes, descriptors int) (b Budget) {
+	memory := float64(megabytes) * (1 << 20)
 	memory -= min(programBytes, memory/4)
 	b.MemoryLimitBytes, b.HeldBytes = int64(memoryLimitShare*memory), int64(bodyShare*memory)
 	b.AnswerBytes = int64(answerShare * memory)
@@ -73,8 +85,8 @@
 		b.Connections = int(max(1, connectionShare*memory/connectionBytes))
 		b.KVParts = int(max(1, kvPartShare*memory/kvPartBytes))
 	}
-	if s.MaxDescriptors > fileReserve {
-		callers := int(callerShare * float64(s.MaxDescriptors-fileReserve))
+	if descriptors > fileReserve {
+		callers := int(callerShare * float64(descriptors-fileReserve))
 		b.Connections = min(callers, cmp.Or(b.Connections, callers))
 	}
 	if memory > 0 {
@@ -96,3 +108,9 @@
 	}
 	return r
 }
+
+// Bound sets the limits of a server. Those that the budget leaves 0 are not bounded.
+func (b Budget) Bound(s *front.Server) {
+	s.MaxConnections, s.MaxHeldBytes, s.FreeBytes = b.Connections, b.HeldBytes, b.FreeBytes
+	s.SocketBytes, s.Turns = b.SocketBytes, b.Turns
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -3,12 +3,11 @@
 import (
 	"cmp"
 	"context"
-	"log/slog"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,11 +15,14 @@
 	"github.com/rcrowley/go-metrics"
 
 	"primrosecourse/internal/connection/agent"
+	"primrosecourse/internal/connection/front"
 	"primrosecourse/internal/connection/peer"
 	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/budget"
 	"primrosecourse/internal/request/caller"
 	"primrosecourse/internal/version/config"
 	"primrosecourse/pkg/routing"
+	"primrosecourse/pkg/site"
 	"primrosecourse/pkg/wire"
 )
 
@@ -50,8 +52,9 @@
 	Log   logr.Logger
 	// Metrics is the registry of the metrics that /metrics exports. Default: a new registry.
 	Metrics metrics.Registry
-	// HeaderTimeout bounds the time to read the headers of a request. Default 5 s.
-	HeaderTimeout time.Duration
+	// MemoryMegabytes is the memory that the process may use, in MiB, and MaxDescriptors the number of files and sockets that it may have open.
+	// What callers make the entry hold is bounded by shares of them; 0 means no bound.
+	MemoryMegabytes, MaxDescriptors int
 	// DrainTimeout is the time that requests in progress have to finish in a graceful shutdown. Default: DrainTimeout of
 	// the configuration, or 30 s if that is not set.
 	DrainTimeout time.Duration
@@ -73,11 +76,20 @@
 	pool         *agent.Pool
 	marks        *crashMarks
 	blocks       *crashBlocks
+	// lastShedLogNanos is the time of the last event EntryOverloaded.
+	lastShedLogNanos atomic.Int64
 }
 
-// errorEventTimeout bounds the time in which cancelled requests send their error events or refusals to callers, and the
-// shutdown of the HTTP server after that.
-const errorEventTimeout = time.Second
+const (
+	// errorEventTimeout bounds the time in which cancelled requests send their error events or refusals to callers, and the
+	// shutdown of the server for callers after that.
+	errorEventTimeout = time.Second
+	// maxHeaderBytes bounds the header of a request, idleTimeout the time for which a connection may stay idle.
+	maxHeaderBytes = 64 << 10
+	idleTimeout    = 2 * time.Minute
+	// shedLogInterval is the shortest time between two log lines about refused connections and requests.
+	shedLogInterval = time.Second
+)
 
 func (e *Entry) init() {
 	e.initOnce.Do(func() {
@@ -151,12 +163,9 @@
 	// The components outlive ctx, since requests in progress need them until they are drained.
 	workCtx, cancelWork := context.WithCancel(context.Background())
 	defer cancelWork()
-	callers := newCallers(callerListener)
-	server := &http.Server{Handler: e.handler, ConnState: callers.track, ReadHeaderTimeout: cmp.Or(e.HeaderTimeout, 5*time.Second),
-		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10,
-		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(e.Log.V(1)), slog.LevelDebug)}
-	server.Protocols = new(http.Protocols)
-	server.Protocols.SetHTTP1(true)
+	callers := front.New(front.HTTPHandler{Handler: e.handler})
+	callers.Limits, callers.Refusal, callers.Shed = e.limits, e.handler.Refusal, e.recordShed
+	budget.New(e.MemoryMegabytes, e.MaxDescriptors).Bound(callers)
 	peerServer := &peer.Server{Name: e.Name, FailureDomain: e.FailureDomain, Incarnation: e.Incarnation, Config: e.Configuration,
 		Marks: e.Marks, Log: e.Log}
 	components := []func() error{
@@ -164,7 +173,7 @@
 		func() error { return peerServer.Run(workCtx, peerListener) },
 		func() error { return e.pool.Run(workCtx) },
 		func() error { return e.watchConfiguration(workCtx) },
-		func() error { return serve(server, callers) },
+		func() error { return callers.Run(workCtx, callerListener) },
 	}
 	results := make(chan error, len(components))
 	for _, run := range components {
@@ -180,8 +189,9 @@
 			err = errors.New("a component ended unexpectedly")
 		}
 	}
+	callers.Drain()
 	e.drain()
-	e.closeServer(server, callers)
+	closeCallers(callers, callerListener)
 	cancelWork()
 	for range running {
 		err = errors.CombineErrors(err, <-results)
@@ -190,24 +200,40 @@
 	return err
 }
 
-func serve(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve callers")
+// limits returns the limits on requests of callers that are in force.
+func (e *Entry) limits() site.Limits {
+	limits := site.Limits{HeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout}
+	if s := e.Configuration.Current(); s != nil {
+		l := caller.LimitsWithDefaults(s.Deployment)
+		limits.BodyBytes, limits.HeaderTimeout, limits.BodyTimeout = l.MaxBodyBytes, l.HeaderTimeout, l.BodyTimeout
 	}
-	return nil
+	return limits
 }
 
-// closeServer shuts the HTTP server down. After drain, there remain idle connections, requests that have just arrived, responses that are being
-// flushed, and requests that did not end within errorEventTimeout of their cancellation.
-func (e *Entry) closeServer(server *http.Server, callers *callers) {
-	ctx, cancel := context.WithTimeout(context.Background(), errorEventTimeout)
-	defer cancel()
-	for callers.closeIdle() > 0 && ctx.Err() == nil {
+// recordShed counts a connection or request that exceeds the memory or descriptors. It logs at most one of them in shedLogInterval.
+func (e *Entry) recordShed(what front.Excess) {
+	metrics.GetOrRegisterCounter("Shed."+what.String(), e.Metrics).Inc(1)
+	now := time.Now().UnixNano()
+	if last := e.lastShedLogNanos.Load(); now-last >= int64(shedLogInterval) && e.lastShedLogNanos.CompareAndSwap(last, now) {
+		event.Info(e.Log, event.EntryOverloaded, "name", e.Name, "what", what.String())
+	}
+}
+
+// closeCallers closes the connections of callers. After drain, there remain idle connections, requests that have just arrived, responses that
+// are being flushed, and requests that did not end within errorEventTimeout of their cancellation.
+func closeCallers(callers *front.Server, l net.Listener) {
+	end := time.Now().Add(errorEventTimeout)
+	callers.CloseIdle()
+	for callers.Busy() > 0 && time.Now().Before(end) {
 		time.Sleep(5 * time.Millisecond)
+		callers.CloseIdle()
 	}
-	if server.Shutdown(ctx) != nil {
-		_ = server.Close()
+	_ = l.Close()
+	for callers.Busy() > 0 && time.Now().Before(end) {
+		time.Sleep(5 * time.Millisecond)
+		callers.CloseIdle()
 	}
+	callers.CloseAll()
 }
 
 // drain waits until the requests in progress have ended and NoticeTime has passed. It cancels those that remain after the drain timeout or
--- a/internal/process/gateway/admission.go
+++ b/internal/process/gateway/admission.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -9,15 +11,19 @@
 
 	"primrosecourse/internal/connection/front"
 	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/budget"
 )
 
 // internalHeaderBytes limits the headers on the ports for other gateways and for metrics, whose clients send a few hundred bytes.
 const internalHeaderBytes = 16 << 10
 
-// bound sets the limits of a server. Those that the budget leaves 0 are not bounded.
-func (b Budget) bound(s *front.Server) {
-	s.MaxConnections, s.MaxHeldBytes, s.FreeBytes = b.Connections, b.HeldBytes, b.FreeBytes
-	s.SocketBytes, s.Turns = b.SocketBytes, b.Turns
+// refusal returns the header and the body of the response to a request that is refused before it is handled. A 503 states when to come back.
+func (g *Gateway) refusal(status int, reason string) (header http.Header, body []byte) {
+	header, body = front.PlainRefusal(reason)
+	if status == http.StatusServiceUnavailable {
+		maps.Copy(header, g.Codec.Refusal("", minRetryAfter+rand.N(minRetryAfter)))
+	}
+	return header, body
 }
 
 // recordShed counts a connection or request that was refused because it exceeds the budget. It logs at most one of them in
@@ -31,12 +37,12 @@
 	g.recordShedAs("Readiness."+what.String(), g.Settings.Budget().Readiness())
 }
 
-func (g *Gateway) recordShedAs(what string, budget Budget) {
+func (g *Gateway) recordShedAs(what string, b budget.Budget) {
 	metrics.GetOrRegisterCounter("Shed."+what, g.Metrics).Inc(1)
 	now := time.Now().UnixNano()
 	if last := g.lastShedLogNanos.Load(); now-last >= int64(shedLogInterval) && g.lastShedLogNanos.CompareAndSwap(last, now) {
-		event.Info(g.Log, event.GatewayOverloaded, "what", what, "connections", budget.Connections,
-			"heldBytes", budget.HeldBytes)
+		event.Info(g.Log, event.GatewayOverloaded, "what", what, "connections", b.Connections,
+			"heldBytes", b.HeldBytes)
 	}
 }
 
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -162,19 +162,19 @@
 		g.handler = handler
 		g.front = front.New(handler)
 		g.front.Limits = g.limits
-		budget := g.Settings.Budget()
-		handler.Memory = memory.New(budget.AnswerBytes)
-		g.pool.Memory, g.pool.SocketBytes = handler.Memory, budget.SocketBytes
-		g.Tiers.MaxParts = budget.KVParts
-		budget.bound(g.front)
+		limits := g.Settings.Budget()
+		handler.Memory = memory.New(limits.AnswerBytes)
+		g.pool.Memory, g.pool.SocketBytes = handler.Memory, limits.SocketBytes
+		g.Tiers.MaxParts = limits.KVParts
+		limits.Bound(g.front)
 		g.readiness = front.New(readinessHandler{g})
 		g.readiness.Limits = g.limits
-		budget.Readiness().bound(g.readiness)
+		limits.Readiness().Bound(g.readiness)
 		g.readiness.Shed = g.recordReadinessShed
 		g.readiness.Ended = func(e front.End) {
 			metrics.GetOrRegisterCounter("ReadinessConnections."+e.Ending.String(), g.Metrics).Inc(1)
 		}
-		g.front.Overloaded = func() http.Header { return g.Codec.Refusal("", minRetryAfter+rand.N(minRetryAfter)) }
+		g.front.Refusal = g.refusal
 		g.front.Shed = g.recordShed
 		g.ends.limiter = rate.NewLimiter(endsPerSecond, endsBurst)
 		g.front.Ended = g.recordEnd
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"gopkg.in/ini.v1"
+
+	"primrosecourse/internal/process/budget"
 )
 
 // Settings are the settings of a gateway, which it reads when it starts.
@@ -78,6 +80,9 @@
 	return netip.AddrPortFrom(s.Address, uint16(s.LastPeerPort))
 }
 
+// Budget divides the memory and descriptors that the settings allow.
+func (s *Settings) Budget() budget.Budget { return budget.New(s.MemoryMegabytes, s.MaxDescriptors) }
+
 // ReadSettings reads a settings file in INI format. If values are invalid, the error names the file and the section and key of the
 // first of them, and states what is allowed.
 func ReadSettings(path string) (s Settings, err error) {
--- a/internal/request/caller/handler.go
+++ b/internal/request/caller/handler.go
@@ -259,7 +259,7 @@
 	if req.snapshot = h.snapshot.Load(); req.snapshot == nil {
 		return newFailure(ReasonNotReady, "")
 	}
-	req.limits = limitsWithDefaults(req.snapshot.deployment)
+	req.limits = LimitsWithDefaults(req.snapshot.deployment)
 	// The read deadline also bounds the time spent on reading the rest of the body of a refused request.
 	_ = req.control.SetReadDeadline(req.receivedAt.Add(req.limits.BodyTimeout))
 	if req.organisation = req.snapshot.authenticate(req.r); req.organisation == nil {
@@ -314,8 +314,11 @@
 	return timeout, nil
 }
 
-// readBody reads the body within the limits of size and time.
+// readBody reads the body within the limits of size and time. One that has been read already is not copied.
 func (req *request) readBody() ([]byte, *failure) {
+	if whole, ok := req.r.Body.(interface{ Bytes() []byte }); ok && int64(len(whole.Bytes())) <= req.limits.MaxBodyBytes {
+		return whole.Bytes(), nil
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(req.w, req.r.Body, req.limits.MaxBodyBytes))
 	// Clear the read deadline, so that it does not end the detection of a disconnect of the caller.
 	_ = req.control.SetReadDeadline(time.Time{})
--- a/internal/request/caller/problem.go
+++ b/internal/request/caller/problem.go
@@ -27,6 +27,9 @@
 	ReasonRetryBudget      Reason = "RetryBudget"
 	ReasonSlowReader       Reason = "SlowReader"
 	ReasonConnectionLost   Reason = "ConnectionLost"
+	ReasonHeaderTooLarge   Reason = "HeaderTooLarge"
+	ReasonHTTPVersion      Reason = "HTTPVersion"
+	ReasonOverloaded       Reason = "Overloaded"
 )
 
 func reasonFromWire(r wire.Reason) Reason { return Reason(strings.TrimPrefix(r.String(), "Reason")) }
@@ -76,6 +79,9 @@
 	ReasonRetryBudget:      {http.StatusServiceUnavailable, "too many requests are being retried", true},
 	ReasonSlowReader:       {http.StatusRequestTimeout, "the caller reads too slowly", false},
 	ReasonConnectionLost:   {http.StatusBadGateway, "the endpoint was lost", true},
+	ReasonHeaderTooLarge:   {http.StatusRequestHeaderFieldsTooLarge, "the header is too large", false},
+	ReasonHTTPVersion:      {http.StatusHTTPVersionNotSupported, "the version of HTTP is not supported", false},
+	ReasonOverloaded:       {http.StatusServiceUnavailable, "the instance is short of memory or connections", true},
 }
 
 // failure describes why a request, or one attempt of it, ended without a complete answer. That includes refusals.
@@ -146,8 +152,14 @@
 
 // write sends the failure as an error answer.
 func (f *failure) write(w http.ResponseWriter, id string) {
+	f.setHeader(w.Header())
+	w.WriteHeader(f.info().status)
+	_ = json.NewEncoder(w).Encode(f.problem(id))
+}
+
+// setHeader sets the header fields of an error answer.
+func (f *failure) setHeader(h http.Header) {
 	r := f.info()
-	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	if r.retryable && f.outcome == wire.NotRun {
 		// Retry-After takes whole seconds; the value is at least 1.
@@ -156,6 +168,29 @@
 	if r.status == http.StatusUnauthorized {
 		h.Set("WWW-Authenticate", "Bearer")
 	}
-	w.WriteHeader(r.status)
-	_ = json.NewEncoder(w).Encode(f.problem(id))
+}
+
+// refusalReasons are the reasons of the statuses with which a request is refused before it reaches the handler.
+var refusalReasons = map[int]Reason{
+	http.StatusBadRequest:                  "BadRequest",
+	http.StatusRequestTimeout:              ReasonBodyTimeout,
+	http.StatusRequestEntityTooLarge:       ReasonBodyTooLarge,
+	http.StatusRequestHeaderFieldsTooLarge: ReasonHeaderTooLarge,
+	http.StatusServiceUnavailable:          ReasonOverloaded,
+	http.StatusHTTPVersionNotSupported:     ReasonHTTPVersion,
+}
+
+// Refusal returns the header and the body of the answer to a request that was refused with a status before it reached the handler, and that has
+// not run. It is counted as the refusals of the handler are.
+func (h *Handler) Refusal(status int, detail string) (header http.Header, body []byte) {
+	h.init()
+	f := newFailure(refusalReasons[status], detail)
+	h.count("Refused." + string(f.reason))
+	header = http.Header{}
+	f.setHeader(header)
+	body, err := json.Marshal(f.problem(""))
+	if err != nil {
+		return header, nil
+	}
+	return header, append(body, '\n')
 }
--- a/internal/request/caller/snapshot.go
+++ b/internal/request/caller/snapshot.go
@@ -158,8 +158,8 @@
 	return slices.Contains(methods, method)
 }
 
-// limitsWithDefaults returns the limits of a deployment with defaults in place of unset request limits.
-func limitsWithDefaults(d *settings.Deployment) settings.Limits {
+// LimitsWithDefaults returns the limits of a deployment with defaults in place of unset request limits.
+func LimitsWithDefaults(d *settings.Deployment) settings.Limits {
 	l := d.Limits
 	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, 1<<20)
 	l.MaxTokens = cmp.Or(l.MaxTokens, 4096)
--- a/pkg/settings/deployment.go
+++ b/pkg/settings/deployment.go
@@ -41,8 +41,7 @@
 	// MaxTokens bounds the number of tokens generated for one request. Default 4096.
 	MaxTokens int
 	// HeaderTimeout and BodyTimeout bound the time in which a caller must send the header and the body of a request.
-	// Defaults 5 s and 30 s. Entries do not apply HeaderTimeout yet: net/http reads its header timeout only when the server
-	// starts, so they use a fixed 5 s. BodyTimeout is also the timeout of writes to the caller.
+	// Defaults 5 s and 30 s. BodyTimeout is also the timeout of writes to the caller.
 	HeaderTimeout time.Duration
 	BodyTimeout   time.Duration
 	// RequestTimeout is the timeout of a request that states none, and the longest that a caller may request. Default
--- a/pkg/site/configuration.go
+++ b/pkg/site/configuration.go
@@ -116,6 +116,8 @@
 	BodyBytes     int64
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
+	// BodyTimeout limits the time for a whole body. If it is 0, that is 60 s, or IdleTimeout if that is longer.
+	BodyTimeout time.Duration
 }
 
 // Configuration is one version of the operators' configuration.
--- a/test/site/site.go
+++ b/test/site/site.go
@@ -62,6 +62,8 @@
 	dir      string
 	binaries string
 	fencing  bool // see Shape.Fencing
+	// entryFlags is Shape.EntryFlags.
+	entryFlags []string
 }
 
 // New returns a site without processes. It writes its configuration to dir and runs the programs in the directory binaries.
@@ -96,6 +98,8 @@
 	Entries, Models, Orders, Stores int
 	// Fencing makes the engines check fencing tokens.
 	Fencing bool
+	// EntryFlags are further flags of the entries.
+	EntryFlags []string
 }
 
 var domainNames = []string{"South", "Middle", "North"}
@@ -103,7 +107,7 @@
 // Define adds the stand-ins and writes the configuration. The endpoints are named Model1, Model2, ... and Order1, Order2, ...,
 // the entries Entry1, Entry2, ..., the KV stores Store1, Store2, ...
 func (s *Site) Define(shape Shape) error {
-	s.fencing = shape.Fencing
+	s.fencing, s.entryFlags = shape.Fencing, shape.EntryFlags
 	var ini strings.Builder
 	fmt.Fprint(&ini, "[Site]\nName = Test\n[Limits]\nDrainTimeout = 20s\nQuarantineTime = 1m\nRampTime = 1s\n")
 	for _, d := range domainNames {
@@ -186,7 +190,8 @@
 			"-Peers", strings.Join(bootstrap, ",")}
 	}
 	for _, e := range s.Entries {
-		s.Add(e, "primrose-entry", append(common(e), "-Listen", s.Addresses[e].String(), "-PeerListen", s.Peers[e].String())...)
+		args := append(common(e), "-Listen", s.Addresses[e].String(), "-PeerListen", s.Peers[e].String())
+		s.Add(e, "primrose-entry", append(args, s.entryFlags...)...)
 	}
 	for _, a := range s.Agents {
 		args := append(common(a), "-Listen", s.Peers[a].String(), "-Metrics", s.Addresses[a].String())
