Answer readiness checks beside crowds at their port

Cause: the readiness port has 32 places. A crowd took them with connections that sent nothing, bodies without end or whole requests, each for 47 ms to 12 s before it could be evicted, and connections that were being discarded after a refusal could not be evicted at all.

Change: at a port whose requests are answered at once (front.Server.HeadersOnly), bodies are not awaited and a connection that waits for its caller gives up its place to a new one. On all ports a refused connection whose rest is discarded does so too.

Measured: TestPlaceAtPortForChecks failed in its 5 cases without the change, passes with it.

--- a/internal/connection/front/admission.go
+++ b/internal/connection/front/admission.go
@@ -61,7 +61,7 @@
 func (s *Server) evictForPlace(limits site.Limits) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving <= s.MaxConnections/leavingShare && s.evictLongest(limits, false) > 0
+	return s.leaving <= max(minLeaving, s.MaxConnections/leavingShare) && s.evictLongest(limits, false) > 0
 }
 
 // evictForBytes evicts stalled connections that hold n bytes together, or as many as there are. It returns false if there are none.
--- a/internal/connection/front/place.go
+++ b/internal/connection/front/place.go
@@ -25,6 +25,8 @@
 	handling
 	// writing is a connection with a write of a response in progress.
 	writing
+	// discarding is a connection whose request was refused and whose rest is read and discarded.
+	discarding
 )
 
 const (
@@ -43,6 +45,8 @@
 	minBodyStep = 4096
 	// leavingShare is the largest share of MaxConnections that may be on the way out while other connections have taken their places.
 	leavingShare = 16
+	// minLeaving is the number that may be on the way out if that share is smaller.
+	minLeaving = 8
 	// searchPause is the time after a vain search for stalled connections in which there is no other one.
 	searchPause = 20 * time.Millisecond
 	// evictedWriteTimeout limits the answer to an evicted connection.
@@ -50,11 +54,14 @@
 )
 
 // patience is for how long a connection may make no progress in a phase before it is stalled. There is none for one that waits for a turn: its
-// caller has sent requests without waiting for answers, and nothing of them has been run.
+// caller has sent requests without waiting for answers, and nothing of them has been run. There is none for one that has been refused either.
 type patience map[phase]time.Duration
 
 func (s *Server) patience(now time.Time, limits site.Limits) patience {
 	stall := time.Duration(stallShare * float64(limits.HeaderTimeout))
+	if s.HeadersOnly {
+		return patience{writing: stall}
+	}
 	header := time.Duration(headerStallShare * float64(limits.HeaderTimeout))
 	return patience{unused: header, readingHeader: header, readingBody: stall, writing: stall,
 		idle: time.Duration(reuseShare * float64(s.idleLimit.update(now, limits.IdleTimeout)))}
--- a/internal/connection/front/place_test.go
+++ b/internal/connection/front/place_test.go
@@ -76,6 +76,31 @@
 	}
 }
 
+// TestPlaceAtPortForChecks guards against readiness checks that are turned away since other connections hold all places, whatever these have
+// sent so far.
+func TestPlaceAtPortForChecks(t *testing.T) {
+	const places = 4
+	for name, sent := range map[string]string{
+		"nothing sent":   "",
+		"part of header": "GET / HTTP/1.1\r\nA: b",
+		"part of body":   "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nb",
+		"large body":     "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000000\r\n\r\nb",
+		"whole request":  "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr := startServer(t, newHolding(), func(s *Server) { s.MaxConnections, s.HeadersOnly = places, true })
+			for range 5 {
+				for range places {
+					_, err := io.WriteString(dial(t, addr), sent)
+					is.NoErr(err)
+				}
+				is.Equal(status(t, addr, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"), http.StatusOK)
+			}
+		})
+	}
+}
+
 // TestPlaceOfHandledRequest guards against the eviction of a request that is being handled, and of an idle connection that its caller may
 // still use.
 func TestPlaceOfHandledRequest(t *testing.T) {
--- a/internal/connection/front/reading.go
+++ b/internal/connection/front/reading.go
@@ -77,6 +77,9 @@
 			return r, false, err
 		}
 	}
+	if s.HeadersOnly {
+		return r, !parsed.Close && !w.http10 && parsed.ContentLength == 0, nil
+	}
 	s.extendBody(p, arrived, limits)
 	p.enter(readingBody)
 	arrival := &bodyProgress{place: p, length: parsed.ContentLength}
--- a/internal/connection/front/refusal.go
+++ b/internal/connection/front/refusal.go
@@ -40,7 +40,8 @@
 		return WriteFailed
 	}
 	if refused != errEvicted { // an evicted connection gives up its place at once
-		linger(p.conn)
+		p.enter(discarding)
+		linger(p)
 	}
 	return Refused
 }
@@ -51,10 +52,10 @@
 }
 
 // linger closes the sending side, and discards what arrives until the caller closes its side, or lingerTime or lingerBytes have passed.
-func linger(c net.Conn) {
-	if halfCloser, ok := c.(interface{ CloseWrite() error }); ok && halfCloser.CloseWrite() == nil {
-		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-		_, _ = io.CopyN(io.Discard, c, lingerBytes)
+func linger(p *place) {
+	if halfCloser, ok := p.conn.(interface{ CloseWrite() error }); ok && halfCloser.CloseWrite() == nil {
+		p.setReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.CopyN(io.Discard, p.conn, lingerBytes)
 	}
 }
 
--- a/internal/connection/front/server.go
+++ b/internal/connection/front/server.go
@@ -49,6 +49,9 @@
 	// Turns limits the requests in progress that were sent before the answer to the one before; 0 means no limit. Others wait for a turn, for
 	// up to the header timeout.
 	Turns int
+	// HeadersOnly is set for a port whose requests are answered at once, such as readiness checks. A request is handled when its header has
+	// arrived, without its body, and a connection gives up its place to a new one whenever it waits for its caller.
+	HeadersOnly bool
 	// Refusal returns the header and the body of the response to a request that is refused with a status before it is handled. If it is nil,
 	// the body is the reason as plain text.
 	Refusal func(status int, reason string) (header http.Header, body []byte)
@@ -256,12 +259,15 @@
 	if w.aborted || w.err != nil || !w.ended || w.panicked {
 		resetIfUnframed(c, w)
 		if w.panicked && w.ended {
-			linger(c)
+			linger(p)
 		}
 		return End{Ending: s.responseEnding(w, callerLeft), Request: request, Started: w.started, Err: cmp.Or(w.cause, w.err)}, false
 	}
 	if w.closeAfter {
-		linger(c)
+		if s.HeadersOnly {
+			p.enter(discarding)
+		}
+		linger(p)
 		return End{Ending: Announced, Request: request, Started: true}, false
 	}
 	p.enter(idle)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -168,7 +168,7 @@
 		g.Tiers.MaxParts = limits.KVParts
 		limits.Bound(g.front)
 		g.readiness = front.New(readinessHandler{g})
-		g.readiness.Limits = g.limits
+		g.readiness.Limits, g.readiness.HeadersOnly = g.limits, true
 		limits.Readiness().Bound(g.readiness)
 		g.readiness.Shed = g.recordReadinessShed
 		g.readiness.Ended = func(e front.End) {
