Count prefills on replaced weights twice

Cause: while a version replaces another, the choice of an endpoint treated a prefill on the replaced weights like one on the new ones, though the endpoint loses what it has read when it loads the new weights, and the prompt returns. Prompts whose stored parts had been given up were read once more on the old version, at the time when most engines load.

Change: placement.Request.Replaced; the prefill at such an endpoint counts twice.

Ruled out (trials, docs/design/weights-under-load.md): a fifth or a quarter of the endpoints at a time under load, shorter and longer lifetimes of the parts of the replaced version, a constant of 50 or 100 ms for replaced weights in addition.

TestReplacedWeights fails without the change.

--- a/internal/request/forward/oldweights.go
+++ b/internal/request/forward/oldweights.go
@@ -27,6 +27,19 @@
 	}
 }
 
+// replaced returns placement.Request.Replaced: whether an endpoint serves weights that another version replaces. It returns nil if no version
+// of the model is named.
+func (req *request) replaced() func(e *site.Endpoint) bool {
+	named, ok := req.snapshot.Versions[req.meta.Model]
+	if !ok {
+		return nil
+	}
+	return func(e *site.Endpoint) bool {
+		version, ok := e.Version(req.meta.Model)
+		return ok && version < named
+	}
+}
+
 // limitInterval is the longest time between two looks at a waiting attempt: its endpoint may load other weights, and the gateway may learn
 // late that a version was named.
 const limitInterval = 250 * time.Millisecond
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -36,7 +36,7 @@
 		Domain: req.handler.Domain, Tokens: req.meta.PromptTokens, Plain: service != nil && service.Engine == nil}
 	if service != nil && service.Engine != nil {
 		placementRequest.Memory = service.Engine.MemoryTokens
-		placementRequest.MayBegin = req.mayBegin()
+		placementRequest.MayBegin, placementRequest.Replaced = req.mayBegin(), req.replaced()
 	}
 	if shared := req.sharedParts(); service != nil && service.Engine != nil && len(shared) > 0 {
 		for _, p := range shared {
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -66,6 +66,9 @@
 	// MayBegin reports whether the request may be sent to an endpoint at which its first token is expected after firstToken. The field is nil if
 	// it may be sent to all.
 	MayBegin func(e *site.Endpoint, firstToken time.Duration) bool
+	// Replaced reports whether an endpoint serves weights that another version replaces. What it prefills is lost when it loads the new weights, so
+	// that the prefill counts twice: now, and once more when the prompt returns. The field is nil if no version of the model is named.
+	Replaced func(e *site.Endpoint) bool
 	// Plain is set for a service without engines.
 	Plain bool
 	// Reserved are endpoints whose room is left to other requests.
@@ -291,8 +294,12 @@
 		tokensPerSecond /= slowness
 	}
 	wait := time.Duration((s.pending + float64(peers.Pending)) / tokensPerSecond * float64(time.Second))
-	cost := wait + time.Duration(float64(prefillTokens)/tokensPerSecond*float64(time.Second)) + time.Duration((1-x.cachedShare)*float64(x.fetchTime))
+	prefill := time.Duration(float64(prefillTokens) / tokensPerSecond * float64(time.Second))
+	cost := wait + prefill + time.Duration((1-x.cachedShare)*float64(x.fetchTime))
 	firstToken := cost
+	if r.Replaced != nil && r.Replaced(e) {
+		cost += prefill
+	}
 	perRequest := plainRequestCost
 	if r.Tokens > 0 {
 		perRequest = engineRequestCost
--- a/pkg/placement/choose_test.go
+++ b/pkg/placement/choose_test.go
@@ -32,6 +32,27 @@
 	return &placement.Request{Service: "S", Homes: []string{"e1", "e2"}, Tokens: 17000, Shared: 12800, Gateways: 1, Domain: "d"}
 }
 
+// TestReplacedWeights guards against prompts that are prefilled on weights that are about to be replaced, and so once more on the new ones, while
+// endpoints with the new weights have time for them, and against the loss of caches that the replaced weights still have.
+func TestReplacedWeights(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	list := endpoints(2)
+	replaced := func(e *site.Endpoint) bool { return e.ID == "e0" }
+	request := func(homes ...string) *placement.Request {
+		return &placement.Request{Service: "S", Homes: homes, Tokens: 17000, Shared: 12800, Gateways: 1, Domain: "d", Replaced: replaced}
+	}
+	table := newTable(nil, list, now)
+	table.Sent(now, list[1], request(), 12000)
+	c, _ := table.Choose(now, request(), list)
+	is.Equal(c.Endpoint.ID, "e1") // a shorter wait than the prefill that would be lost
+	table.Sent(now, list[1], request(), 17000)
+	c, _ = table.Choose(now, request(), list)
+	is.Equal(c.Endpoint.ID, "e0") // a longer one
+	c, _ = newTable(nil, list, now).Choose(now, request("e0"), list)
+	is.Equal(c.Endpoint.ID, "e0") // little is lost where most is cached
+}
+
 // TestHomeAndSpill guards against prompts that are prefilled again elsewhere while a home is idle, and against prompts that
 // wait at a home while other endpoints are idle.
 func TestHomeAndSpill(t *testing.T) {
