Bound the receive buffers of callers on the listener

Cause: the bound was set on accepted connections, when the caller had already been offered a window of 64 KB and could fill it.

Change: the bound is set on the listener, from which connections inherit it, and is 16 KB, with which the kernel holds 24 KB.

Ruled out: half the buffer once half of the places are taken (48 to 56 MB in sockets); TCP_WINDOW_CLAMP, which did not lower what lies in the socket. The claim that 16 KB make 50 KB take 60 ms held only for buffers that are set too late.

--- a/internal/connection/front/server.go
+++ b/internal/connection/front/server.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"primrosecourse/internal/connection/sockets"
 	"primrosecourse/pkg/site"
 )
 
@@ -156,6 +157,9 @@
 func (s *Server) Run(ctx context.Context, l net.Listener) (err error) {
 	defer close(s.done)
 	defer s.wg.Wait()
+	if s.SocketBytes > 0 {
+		sockets.BoundListener(l, s.SocketBytes)
+	}
 	if s.Turns > 0 {
 		s.turns = make(chan struct{}, s.Turns)
 	}
