Let a readiness check wait for a place

No connection is stalled then, and the next check was closed unread.

Change: a new connection at a port for checks waits up to 100 ms for a place. The callers' port sheds at once as before.

Ruled out: more places (they fill in the same way).

--- a/internal/connection/front/admission.go
+++ b/internal/connection/front/admission.go
@@ -8,10 +8,11 @@
 	"primrosecourse/pkg/site"
 )
 
-// admit adds c to the open connections unless that would exceed MaxConnections and no connection is stalled.
+// admit adds c to the open connections unless that would exceed MaxConnections and no connection is stalled. At a port for checks it waits up to
+// checkWait for a place.
 func (s *Server) admit(c net.Conn) bool {
-	if s.isFull() {
-		if limits := s.limits(); !s.evictForPlace(limits) {
+	for began := time.Now(); s.isFull() && !s.evictForPlace(s.limits()); time.Sleep(evictionPoll) {
+		if !s.HeadersOnly || time.Since(began) > checkWait {
 			return false
 		}
 	}
--- a/internal/connection/front/place.go
+++ b/internal/connection/front/place.go
@@ -47,6 +47,9 @@
 	leavingShare = 16
 	// minLeaving is the number that may be on the way out if that share is smaller.
 	minLeaving = 8
+	// checkWait is how long a new connection waits for a place at a port for checks. Each of them is answered within milliseconds unless the
+	// process is late, and then no connection counts as stalled.
+	checkWait = 100 * time.Millisecond
 	// searchPause is the time after a vain search for stalled connections in which there is no other one.
 	searchPause = 20 * time.Millisecond
 	// evictedWriteTimeout limits the answer to an evicted connection.
