--- a/internal/request/forward/silence.go
+++ b/internal/request/forward/silence.go
@@ -201,37 +201,41 @@
 
 // examine asks a doubtful endpoint for a sign of life and releases its attempts if it gives none.
 func (w *SilenceWatch) examine(ctx context.Context, e *watchedEndpoint) {
+	// begin replaces e.endpoint while the question is open, if the endpoint's entry has changed.
+	w.mu.Lock()
+	asked := e.endpoint
+	w.mu.Unlock()
 	askedAt := time.Now()
-	suspicion := time.AfterFunc(questionTimeout, func() { w.suspect(e.endpoint, askedAt) })
-	err := w.ask(ctx, e.endpoint, latest(e.releaseAt, askedAt.Add(questionTimeout)))
+	suspicion := time.AfterFunc(questionTimeout, func() { w.suspect(asked, askedAt) })
+	err := w.ask(ctx, asked, latest(e.releaseAt, askedAt.Add(questionTimeout)))
 	suspicion.Stop()
 	now := time.Now()
 	if ctx.Err() != nil {
 		err = nil
 	}
 	if err == nil {
-		w.Table.Heard(now, e.endpoint)
+		w.Table.Heard(now, asked)
 	}
 	// An endpoint that sent something after all is not silent.
-	heardAt, _, _ := w.Table.LastHeard(now, e.endpoint)
+	heardAt, _, _ := w.Table.LastHeard(now, asked)
 	silent := err != nil && !heardAt.After(askedAt)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e.asking = false
 	w.asking--
 	if len(e.flights) == 0 {
-		delete(w.watched, e.endpoint.ID)
+		delete(w.watched, asked.ID)
 	}
 	if !silent {
 		w.count("Endpoints.Quiet")
-		event.Debug(w.Log, event.EndpointQuiet, "endpoint", e.endpoint.ID, "inFlight", len(e.flights), "answeredMs", now.Sub(askedAt).Milliseconds())
+		event.Debug(w.Log, event.EndpointQuiet, "endpoint", asked.ID, "inFlight", len(e.flights), "answeredMs", now.Sub(askedAt).Milliseconds())
 		return
 	}
 	w.count("Endpoints.Silent")
-	w.Table.Silent(now, e.endpoint)
+	w.Table.Silent(now, asked)
 	e.silentAt = now
 	released, withoutRetry := w.releaseFlights(e, now, askedAt)
-	event.Info(w.Log, event.EndpointSilent, "endpoint", e.endpoint.ID, "released", len(released), "kept", len(e.flights)-len(released), "withoutRetry", withoutRetry,
+	event.Info(w.Log, event.EndpointSilent, "endpoint", asked.ID, "released", len(released), "kept", len(e.flights)-len(released), "withoutRetry", withoutRetry,
 		"heardMs", agoMillis(now, heardAt), "askedMs", now.Sub(askedAt).Milliseconds(), "reason", err.Error(), "requests", released[:min(len(released), maxLoggedRequests)])
 }
 
