Benchmark new rings of 3,000 endpoints

Cause: the cost of a new ring was stated for 3,000 endpoints without a benchmark of that size. Change: the size is added.

--- a/pkg/ring/ring_test.go
+++ b/pkg/ring/ring_test.go
@@ -164,7 +164,7 @@
 }
 
 func BenchmarkNew(b *testing.B) {
-	for _, n := range []int{100, 1000, 10000} {
+	for _, n := range []int{100, 1000, 3000, 10000} {
 		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
 			list := endpoints(n, 4)
 			for b.Loop() {
