Keep the report of a gateway for as long as its streams may be taken up

Cause: a report was deleted a minute after its last change once its gateway was not listed. In calm reports do not change, so that the report of a gateway that stopped a moment ago, or was starting again, could go with the next heartbeat of another one. The books of the others then forgot that the gateway has streams, and it restored nothing itself: the absence of the record counted as there being no streams. What callers would see: after a calm minute and a planned stop or restart beside a release, a stream that the gateway had begun goes on at another build. Change: the registry counts from when lists no longer have the gateway, by the start of the call, and keeps the report for MaxTakeUpTime and the 32 s for which others may count the gateway as present; the gateway that deletes must find it past in its own book as well. Book.Removed keeps what is known, and what is not, until the streams are past, whoever deleted the report: a gateway of an earlier version may. A leader that has just started, or stood still, deletes nothing before lists of its own have shown the absence. RolloutCounts objects are written every 0.4 s while an order is active, so that they are not the same case.

--- a/internal/version/registry/builds.go
+++ b/internal/version/registry/builds.go
@@ -65,7 +65,7 @@
 	case name == r.Name:
 		return r.applyOwnStreams(c)
 	case c.Removed:
-		r.Builds.Removed(name)
+		r.Builds.Removed(now, name)
 		return nil
 	}
 	report := &builds.Report{}
@@ -93,12 +93,27 @@
 	return nil
 }
 
-// isReportOfPresent reports whether a shared object is the report of a gateway that is present. The caller must hold mu.
-func (r *Registry) isReportOfPresent(name string) bool {
-	gateway, ok := strings.CutPrefix(name, streamsPrefix)
-	if !ok {
+// updateAbsent records since when the gateways that have a report of their streams are absent from the lists. The caller must hold mu.
+func (r *Registry) updateAbsent(listed map[string]bool, now time.Time) {
+	absent := map[string]time.Time{}
+	for name := range r.sharedChanges {
+		gateway, ok := strings.CutPrefix(name, streamsPrefix)
+		if _, member := r.members[gateway]; !ok || member || listed[gateway] || gateway == r.Name {
+			continue
+		}
+		if absent[gateway] = now; !r.absentSince[gateway].IsZero() {
+			absent[gateway] = r.absentSince[gateway]
+		}
+	}
+	r.absentSince = absent
+}
+
+// isPast reports whether none of a gateway's streams can be taken up any more, so that its report, which was seen to change at reportedAt, tells
+// nothing. Only a list shows that a gateway is absent: this one may itself have stood still. The caller must hold mu.
+func (r *Registry) isPast(gateway string, reportedAt, now time.Time) bool {
+	since, absent := r.absentSince[gateway]
+	if !absent || r.membersAskedAt.Sub(since) <= streamsRetention || r.membersAskedAt.Sub(reportedAt) <= streamsRetention {
 		return false
 	}
-	_, member := r.members[gateway]
-	return member || gateway == r.Name
+	return r.Builds == nil || r.Builds.IsPast(now, gateway)
 }
--- a/internal/version/registry/builds_test.go
+++ b/internal/version/registry/builds_test.go
@@ -110,3 +110,48 @@
 		<-ended
 	})
 }
+
+// TestReportOutlivesGateway guards against the report of a gateway that is deleted while its streams may be taken up, since it has not changed for
+// long, and against one that stays for ever.
+func TestReportOutlivesGateway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := &builds.Book{}
+		book.Restore(time.Now(), &builds.Report{})
+		r, s := newBuildRegistry(book)
+		members := r.Members.(shared)
+		s.put("Streams.G2", encode(&builds.Report{Number: 1}), nil)
+		has := func() bool {
+			_, _, err := s.Get(t.Context(), "Streams.G2")
+			return err == nil
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { _ = r.Run(ctx); close(ended) }()
+		for n := range 20 {
+			members.put("G2", encode(&registry.Member{Name: "G2", Beat: uint64(n)}), nil)
+			time.Sleep(10 * time.Second)
+		}
+		for range 3 {
+			members.remove("G2") // it stops
+			for range 30 {
+				time.Sleep(time.Second)
+				if !has() {
+					t.Fatal("the report of a gateway that stopped less than 30 s ago was deleted")
+				}
+			}
+			members.put("G2", encode(&registry.Member{Name: "G2"}), nil) // it has started again
+			time.Sleep(5 * time.Second)
+		}
+		members.remove("G2")
+		time.Sleep(builds.MaxTakeUpTime - time.Second)
+		if !has() {
+			t.Error("the report of a gateway was deleted within the time for which its streams may be taken up")
+		}
+		time.Sleep(2 * time.Minute)
+		if has() {
+			t.Error("the report of a gateway that is gone for three minutes is still there")
+		}
+		stop()
+		<-ended
+	})
+}
--- a/internal/version/registry/members.go
+++ b/internal/version/registry/members.go
@@ -31,10 +31,11 @@
 // followMembers lists the gateways periodically until ctx is done.
 func (r *Registry) followMembers(ctx context.Context) {
 	for ctx.Err() == nil {
+		began := time.Now()
 		changes, revision, err := r.Members.List(ctx)
 		switch {
 		case err == nil:
-			r.applyMembers(changes, revision, time.Now())
+			r.applyMembers(changes, revision, began, time.Now())
 		case ctx.Err() == nil:
 			r.mu.Lock()
 			r.membersFailedAt = time.Now()
@@ -44,9 +45,9 @@
 	}
 }
 
-// applyMembers applies a list of the gateways. A gateway counts as present while its object changes. A store that was restored from a copy may
+// applyMembers applies a list of the gateways, for which the call began at asked. A gateway counts as present while its object changes. A store that was restored from a copy may
 // lack gateways until their next heartbeat, so those that are missing then stay for memberTimeout after they were last seen.
-func (r *Registry) applyMembers(changes []Change[json.RawMessage], revision uint64, now time.Time) {
+func (r *Registry) applyMembers(changes []Change[json.RawMessage], revision uint64, asked, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.membersListedAt.IsZero() && Era(revision) > r.membersEra {
@@ -54,7 +55,7 @@
 	}
 	r.membersEra = max(r.membersEra, Era(revision))
 	restored := !r.membersRestoredAt.IsZero() && now.Sub(r.membersRestoredAt) < memberTimeout
-	r.membersListedAt = now
+	r.membersListedAt, r.membersAskedAt = now, asked
 	listed := map[string]bool{}
 	for _, c := range changes {
 		listed[c.Name] = true
@@ -79,6 +80,7 @@
 			delete(r.members, name)
 		}
 	}
+	r.updateAbsent(listed, now)
 	r.updateGateways(now)
 }
 
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -100,6 +100,9 @@
 	members    map[string]member
 	// membersListedAt is when the gateways were last listed, zero if never.
 	membersListedAt time.Time
+	// membersAskedAt is when the call began that listed them. absentSince is since when the gateways are absent that have a report of streams.
+	membersAskedAt time.Time
+	absentSince    map[string]time.Time
 	// membersEra is the era of the last list, and membersRestoredAt when a list first showed the last restore.
 	membersEra        uint64
 	membersRestoredAt time.Time
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -14,6 +14,7 @@
 
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/platform"
+	"primrosecourse/pkg/builds"
 	"primrosecourse/pkg/quarantine"
 )
 
@@ -45,6 +46,9 @@
 	memberRetention = time.Minute
 	markRetention   = 15 * time.Minute
 	crashRetention  = 30 * time.Minute
+	// streamsRetention is how long the report of a gateway's streams is kept once the gateway is absent: for as long as a stream may be taken up,
+	// and for as long as another gateway may count it as present.
+	streamsRetention = builds.MaxTakeUpTime + memberTimeout
 )
 
 // Mark is the shared object that records which endpoints a request crashed. Gateways of earlier versions write no Crashes.
@@ -269,8 +273,8 @@
 	}
 }
 
-// obsolete returns the objects of the gateways without heartbeats and the old marks and crashes, as maps from name to revision. It returns
-// none shortly after a failed call, since heartbeats and changes may have been missed.
+// obsolete returns the objects of the gateways without heartbeats, the reports of those whose streams are past, and the old marks and crashes,
+// as maps from name to revision. It returns none shortly after a failed call, since heartbeats and changes may have been missed.
 func (r *Registry) obsolete(now time.Time) (members, marks map[string]uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -284,7 +288,10 @@
 		}
 	}
 	for name, change := range r.sharedChanges {
-		if r.isReportOfPresent(name) {
+		if gateway, ok := strings.CutPrefix(name, streamsPrefix); ok {
+			if r.isPast(gateway, change.at, now) {
+				marks[name] = change.revision
+			}
 			continue
 		}
 		if retention := sharedRetention(name); retention > 0 && now.Sub(change.at) > retention {
@@ -294,14 +301,17 @@
 	return members, marks
 }
 
-// sharedRetention returns how long a shared object is kept after its last change, or 0 if it is kept for ever.
+// sharedRetention returns how long a shared object is kept after its last change, or 0 if it is kept for ever. A report of streams is kept for so
+// long after its gateway was last present.
 func sharedRetention(name string) time.Duration {
 	switch {
 	case strings.HasPrefix(name, markPrefix):
 		return markRetention
 	case strings.HasPrefix(name, crashPrefix):
 		return crashRetention
-	case strings.HasPrefix(name, streamsPrefix), strings.HasPrefix(name, rolloutCountsPrefix):
+	case strings.HasPrefix(name, streamsPrefix):
+		return streamsRetention
+	case strings.HasPrefix(name, rolloutCountsPrefix):
 		return memberRetention
 	}
 	return 0
--- a/pkg/builds/book.go
+++ b/pkg/builds/book.go
@@ -290,11 +290,30 @@
 	}
 }
 
-// Removed forgets the report of another gateway.
-func (b *Book) Removed(name string) {
+// Removed states that the store has no report of another gateway any more. What is known of the gateway's streams, and what is not, stays in force
+// until they can't be taken up.
+func (b *Book) Removed(now time.Time, name string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.reports, name)
+	r := b.reports[name]
+	if r == nil {
+		return
+	}
+	r.removed = true
+	if r.goneSince.IsZero() {
+		r.goneSince = now
+	}
+	if r.isPast(now) {
+		delete(b.reports, name)
+	}
+}
+
+// IsPast reports whether none of the streams of another gateway can be taken up any more, as far as is known.
+func (b *Book) IsPast(now time.Time, name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.reports[name]
+	return r == nil || r.isPast(now)
 }
 
 // SetPresent states which gateways are present.
@@ -307,6 +326,8 @@
 			r.goneSince = time.Time{}
 		case r.goneSince.IsZero():
 			r.goneSince = now
+		case r.removed && r.isPast(now):
+			delete(b.reports, name)
 		}
 	}
 }
--- a/pkg/builds/report.go
+++ b/pkg/builds/report.go
@@ -53,6 +53,8 @@
 	longest        time.Duration
 	// goneSince is when the gateway was first seen to be absent, zero while it is present.
 	goneSince time.Time
+	// removed is set if the store has no report of the gateway any more.
+	removed bool
 }
 
 // isPast reports whether none of the gateway's streams can be taken up any more.
--- a/pkg/builds/report_test.go
+++ b/pkg/builds/report_test.go
@@ -220,3 +220,30 @@
 		})
 	}
 }
+
+// TestRemovedReport guards against a gateway whose report is gone and which counts as one without streams.
+func TestRemovedReport(t *testing.T) {
+	now := time.Unix(1000, 0)
+	one, _, _ := builds.Next(nil, builds.Supply{"S": {"old": 4}})
+	two, _, _ := builds.Next(one, builds.Supply{"S": {"new": 4}})
+	s := builds.Stream{Service: "S", ID: 1, Key: 1, KeyKnown: true}
+	b := &builds.Book{}
+	b.Restore(now, nil)
+	b.SetPlan(now, one)
+	b.Heard(now, "other", &builds.Report{Number: 1, LongestMs: 30_000})
+	b.SetPresent(now, func(string) bool { return true })
+	b.SetPlan(now, two)
+	if _, k, _ := b.TakeUp(now, s); k != builds.Behind {
+		t.Errorf("before: %s", k)
+	}
+	b.Removed(now, "other")
+	for _, c := range []struct {
+		after time.Duration
+		want  builds.Knowledge
+	}{{0, builds.Behind}, {29 * time.Second, builds.Behind}, {31 * time.Second, builds.Planned}} {
+		b.SetPresent(now.Add(c.after), func(string) bool { return false })
+		if _, k, _ := b.TakeUp(now.Add(c.after), s); k != c.want {
+			t.Errorf("%v after the removal: %s, want %s", c.after, k, c.want)
+		}
+	}
+}
