Judge a restarted endpoint only by attempts at itself

Cause: Table.Ended and Table.Silent find the record of an endpoint by its ID. Change: an outcome, a silence and a probe count for the incarnation in the entry by which the attempt was sent (site.Endpoint.StartedAt). Requests and tokens in flight are counted off as before, and endpoints that state no start are judged as before. Open: reports of other gateways that an endpoint is silent name no incarnation.

--- a/pkg/placement/silence.go
+++ b/pkg/placement/silence.go
@@ -56,11 +56,15 @@
 }
 
 // Silent records that an endpoint stopped sending and did not answer a question for a sign of life. The endpoint becomes suspect, and
-// the other gateways are told at once. It reports whether the endpoint was not suspect before.
+// the other gateways are told at once, unless another incarnation than e has been listed since. It reports whether the endpoint has just
+// become suspect.
 func (t *Table) Silent(now time.Time, e *site.Endpoint) (suspect bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.endpointState(e)
+	if s.isOther(e) {
+		return false
+	}
 	s.silentUntil = now.Add(silenceReportTime)
 	t.signalUrgent(e.ID)
 	return s.markSuspect(now)
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -141,6 +141,12 @@
 	return s
 }
 
+// isOther reports whether e is the entry of another incarnation. One that states no start can't be told from others.
+func (s *endpointState) isOther(e *site.Endpoint) bool {
+	recorded := site.Endpoint{StartedAt: s.startedAt}
+	return recorded.StatesStart() && e.StatesStart() && !s.startedAt.Equal(e.StartedAt)
+}
+
 // SetEndpoints records the listed endpoints of a service. An endpoint with a new start time is treated as a new one that took over the ID:
 // only the counts of requests and tokens in flight stay.
 func (t *Table) SetEndpoints(now time.Time, service *site.Service, endpoints []*site.Endpoint) {
@@ -219,7 +225,7 @@
 	t.markUrgent(e.ID, r.Tokens)
 	s.cold.Sent(now, r.Gateways)
 	t.Intake.Sent(now, e.ID)
-	if s.suspect {
+	if s.suspect && !s.isOther(e) {
 		s.probing = true
 	}
 }
@@ -236,7 +242,8 @@
 }
 
 // Ended records the end of an attempt. r is the request that was given to Sent, prefillTokens is the number of tokens that was given to Sent, or 0 if Prefilled has been called for
-// the attempt. suspect reports whether the endpoint has just become suspect, trusted whether it has just stopped being suspect.
+// the attempt. suspect reports whether the endpoint has just become suspect, trusted whether it has just stopped being suspect. If another
+// incarnation than e has been listed since, the outcome tells nothing about that one.
 func (t *Table) Ended(now time.Time, e *site.Endpoint, r *Request, prefillTokens int, o Outcome) (suspect, trusted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -245,6 +252,9 @@
 	s.pending = max(0, s.pending-float64(prefillTokens))
 	s.held = max(0, s.held-r.Tokens)
 	t.markUrgent(e.ID, r.Tokens)
+	if s.isOther(e) {
+		return false, false
+	}
 	s.probing = false
 	switch o {
 	case Answered:
