Count the streams of a gateway that is back, also where its return was not seen

Cause: a gateway counts as past, and its lacking report as no loss, once it has been absent from the lists for as long as its streams may be taken up. The others list the gateways every 3 to 5 s, and not at all while they are cut off; a gateway that starts again writes no report if the plan has not changed. So one that had been away for 10 s and was back still counted as past at others, for seconds in touch with the store and for as long as they are cut off, and the streams that it began meanwhile were looked for by the next plan: not hearing of the return was taken for there being none. What callers would see: a stream of a gateway that started again less than 5 s ago (or while the other was cut off) breaks beside a release, is taken up elsewhere and goes on at another build. Change: a report is due after each start, and no stream begins before it is stored, so that whoever knows a later plan has heard it; hearing a report makes its gateway present until a list does not have it; an absence counts only while lists that were asked for in the last 6 s show it. Cost: two writes for each start of a gateway (the second once nothing is missing any more), and "Behind" for some seconds longer after a cut.

--- a/internal/version/registry/members.go
+++ b/internal/version/registry/members.go
@@ -238,7 +238,7 @@
 	slices.SortFunc(peers, func(a, b site.Gateway) int { return a.Address.Compare(b.Address) })
 	r.peers.Store(&peers)
 	if r.Builds != nil {
-		r.Builds.SetPresent(now, func(name string) bool { return r.members[name].isPresent(now, r.membersFailedAt) })
+		r.Builds.SetPresent(r.membersAskedAt, now, func(name string) bool { return r.members[name].isPresent(now, r.membersFailedAt) })
 	}
 	if n != r.next.Gateways {
 		event.Info(r.Log, event.GatewaysCounted, "gateways", n, "before", r.next.Gateways)
--- a/pkg/builds/book.go
+++ b/pkg/builds/book.go
@@ -17,6 +17,8 @@
 	maxListed = 1 << 13
 	// sweepInterval is the time between two removals of the streams that can't be taken up any more.
 	sweepInterval = time.Second
+	// absenceTime is for how long a list tells that a gateway is absent. Lists follow each other within less.
+	absenceTime = 6 * time.Second
 	// reportTime is about how long it takes until all gateways have reported after a change of the plan.
 	reportTime = 300 * time.Millisecond
 )
@@ -77,8 +79,8 @@
 	reported         uint64
 	changed          bool
 	reportedUnlisted bool
-	// restored is set once Restore was called, and stored once the store has a report of this gateway. When it got the first one, it had the
-	// plan storedPlan.
+	// restored is set once Restore was called, and stored once the store has a report of this incarnation of the gateway. When it got the first
+	// one, it had the plan storedPlan.
 	restored   bool
 	stored     bool
 	storedPlan uint64
@@ -301,7 +303,7 @@
 	}
 	r.removed = true
 	if r.goneSince.IsZero() {
-		r.goneSince = now
+		r.goneSince, r.absentAt = now, now
 	}
 	if r.isPast(now) {
 		delete(b.reports, name)
@@ -316,11 +318,12 @@
 	return r == nil || r.isPast(now)
 }
 
-// SetPresent states which gateways are present.
-func (b *Book) SetPresent(now time.Time, present func(name string) bool) {
+// SetPresent states which gateways are present, by a list that was asked for at the given time and has just been received.
+func (b *Book) SetPresent(asked, now time.Time, present func(name string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, r := range b.reports {
+		r.absentAt = asked
 		switch {
 		case present(name):
 			r.goneSince = time.Time{}
@@ -344,8 +347,8 @@
 	return true
 }
 
-// Ready reports whether streams may begin at this gateway: if the store had no report of it, or if a gateway might know a later plan without
-// knowing that report, streams could be missing without anyone noticing.
+// Ready reports whether streams may begin at this gateway: if the store had no report of this incarnation, or if a gateway might know a later plan
+// without knowing that report, streams could be missing without anyone noticing.
 func (b *Book) Ready() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/builds/book_test.go
+++ b/pkg/builds/book_test.go
@@ -67,7 +67,7 @@
 			book.Heard(f.now, fmt.Sprint(j), r)
 		}
 	}
-	book.SetPresent(f.now, func(string) bool { return true })
+	book.SetPresent(f.now, f.now, func(string) bool { return true })
 }
 
 // propose stores the next plan as a gateway knows it, unless the store has a later one.
--- a/pkg/builds/prefix_test.go
+++ b/pkg/builds/prefix_test.go
@@ -50,7 +50,7 @@
 					g.book.Heard(now, fmt.Sprint(w.gateway), w.report)
 				}
 			}
-			g.book.SetPresent(now, func(string) bool { return true })
+			g.book.SetPresent(now, now, func(string) bool { return true })
 		}
 		start := func(i int) {
 			gs[i] = &logGateway{book: &builds.Book{}, up: true}
--- a/pkg/builds/report.go
+++ b/pkg/builds/report.go
@@ -51,23 +51,24 @@
 	// listsUnplanned is as in Report.
 	listsUnplanned bool
 	longest        time.Duration
-	// goneSince is when the gateway was first seen to be absent, zero while it is present.
-	goneSince time.Time
+	// goneSince is when the gateway was first seen to be absent, zero while it is present; absentAt is when the last list was asked for.
+	goneSince, absentAt time.Time
 	// removed is set if the store has no report of the gateway any more.
 	removed bool
 }
 
-// isPast reports whether none of the gateway's streams can be taken up any more.
+// isPast reports whether none of the gateway's streams can be taken up any more. A gateway that does not list the others does not see them return.
 func (r *received) isPast(now time.Time) bool {
-	return !r.goneSince.IsZero() && now.Sub(r.goneSince) > r.longest
+	return !r.goneSince.IsZero() && now.Sub(r.goneSince) > r.longest && now.Sub(r.absentAt) <= absenceTime
 }
 
-// Restore takes over the last report of an earlier incarnation of this gateway, whose other streams are lost; r is nil if there is none.
+// Restore takes over the last report of an earlier incarnation of this gateway, whose other streams are lost; r is nil if there is none. Another
+// report is due then: those that took this gateway for absent learn from it that it is back, before they learn of a later plan.
 // Until it is called, only the builds of streams are known that this gateway began or that others reported.
 func (b *Book) Restore(now time.Time, r *Report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.restored, b.stored = true, r != nil
+	b.restored, b.stored, b.changed = true, false, true
 	if r == nil {
 		return
 	}
@@ -106,10 +107,7 @@
 		in.streams[s.ID] = begun{stream: Stream{Service: s.Service, ID: s.ID, Until: now.Add(listedTime(s.LeftMs))}, build: s.Build,
 			unknown: s.Unknown}
 	}
-	if before := b.reports[name]; before != nil {
-		in.goneSince = before.goneSince
-	}
-	b.reports[name] = in
+	b.reports[name] = in // whose gateway counts as present until a list does not have it
 }
 
 // Due returns a report on the present plan, or false if none is needed. Then either Stored or Failed must be called.
--- a/pkg/builds/report_test.go
+++ b/pkg/builds/report_test.go
@@ -231,7 +231,7 @@
 	b.Restore(now, nil)
 	b.SetPlan(now, one)
 	b.Heard(now, "other", &builds.Report{Number: 1, LongestMs: 30_000})
-	b.SetPresent(now, func(string) bool { return true })
+	b.SetPresent(now, now, func(string) bool { return true })
 	b.SetPlan(now, two)
 	if _, k, _ := b.TakeUp(now, s); k != builds.Behind {
 		t.Errorf("before: %s", k)
@@ -241,7 +241,7 @@
 		after time.Duration
 		want  builds.Knowledge
 	}{{0, builds.Behind}, {29 * time.Second, builds.Behind}, {31 * time.Second, builds.Planned}} {
-		b.SetPresent(now.Add(c.after), func(string) bool { return false })
+		b.SetPresent(now.Add(c.after), now.Add(c.after), func(string) bool { return false })
 		if _, k, _ := b.TakeUp(now.Add(c.after), s); k != c.want {
 			t.Errorf("%v after the removal: %s, want %s", c.after, k, c.want)
 		}
