Decide by what other gateways answer which build began a stream

Cause: the book of a gateway tells nothing to others but by reports, which go through the platform's store and list only what a plan moved. Change: Book.Began and Book.Complete state what the present incarnation knows; Answers sums up what others state, and Finding.Resolve decides. A stream counts as begun once its first event has come (Book.Brought).

--- a/pkg/builds/book.go
+++ b/pkg/builds/book.go
@@ -46,6 +46,8 @@
 	build     string
 	unknown   bool
 	inherited bool
+	// brought is set once the first event has arrived.
+	brought bool
 }
 
 // Book holds what a gateway knows about the builds of streams. The zero value is ready for use. It is safe for concurrent use.
@@ -271,7 +273,7 @@
 		// Two callers use the same ID, or the same request is recorded again in doubt.
 		next.users += known.users
 		next.unknown = unknown || known.build != build
-		next.source = known.source
+		next.source, next.brought = known.source, known.brought
 	}
 	b.streams[s.ID] = next
 }
--- a/pkg/builds/book_test.go
+++ b/pkg/builds/book_test.go
@@ -88,6 +88,7 @@
 		g.unplanned = append(g.unplanned, begun{s, free, number})
 		return
 	}
+	g.book.Brought(s.ID)
 	f.streams = append(f.streams, begun{s, build, 0})
 }
 
@@ -97,6 +98,7 @@
 	g.unplanned = slices.DeleteFunc(g.unplanned, func(s begun) bool {
 		reported := g.book.ReportsUnplanned(s.number)
 		if reported {
+			g.book.Brought(s.stream.ID)
 			f.streams = append(f.streams, s)
 		}
 		return reported
--- a/pkg/builds/doc.go
+++ b/pkg/builds/doc.go
@@ -12,6 +12,9 @@
 // reported, and after the restart of one whose streams are lost, the build of a stream that was moved is unknown; a stream that was not
 // moved is always known. A stream that begins without a plan is reported before.
 //
+// If the plan can't be confirmed, or reports are missing, the other gateways are asked. Finding.Resolve decides by what they answer, each from its
+// own Book by Began and Complete.
+//
 // The package does no input or output and reads no clock. It does not store the plan and the reports; package buildplan does.
 //
 // # Usage
@@ -20,4 +23,5 @@
 //	book.SetPlan(now, plan)
 //	build, ok := book.Begin(now, stream)
 //	build, knowledge, wait := book.TakeUp(now, stream)
+//	build, knowledge := finding.Resolve(&answers)
 package builds
--- a/pkg/builds/knowledge_string.go
+++ b/pkg/builds/knowledge_string.go
@@ -16,11 +16,12 @@
 	_ = x[Behind-5]
 	_ = x[Lost-6]
 	_ = x[Unnamed-7]
+	_ = x[Told-8]
 }
 
-const _Knowledge_name = "UnplannedOwnReportedPlannedUncertainBehindLostUnnamed"
+const _Knowledge_name = "UnplannedOwnReportedPlannedUncertainBehindLostUnnamedTold"
 
-var _Knowledge_index = [...]uint8{0, 9, 12, 20, 27, 36, 42, 46, 53}
+var _Knowledge_index = [...]uint8{0, 9, 12, 20, 27, 36, 42, 46, 53, 57}
 
 func (i Knowledge) String() string {
 	idx := int(i) - 0
--- a/pkg/builds/takeup.go
+++ b/pkg/builds/takeup.go
@@ -28,6 +28,8 @@
 	Lost
 	// Unnamed means that the build is not known since the caller does not state which request brought the first event.
 	Unnamed
+	// Told means that another gateway, which still serves, began the stream.
+	Told
 )
 
 // TakeUp returns the build that began a stream and how that is known. If it is not known, wait is about the time until it may be. The plan must
