--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -167,4 +167,6 @@
 	RolloutRecorded
 	// RolloutReportFailed is logged when a gateway could not report what it counts for rollouts, first after a report that was stored.
 	RolloutReportFailed
+	// TakeUpNotAnswered is logged, at level 1, when another gateway did not answer which build began a stream.
+	TakeUpNotAnswered
 )
--- a/internal/version/registry/members.go
+++ b/internal/version/registry/members.go
@@ -112,6 +112,19 @@
 	return nil
 }
 
+// KnowsPeers reports whether Peers returns all other gateways that were present when they were last listed: they were, and each has an address.
+func (r *Registry) KnowsPeers() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for name, m := range r.members {
+		if name != r.Name && m.isPresent(now, r.membersFailedAt) && !m.gateway.Address.IsValid() {
+			return false
+		}
+	}
+	return !r.membersListedAt.IsZero()
+}
+
 // OtherGateways returns the names of the other gateways that are present. ok is false if the
 // gateways were never listed or the last successful list is older than three list intervals.
 func (r *Registry) OtherGateways() (names []string, ok bool) {
--- a/internal/version/registry/odd_test.go
+++ b/internal/version/registry/odd_test.go
@@ -100,6 +100,23 @@
 	})
 }
 
+// TestGatewayWithoutAddressIsNotKnown guards against a gateway that can't be asked, or gateways that were never listed, and that count as none.
+func TestGatewayWithoutAddressIsNotKnown(t *testing.T) {
+	runRegistry(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		is.True(!(&registry.Registry{}).KnowsPeers())
+		time.Sleep(6 * time.Second)
+		is.True(f.registry.KnowsPeers()) // there are none
+		f.members.put("G2", json.RawMessage(`{"Address":"10.0.0.4:7000"}`), nil)
+		time.Sleep(6 * time.Second)
+		is.True(f.registry.KnowsPeers())
+		is.Equal(len(f.registry.Peers()), 1)
+		f.members.put("G3", json.RawMessage(`{"Address":"0.0.0.0:7000"}`), nil)
+		time.Sleep(6 * time.Second)
+		is.True(!f.registry.KnowsPeers())
+	})
+}
+
 // TestOddMarkAfterRestore guards against a gateway that writes another writer's content again to a restored store, in place of what it knows.
 func TestOddMarkAfterRestore(t *testing.T) {
 	runRegistry(t, func(t *testing.T, f *fixture) {
