Take streams up by what other gateways answer after the arrival

Cause: a gateway that the store does not answer took its plan for the latest if none of the others had stated a later one in the last 1.5 s and half were heard. Change: the others are asked once a take-up has arrived, if the plan is not confirmed within 0.1 s or reports are missing. One that began the stream decides; otherwise the plan counts without the store only if it has one build for a minute and all others have answered. A gateway's own stream needs no confirmation. All waiting ends 0.8 s after the arrival; by the limits in the code 2.1 s before. AgreesOnPlan and the plan numbers in messages on loads are removed: statements of the past can't tell what a stream began with. Stricter for callers: while the store is away, a gateway that is listed and does not answer, or more than 128 others, refuse the take-ups that nobody knows.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -30,6 +30,7 @@
 
 	"primrosecourse/internal/connection/call"
 	"primrosecourse/internal/connection/kvstore"
+	"primrosecourse/internal/connection/takeups"
 	"primrosecourse/internal/connection/watchrelay"
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/daemon"
@@ -125,6 +126,7 @@
 	r.Builds = &builds.Book{}
 	planner := &buildplan.Planner{Name: settings.Name, View: r, Objects: shared, Book: r.Builds, Log: log}
 	r.Builds.Wake = planner.Changed
+	takeUps := &takeups.Exchange{Peers: r, Port: settings.RelayAddress().Port(), Calls: call.New(call.Settings{IdleConnections: 2}), Book: r.Builds, Log: log}
 	rollouts := &rollout.Controller{Name: settings.Name, View: r, Objects: shared, Status: &platform.RolloutStatus{Store: store}, Log: log,
 		Bounds: canary.Bounds{Share: settings.ExposeShare, Slack: settings.ExposeSlack}, RollbackTime: settings.RollbackTime}
 	ordersLease := lease.New(settings.Name, platform.Leases(store), "Orders")
@@ -140,7 +142,7 @@
 		Tiers: &kvstore.Catalog{View: r, Stores: cacheStores, Log: log,
 			Relays: &kvstore.Relays{Calls: call.New(call.Settings{IdleConnections: 2})}, RelayPort: settings.RelayAddress().Port()},
 		EngineEvents: cacheStores, Engines: servers, Relay: relay, Metrics: metrics.NewRegistry(), Components: []gateway.Component{updates, planner},
-		Builds: r.Builds, Plans: planner, Identity: platform.Incarnations{}, Table: table, EndpointsChanged: planner.Changed}
+		Builds: r.Builds, Plans: planner, TakeUps: takeUps, Identity: platform.Incarnations{}, Table: table, EndpointsChanged: planner.Changed}
 	if hasRollouts {
 		g.Rollouts, g.RolloutsChanged, g.Components = rollouts, rollouts.Changed, append(g.Components, rollouts)
 	}
--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -116,8 +116,6 @@
 	Ages *staleness.Ages
 	// Links holds the delays of stores to exchange; it may be nil.
 	Links *tiering.Links
-	// Plan returns the number of the plan of builds that this gateway knows; it may be nil.
-	Plan func() uint64
 	// Delayed is called after each wait for the next message with how much later than planned it ended, which shows how busy this process is. It
 	// may be nil.
 	Delayed func(time.Duration)
@@ -134,8 +132,6 @@
 	// ids maps the keys of the endpoints of a snapshot to their IDs.
 	ids   map[uint32]string
 	idsOf *site.Snapshot
-	// plans holds what was last stated on the plan of builds, by sender or domain.
-	plans map[string]planReport
 	// pendingUrgent are the endpoints with an urgent change that the next urgent summary reports; a value on urgentSummary starts it.
 	pendingUrgent map[string]bool
 	urgentSummary chan struct{}
@@ -239,7 +235,6 @@
 		}
 	default:
 		e.Table.SetPeerLoads(now, source, loads)
-		e.hearPlan(source, m.Plan, now)
 	}
 	if len(cached) > 0 {
 		e.Table.SetPeerCaches(now, source, cached)
--- a/internal/connection/loads/message.go
+++ b/internal/connection/loads/message.go
@@ -23,8 +23,6 @@
 	PassedOn bool `msgpack:",omitempty"`
 	// Some is set if the message is an urgent one: its lists cover only the endpoints with an urgent change.
 	Some bool `msgpack:",omitempty"`
-	// Plan is the number of the plan of builds that the sender, or a gateway of its domain, knows. It is 0 in urgent messages.
-	Plan uint64 `msgpack:",omitempty"`
 	// Endpoints, InFlight, Pending and Held have the same length. They are separate lists because field names would take up most of an
 	// encoded list of structs. An endpoint stands as the key of its ID.
 	Endpoints []uint32
--- a/internal/connection/loads/sender.go
+++ b/internal/connection/loads/sender.go
@@ -70,7 +70,6 @@
 		return
 	}
 	m := s.next()
-	m.Plan = s.exchange.plan()
 	m.setLoads(loads)
 	if s.exchange.Intake != nil {
 		m.Intake = newIntakeLists(s.exchange.Intake.Reports(now, maxIntakes, nil))
@@ -97,7 +96,7 @@
 	e := s.exchange
 	members := e.memberNames()
 	m := s.next()
-	m.Domain, m.Plan = e.Domain, e.domainPlan(now, members)
+	m.Domain = e.Domain
 	m.setLoads(e.Table.SumLoads(now, maxSummaryLoads, members))
 	if e.Intake != nil {
 		m.Intake = newIntakeLists(e.Intake.Reports(now, maxSummaryIntakes, members))
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"primrosecourse/internal/connection/front"
 	"primrosecourse/internal/connection/kvstore"
 	"primrosecourse/internal/connection/loads"
+	"primrosecourse/internal/connection/takeups"
 	"primrosecourse/internal/connection/watchrelay"
 	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/explain"
@@ -61,6 +62,8 @@
 	Builds *builds.Book
 	// Plans confirms the plan of Builds. It must not be nil if Builds is not.
 	Plans forward.Plans
+	// TakeUps asks the other gateways about streams, and answers them. If it is nil, this gateway is the only one. Run also runs it.
+	TakeUps *takeups.Exchange
 	// Rollouts limits what is sent to the targets of rollouts; it may be nil. RolloutsChanged is called after each change of the snapshot; it
 	// must not block and may be nil.
 	Rollouts        forward.Rollouts
@@ -154,6 +157,9 @@
 			Staleness: rule, Lifetimes: tiering.Lifetimes{Longest: rule.LastSend()}, MaxWaiting: g.Settings.MaxWaiting,
 			Limits: forward.Limits{RepeatRatio: g.Settings.RepeatRatio, RepeatExtra: g.Settings.RepeatExtra,
 				RepeatSpan: g.Settings.RepeatSpan}}
+		if g.TakeUps != nil {
+			handler.TakeUps = g.TakeUps
+		}
 		if g.Settings.MaxHedgeShare > 0 {
 			handler.Hedging = &hedge.Controller{MaxShare: g.Settings.MaxHedgeShare}
 		}
@@ -305,11 +311,10 @@
 	exchange := &loads.Exchange{Name: g.Settings.Name, Incarnation: rand.Uint64(), Address: g.Settings.LoadAddress(),
 		Domain: g.Settings.FailureDomain, Peers: g.Registry, Table: g.Table,
 		Floors: g.Tiers.Floors, Intake: g.Table.Intake, Ages: g.Registry.Ages, Links: g.links, View: g.Registry, Delayed: g.recordDelay, Log: g.Log}
-	if g.Builds != nil {
-		exchange.Plan = func() uint64 { return g.Builds.Plan().Revision() }
-	}
-	g.handler.Peers = exchange
 	run(exchange.Run)
+	if g.TakeUps != nil {
+		run(g.TakeUps.Run)
+	}
 	for _, c := range g.Components {
 		run(c.Run)
 	}
@@ -318,6 +323,9 @@
 	if g.Relay != nil {
 		relays.Handle(watchrelay.Path, g.Relay)
 	}
+	if g.TakeUps != nil {
+		relays.Handle(takeups.Path, g.TakeUps)
+	}
 	relayServer := &http.Server{Handler: relays, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: internalHeaderBytes}
 	metricsServer := &http.Server{Handler: metricsHandler(g.Metrics, explain.Handler(g.explain)), ReadHeaderTimeout: 2 * time.Second,
 		ReadTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: internalHeaderBytes}
--- a/internal/request/forward/builds.go
+++ b/internal/request/forward/builds.go
@@ -24,6 +24,9 @@
 	// planPatience is how long a stream that is taken up waits until the plan is known, planPollInterval the time between two looks at it.
 	planPatience     = 700 * time.Millisecond
 	planPollInterval = 10 * time.Millisecond
+	// takeUpPatience limits all that such a stream waits for, askDelay is how long it waits before the other gateways are asked which build began it.
+	takeUpPatience = 800 * time.Millisecond
+	askDelay       = 100 * time.Millisecond
 	// reportPatience is how long after a change of the plan reports are waited for.
 	reportPatience = 1500 * time.Millisecond
 	// drainingUse is for how long an endpoint that begins to leave still gets streams of its build if no other endpoint has it.
@@ -92,49 +95,6 @@
 	return true
 }
 
-// pinTakeUp binds a stream that is taken up to the build that began it.
-func (req *request) pinTakeUp() bool {
-	p, book := &req.pinned, req.handler.Builds
-	confirmed, err := req.awaitPlan()
-	build, knowledge, wait := "", builds.Behind, time.Duration(0)
-	if confirmed {
-		req.await(func() bool {
-			now := time.Now()
-			build, knowledge, wait = book.TakeUp(now, p.stream)
-			// A gateway that takes longer to report is gone or cut off.
-			return knowledge != builds.Behind || book.PlanAge(now) > reportPatience
-		})
-	}
-	if knowledge == builds.Unplanned { // the endpoints that are listed now may not be those that were there when the stream began
-		knowledge = builds.Uncertain
-	}
-	if knowledge == builds.Planned && !req.mayHaveBegunHere(build) {
-		build, knowledge = "", builds.Uncertain
-	}
-	known := knowledge == builds.Own || knowledge == builds.Reported || knowledge == builds.Planned
-	p.build, p.active = build, known
-	served := known && len(req.endpointsOfBuild(time.Now())) > 0
-	event.Info(req.handler.Log, event.StreamTakenUp, "request", req.meta.ID, "resumes", req.meta.Resumes, "after", req.meta.LastEvent,
-		"service", req.service, "build", build, "knowledge", knowledge.String(), "served", served, "plan", book.Plan().Revision(),
-		"confirmed", confirmed, "error", message(err), "waitMs", wait.Milliseconds())
-	switch {
-	case !known:
-		req.handler.count("Builds.Unknown")
-		if knowledge == builds.Behind && book.PlanAge(time.Now()) > reportPatience {
-			wait = buildGonePause
-		}
-		pause := max(wait, minBuildPause)
-		req.refuse(http.StatusServiceUnavailable, "BuildUnknown", "the build that began the stream is not known", pause/2+rand.N(pause))
-		return false
-	case !served:
-		req.handler.count("Builds.Gone")
-		req.refuse(http.StatusServiceUnavailable, "BuildGone", "no endpoint has the build that began the stream", buildGonePause/2+rand.N(buildGonePause))
-		return false
-	}
-	req.handler.count("Builds.TakenUp")
-	return true
-}
-
 // mayHaveBegunHere reports whether a stream that the plan assigns to a build began at it if it began at another service from which the route
 // was moved a moment ago, by the plan of that service.
 func (req *request) mayHaveBegunHere(build string) bool {
@@ -152,26 +112,14 @@
 	return true
 }
 
-// awaitPlan waits until this gateway knows the latest plan, and reports whether it does. If the store does not answer, a plan that has held
-// for long counts as the latest if the other gateways agree: the store may be away for this gateway alone.
-func (req *request) awaitPlan() (known bool, err error) {
-	book := req.handler.Builds
-	ctx, cancel := context.WithTimeout(req.ctx, planPatience)
-	defer cancel()
-	number, err := req.handler.Plans.Latest(ctx)
-	if err != nil {
-		now := time.Now()
-		return book.Settled(now, req.service) && (req.handler.Peers == nil || req.handler.Peers.AgreesOnPlan(now, book.Plan().Revision())), err
-	}
-	return req.await(func() bool { return book.Plan().Revision() >= number }), nil
-}
-
 // await waits for a condition, for planPatience at most, and reports whether it holds.
-func (req *request) await(condition func() bool) bool {
+func (req *request) await(condition func() bool) bool { return await(req.ctx, condition) }
+
+func await(ctx context.Context, condition func() bool) bool {
 	if condition() {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(req.ctx, planPatience)
+	ctx, cancel := context.WithTimeout(ctx, planPatience)
 	defer cancel()
 	ticker := time.NewTicker(planPollInterval)
 	defer ticker.Stop()
@@ -280,6 +228,9 @@
 	if !req.pinned.active {
 		return true
 	}
+	if !req.pinned.begun && !req.pinned.takenUp {
+		req.handler.Builds.Brought(req.pinned.stream.ID)
+	}
 	req.pinned.begun = true
 	if !answer.Incarnation().IsZero() && a.endpoint.StatesStart() || slices.Contains(req.pinned.unstated, a.endpoint) {
 		return true
--- a/internal/request/forward/builds_test.go
+++ b/internal/request/forward/builds_test.go
@@ -189,33 +189,6 @@
 	}
 }
 
-// agreement is a Peers whose other gateways know a plan.
-type agreement uint64
-
-func (a agreement) AgreesOnPlan(_ time.Time, number uint64) bool { return uint64(a) <= number }
-
-// TestTakeUpWhileCutOff guards against streams that a gateway which is cut off from the store joins from two builds, since another one has
-// served since, and against refusing them while the store is away for all.
-func TestTakeUpWhileCutOff(t *testing.T) {
-	for name, test := range map[string]struct {
-		known  agreement
-		status int
-	}{"others know the same plan": {1, 200}, "others know a later plan": {2, 503}} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			f := newBuildFixture(t, "old", "old", "old")
-			f.handler.Builds.Restore(time.Now(), nil)
-			plan, _, _ := builds.Next(nil, builds.Supply{"S": {"old": 3}})
-			f.handler.Builds.SetPlan(time.Now().Add(-2*builds.MaxTakeUpTime), plan)
-			f.handler.Builds.Stored(1)
-			f.handler.Plans, f.handler.Peers = plans{book: f.handler.Builds, err: errors.New("the store is away")}, test.known
-			status, _, err := f.send(t, http.MethodPost, "/resume/", "Deadline: 5000", "After: 2", "Origin: r0")
-			is.NoErr(err)
-			is.Equal(status, test.status)
-		})
-	}
-}
-
 // TestRestartedEndpointEndsStream guards against streams that are resumed although the endpoint that began them, and did not state its start, has
 // turned out to be a later incarnation of another build, so that it is not known which of the two wrote the events.
 func TestRestartedEndpointEndsStream(t *testing.T) {
--- a/internal/request/forward/handler.go
+++ b/internal/request/forward/handler.go
@@ -55,10 +55,11 @@
 	Latest(ctx context.Context) (number uint64, err error)
 }
 
-// Peers compares what this gateway knows with the other gateways. loads.Exchange implements it.
-type Peers interface {
-	// AgreesOnPlan reports whether the others seem to know no later plan of builds than the one with the given number.
-	AgreesOnPlan(now time.Time, number uint64) bool
+// TakeUps asks the other gateways about streams that are taken up. takeups.Exchange implements it.
+type TakeUps interface {
+	// Ask returns what they answer after the call about the stream with the given ID, or only about their plans if id is 0. It returns early once one
+	// began the stream.
+	Ask(ctx context.Context, id uint64) builds.Answers
 }
 
 // Sender sends requests to endpoints. endpoint.Pool implements it.
@@ -115,8 +116,8 @@
 	Builds *builds.Book
 	// Plans confirms the plan of Builds. It must not be nil if Builds is not.
 	Plans Plans
-	// Peers confirms the plan of Builds while the platform's store does not. If it is nil, this gateway is the only one.
-	Peers Peers
+	// TakeUps asks the other gateways which build began a stream. If it is nil, this gateway is the only one.
+	TakeUps TakeUps
 	// Rollouts limits what is sent to the targets of rollouts. It may be nil.
 	Rollouts Rollouts
 	// Staleness bounds for how long requests may begin on replaced weights. The zero value allows it.
