--- a/internal/version/buildplan/sim_gateway_test.go
+++ b/internal/version/buildplan/sim_gateway_test.go
@@ -34,6 +34,8 @@
 	registry *registry.Registry
 	stop     context.CancelFunc
 	up       atomic.Bool
+	// calls is the number of calls of Latest, which must not begin once the planner is stopped.
+	calls atomic.Int64
 }
 
 // platformSim is the platform's store and what happens to the gateways.
@@ -108,13 +110,21 @@
 	p.note(g.name, "is killed")
 	g.up.Store(false)
 	g.path.set(func() { g.path.condition, g.path.stillUntil = refusing, time.Time{} })
-	g.stop()
+	p.tasks.Go(g.close)
 }
 
 // end ends a gateway as planned: it serves no more streams and then removes its object.
 func (p *platformSim) end(g *instance) {
 	p.note(g.name, "stops")
 	g.up.Store(false)
+	p.tasks.Go(g.close)
+}
+
+// close stops the parts of a process that serves no more.
+func (g *instance) close() {
+	for g.calls.Load() > 0 {
+		time.Sleep(pollInterval)
+	}
 	g.stop()
 }
 
@@ -176,6 +186,8 @@
 // takeUp takes a stream up as package forward does. confirmed is false if the store does not say which plan is the latest.
 func (g *instance) takeUp(s builds.Stream) (build string, k builds.Knowledge, confirmed bool) {
 	g.path.stand()
+	g.calls.Add(1)
+	defer g.calls.Add(-1)
 	if !g.up.Load() || !g.registry.Complete() {
 		return "", builds.Behind, false
 	}
@@ -192,3 +204,8 @@
 	})
 	return build, k, g.up.Load()
 }
+
+// unlist removes an endpoint.
+func (p *platformSim) unlist(id string) {
+	p.endpoints.set(registry.Change[*site.Endpoint]{Name: id, Removed: true})
+}
