--- a/internal/version/registry/members.go
+++ b/internal/version/registry/members.go
@@ -45,8 +45,9 @@
 	}
 }
 
-// applyMembers applies a list of the gateways, for which the call began at asked. A gateway counts as present while its object changes. A store that was restored from a copy may
-// lack gateways until their next heartbeat, so those that are missing then stay for memberTimeout after they were last seen.
+// applyMembers applies a list of the gateways, for which the call began at asked. A gateway counts as present while its object changes. A store that
+// was restored from a copy may lack gateways until their next heartbeat, so those that are missing then stay for memberTimeout after they were
+// last seen.
 func (r *Registry) applyMembers(changes []Change[json.RawMessage], revision uint64, asked, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
