--- a/internal/request/forward/takeup_test.go
+++ b/internal/request/forward/takeup_test.go
@@ -260,3 +260,27 @@
 	is.NoErr(err)
 	is.Equal(status, 503) // the second gateway knows a later plan
 }
+
+// laterPlans is a store that has a later plan than the gateway.
+type laterPlans uint64
+
+func (p laterPlans) Latest(context.Context) (uint64, error) { return uint64(p), nil }
+
+// TestTakeUpByPlanThatStoreContradicts guards against a stream that goes on by the gateway's plan although the store has answered that there is a later
+// one, since the other gateways that are listed have not read that plan either.
+func TestTakeUpByPlanThatStoreContradicts(t *testing.T) {
+	for name, takeUps := range map[string]*others{"no others": nil, "others know the same plan": {answers: []builds.Answer{samePlan, samePlan}}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newCutOffFixture(t, "old", "old", "new")
+			f.handler.Plans = laterPlans(2)
+			if takeUps != nil {
+				f.handler.TakeUps = takeUps
+			}
+			status, _, err := f.send(t, http.MethodPost, "/resume/", "Deadline: 5000", "After: 2", "Origin: r0")
+			is.NoErr(err)
+			is.Equal(status, 503)
+			is.Equal(f.arrivalCount(), 0)
+		})
+	}
+}
