Refuse take-ups by a plan that the store has answered to be out of date

A number that the store answers after the arrival, and that is later than the gateway's plan, outweighs the other gateways: those that are listed may not have read it either.

--- a/internal/request/forward/takeup.go
+++ b/internal/request/forward/takeup.go
@@ -20,6 +20,8 @@
 	// confirmed is set if the plan of the result was the latest one after the arrival, as the platform's store stated. err is why it could not tell.
 	confirmed bool
 	err       error
+	// stored is the number of the plan that the store had after the arrival, 0 if it could not tell.
+	stored uint64
 	// answers are those of the other gateways, and asked is for how long they were asked.
 	answers builds.Answers
 	asked   time.Duration
@@ -28,6 +30,7 @@
 // confirmation is what the platform's store tells about the plan.
 type confirmation struct {
 	latest bool
+	number uint64
 	err    error
 }
 
@@ -97,7 +100,7 @@
 		case <-timer.C:
 			asks.start(ctx)
 		case c := <-confirmed:
-			t.confirmed, t.err, confirmed = c.latest, c.err, nil
+			t.confirmed, t.stored, t.err, confirmed = c.latest, c.number, c.err, nil
 			if t.finding(t.confirmed).NeedsOthers() {
 				asks.start(ctx)
 			}
@@ -117,7 +120,7 @@
 	// If the plan changes meanwhile, the service is not settled.
 	f := &builds.Finding{Plan: book.Plan().Revision(), Confirmed: confirmed, Named: stream.ID != 0}
 	f.Build, f.Knowledge, t.wait = book.TakeUp(now, stream)
-	f.Settled = book.Settled(now, t.req.service)
+	f.Settled = f.Plan >= t.stored && book.Settled(now, t.req.service)
 	return f
 }
 
@@ -144,7 +147,7 @@
 		return confirmation{err: err}
 	}
 	if !await(ctx, func() bool { return book.Plan().Revision() >= number }) {
-		return confirmation{}
+		return confirmation{number: number}
 	}
 	await(ctx, func() bool {
 		now := time.Now()
@@ -152,7 +155,7 @@
 		// A gateway that takes longer to report is gone or cut off.
 		return knowledge != builds.Behind || book.PlanAge(now) > reportPatience
 	})
-	return confirmation{latest: true}
+	return confirmation{latest: true, number: number}
 }
 
 // asks is the question to the other gateways about a stream that is taken up.
