Test that a gateway without the plan that the store has is incomplete

TestGatewayWithoutPlanIsIncomplete fails: a gateway that has started under a new name at the address of one that is gone answers plan 0 and Complete between Restore and the first plan that it reads, which a gateway that is cut off takes for agreement.

--- a/pkg/builds/others_test.go
+++ b/pkg/builds/others_test.go
@@ -252,3 +252,14 @@
 	}
 	return own.Resolve(&a)
 }
+
+// TestGatewayWithoutPlanIsIncomplete guards against a gateway that has just started, under a name without a report, and counts as knowing all streams
+// before it knows the plan that the store has.
+func TestGatewayWithoutPlanIsIncomplete(t *testing.T) {
+	g := &builds.Book{}
+	g.Restore(t0, nil)
+	g.Require(2)
+	if g.Complete(t0) {
+		t.Error("complete without the plan that the store has")
+	}
+}
