--- a/internal/version/buildplan/planner.go
+++ b/internal/version/buildplan/planner.go
@@ -162,6 +162,7 @@
 		return false
 	}
 	p.restored, p.revision, p.failures = true, revision, 0
+	p.Book.Require(number)
 	if report == nil && number == 0 && registry.Era(revision) > firstEra {
 		// The copy from which the store came back may be older than the first plan.
 		p.Book.Restore(time.Now(), &builds.Report{})
@@ -169,7 +170,6 @@
 	} else {
 		p.Book.Restore(time.Now(), report)
 	}
-	p.Book.Require(number)
 	return true
 }
 
--- a/pkg/builds/book.go
+++ b/pkg/builds/book.go
@@ -86,6 +86,8 @@
 	restored   bool
 	stored     bool
 	storedPlan uint64
+	// required is the highest number that was passed to Require.
+	required uint64
 }
 
 // Plan returns the present plan, nil if there is none.
@@ -374,7 +376,7 @@
 func (b *Book) Require(number uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.storedPlan = max(b.storedPlan, number)
+	b.storedPlan, b.required = max(b.storedPlan, number), max(b.required, number)
 }
 
 // Unstored states that the store has lost the report of this gateway, so that one is due.
--- a/pkg/builds/others.go
+++ b/pkg/builds/others.go
@@ -28,11 +28,12 @@
 	return s.build, true
 }
 
-// Complete reports whether Began tells of all streams of this gateway, those of earlier incarnations included, that may be taken up.
+// Complete reports whether Began tells of all streams of this gateway, those of earlier incarnations included, that may be taken up. It does not
+// before this gateway knows the plan that the store had when it started: one that is gone may have begun streams by it.
 func (b *Book) Complete(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.restored && !now.Before(b.unlistedUntil)
+	return b.restored && b.plan.Revision() >= b.required && !now.Before(b.unlistedUntil)
 }
 
 // Answer is what another gateway answers about a stream.
--- a/pkg/builds/report.go
+++ b/pkg/builds/report.go
@@ -81,7 +81,7 @@
 				unknown: s.Unknown, inherited: true}
 		}
 	}
-	b.reported, b.storedPlan = r.Number, r.Number
+	b.reported, b.storedPlan = r.Number, max(b.storedPlan, r.Number)
 	b.unlistedFrom, b.unlistedUntil, b.lacksUnplanned = r.Number, now.Add(r.longest()), !r.ListsUnplanned || len(r.Streams) > maxListed
 	if r.UnlistedMs > 0 {
 		b.unlistedFrom = min(b.unlistedFrom, r.UnlistedFrom)
