Test that a request with the ID of a reported stream does not make it forgotten

TestReusedIDKeepsReportedStream fails: Begin replaces the record of the earlier incarnation with one that has a single user, and Forget removes it.

--- a/pkg/builds/others_test.go
+++ b/pkg/builds/others_test.go
@@ -263,3 +263,16 @@
 		t.Error("complete without the plan that the store has")
 	}
 }
+
+// TestReusedIDKeepsReportedStream guards against a stream of an earlier incarnation that is forgotten since a later request with its ID did not begin.
+func TestReusedIDKeepsReportedStream(t *testing.T) {
+	p := plans(t, map[string]float64{"old": 1}, map[string]float64{"new": 1})
+	g := &builds.Book{}
+	g.Restore(t0, &builds.Report{Number: 2, Streams: []builds.Listed{{ID: 1, Service: "S", Build: "old", LeftMs: 9000}}})
+	g.SetPlan(t0, p[1])
+	g.Begin(t0, st(1))
+	g.Forget(st(1))
+	if build, k, _ := g.TakeUp(t0, st(1)); k == builds.Planned {
+		t.Errorf("%s, %s", build, k)
+	}
+}
