Keep a reported stream when a request with its ID does not begin

Cause: a request that has the ID of a stream which an earlier incarnation reported replaced the record with one of its own, and removed it when it did not begin. The stream was then looked for by the plan, at another build if that had moved it. Change: a reported stream counts one user that never leaves, so that forgetting the request leaves the record. Measured: TestReusedIDKeepsReportedStream failed before.

--- a/pkg/builds/book.go
+++ b/pkg/builds/book.go
@@ -273,7 +273,7 @@
 	next := &begun{stream: s, build: build, unknown: unknown, users: 1}
 	if known := b.streams[s.ID]; known != nil && now.Before(known.stream.Until) {
 		// Two callers use the same ID, or the same request is recorded again in doubt.
-		next.users += known.users
+		next.users += max(1, known.users) // a reported stream has one, which never leaves
 		next.unknown = unknown || known.build != build
 		next.source, next.brought = known.source, known.brought
 	}
