Test that streams are not forgotten with a report that the store had lost

TestReportAfterRemovedOne fails: the report of a gateway is removed (by a store that was restored from a copy without it, or by a gateway of an earlier version), and what it told is dropped as soon as the gateway, which has started again without it, reports.

--- a/pkg/builds/report_test.go
+++ b/pkg/builds/report_test.go
@@ -247,3 +247,21 @@
 		}
 	}
 }
+
+// TestReportAfterRemovedOne guards against streams that are forgotten since their gateway has started again without its report, which the store had lost.
+func TestReportAfterRemovedOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	one, _, _ := builds.Next(nil, builds.Supply{"S": {"old": 4}})
+	two, _, _ := builds.Next(one, builds.Supply{"S": {"new": 4}})
+	b := &builds.Book{}
+	b.Restore(now, nil)
+	b.SetPlan(now, one)
+	b.SetPlan(now, two)
+	b.Heard(now, "other", &builds.Report{Number: 2, Streams: []builds.Listed{{ID: 1, Service: "S", Build: "old", LeftMs: 9000}}})
+	b.Removed(now, "other")
+	b.Heard(now.Add(time.Second), "other", &builds.Report{Number: 2})
+	build, k, _ := b.TakeUp(now.Add(time.Second), builds.Stream{Service: "S", ID: 1, Key: 1, KeyKnown: true})
+	if k == builds.Planned {
+		t.Errorf("%s, %s", build, k)
+	}
+}
