Keep what a lost report told when its gateway reports again

The gateway may have started again without its report. If it has not, buckets that were moved after the lost report count as lost for as long as its streams may be taken up, and the gateway still answers for its own.

--- a/pkg/builds/report.go
+++ b/pkg/builds/report.go
@@ -107,9 +107,36 @@
 		in.streams[s.ID] = begun{stream: Stream{Service: s.Service, ID: s.ID, Until: now.Add(listedTime(s.LeftMs))}, build: s.Build,
 			unknown: s.Unknown}
 	}
+	if old := b.reports[name]; old != nil && old.removed {
+		in.keep(now, old)
+	}
 	b.reports[name] = in // whose gateway counts as present until a list does not have it
 }
 
+// keep takes over what an earlier report told that the store has lost: the gateway may have started again without it.
+func (r *received) keep(now time.Time, old *received) {
+	for id, s := range old.streams {
+		if _, listed := r.streams[id]; !listed && now.Before(s.stream.Until) {
+			r.streams[id] = s
+		}
+	}
+	from, until := old.number, now.Add(old.longest)
+	if !old.goneSince.IsZero() {
+		until = old.goneSince.Add(old.longest)
+	}
+	if now.Before(old.unlistedUntil) {
+		from = min(from, old.unlistedFrom)
+	}
+	if now.Before(r.unlistedUntil) {
+		from = min(from, r.unlistedFrom)
+	}
+	r.unlistedFrom = from
+	if until.After(r.unlistedUntil) {
+		r.unlistedUntil = until
+	}
+	r.listsUnplanned = r.listsUnplanned && old.listsUnplanned
+}
+
 // Due returns a report on the present plan, or false if none is needed. Then either Stored or Failed must be called.
 func (b *Book) Due(now time.Time) (r *Report, due bool) {
 	b.mu.Lock()
