Test that what a gateway counted for an active order outlives it

TestCountsOutliveGateway fails: the counts are deleted a minute after their last change, also while the order is active, and with them the bad answers of the target, by which all decide, are gone.

--- a/internal/version/registry/rollouts_test.go
+++ b/internal/version/registry/rollouts_test.go
@@ -98,3 +98,23 @@
 		is.True(!f.registry.StoredRollout("S").Undone)
 	})
 }
+
+// TestCountsOutliveGateway guards against bad answers of a rollout's target that are forgotten since the gateway that counted them is gone, while the order
+// is active.
+func TestCountsOutliveGateway(t *testing.T) {
+	runRollouts(t, func(is *is.I, f *rolloutFixture) {
+		f.rollouts.put("S", &site.Rollout{Name: "S", Service: "S", Target: "v2", Created: 4, State: site.RolloutActive, Duration: 10 * time.Minute}, nil)
+		f.shared.put(registry.RolloutStateName("S"), encode(&rollout.State{Target: "v2", Created: 4}), nil)
+		f.shared.put(registry.RolloutCountsName("G2"), encode(&rollout.Report{Services: map[string]*rollout.ServiceReport{
+			"S": {Target: "v2", Created: 4, Requests: 100, Sent: 10}}}), nil)
+		for _, wait := range []time.Duration{time.Second, 3 * time.Minute} {
+			time.Sleep(wait)
+			report := f.registry.RolloutReports()["G2"].Report
+			is.True(report != nil)
+			is.Equal(report.Services["S"].Sent, uint64(10))
+		}
+		f.rollouts.put("S", &site.Rollout{Name: "S", Service: "S", Target: "v2", Created: 4, State: site.RolloutRolledBack, Recorded: true}, nil)
+		time.Sleep(3 * time.Minute)
+		is.True(f.registry.RolloutReports()["G2"].Report == nil) // it is not kept for ever
+	})
+}
