--- a/internal/version/registry/rollouts.go
+++ b/internal/version/registry/rollouts.go
@@ -211,6 +211,20 @@
 	return nil
 }
 
+// countsForActive reports whether a gateway's report counts for an active order. The caller must hold mu.
+func (r *Registry) countsForActive(gateway string) bool {
+	report, ok := r.rolloutReports[gateway]
+	if !ok {
+		return false
+	}
+	for service, counted := range report.Report.Services {
+		if order := r.next.Rollouts[service]; order != nil && order.State == site.RolloutActive && counted.IsOf(order.Order()) {
+			return true
+		}
+	}
+	return false
+}
+
 // holdBuild keeps the endpoints of a build out of the snapshot if it is new beside other builds of its service, until the rollouts have been
 // confirmed: an order may exist that this gateway does not know yet, and its target gets few requests. The builds of the first list are not
 // held: the gateway takes no requests before KnowsRollouts, and a plan of builds without some of them would move streams. The caller must hold mu.
--- a/internal/version/registry/shared.go
+++ b/internal/version/registry/shared.go
@@ -294,6 +294,9 @@
 			}
 			continue
 		}
+		if gateway, ok := strings.CutPrefix(name, rolloutCountsPrefix); ok && r.countsForActive(gateway) {
+			continue
+		}
 		if retention := sharedRetention(name); retention > 0 && now.Sub(change.at) > retention {
 			marks[name] = change.revision
 		}
