Test that gateways which start together count each other soon

TestGatewaysThatStartTogether fails: the first list precedes the objects of the others, and the next one follows 3 to 5 s later; until then the limits of the endpoints and the retry budget are shared by too few.

--- a/internal/version/registry/rollouts_test.go
+++ b/internal/version/registry/rollouts_test.go
@@ -118,3 +118,35 @@
 		is.True(f.registry.RolloutReports()["G2"].Report == nil) // it is not kept for ever
 	})
 }
+
+// TestGatewaysThatStartTogether guards against gateways that start at the same time, after all had stopped, and each take the limits of the endpoints and
+// the retry budget for their own alone, since the first list was made before the others had written their objects.
+func TestGatewaysThatStartTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := shared{newSource[json.RawMessage]()}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan struct{}, 3)
+		var list []*registry.Registry
+		for i, name := range []string{"G1", "G2", "G3"} {
+			r := &registry.Registry{Name: name, Configurations: newSource[*site.Configuration](), Endpoints: newSource[*site.Endpoint](),
+				Evacuations: newSource[struct{}](), Versions: newSource[site.ModelVersion](), Shared: shared{newSource[json.RawMessage]()},
+				Members: members, Log: logr.Discard()}
+			list = append(list, r)
+			go func() {
+				time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+				_ = r.Run(ctx)
+				ended <- struct{}{}
+			}()
+		}
+		time.Sleep(time.Second)
+		for _, r := range list {
+			if n := r.Current().Gateways; n != len(list) {
+				t.Errorf("%s counts %d of %d gateways a second after the start", r.Name, n, len(list))
+			}
+		}
+		stop()
+		for range list {
+			<-ended
+		}
+	})
+}
