State the plan of builds in load messages for gateways of earlier programs

Cause: removed the number of the plan from load messages. A gateway of the program before, in a rolling upgrade, reads it as 0: heard, and no later plan. Cut off from the store beside gateways that know a later plan it would take its own for the latest one. Found by the review. Change: gateways state their number again; nothing reads it here. It can go once no gateway of the earlier program is left. Measured: TestPlanIsStated, which does not compile without the field; go test -race ./internal/connection/loads passes. No fleet of two programs was run.

--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -116,6 +116,8 @@
 	Ages *staleness.Ages
 	// Links holds the delays of stores to exchange; it may be nil.
 	Links *tiering.Links
+	// Plan returns the number of the plan of builds that this gateway knows; it may be nil.
+	Plan func() uint64
 	// Delayed is called after each wait for the next message with how much later than planned it ended, which shows how busy this process is. It
 	// may be nil.
 	Delayed func(time.Duration)
--- a/internal/connection/loads/exchange_test.go
+++ b/internal/connection/loads/exchange_test.go
@@ -472,3 +472,30 @@
 		}
 	}
 }
+
+// TestPlanIsStated guards against gateways of earlier programs that take their own plan of builds for the latest, since this one states none.
+func TestPlanIsStated(t *testing.T) {
+	for name, domain := range map[string]string{"same domain": "D1", "other domain": "D2"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			other, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+			is.NoErr(err)
+			defer other.Close()
+			address := other.LocalAddr().(*net.UDPAddr).AddrPort()
+			e := &Exchange{Name: "A", Address: freeAddress(t), Domain: "D1", Peers: gateways{{Address: address, FailureDomain: domain}}, Table: &table{},
+				Plan: func() uint64 { return 7 }, View: view{}, Log: logr.Discard()}
+			ctx, stop := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- e.Run(ctx) }()
+			is.NoErr(other.SetReadDeadline(time.Now().Add(3 * time.Second)))
+			b := make([]byte, 64<<10)
+			n, err := other.Read(b)
+			is.NoErr(err)
+			var m message
+			is.NoErr(msgpack.Unmarshal(b[:n], &m))
+			is.Equal(m.Plan, uint64(7))
+			stop()
+			is.NoErr(<-ended)
+		})
+	}
+}
--- a/internal/connection/loads/message.go
+++ b/internal/connection/loads/message.go
@@ -17,6 +17,8 @@
 	Incarnation uint64
 	// Number increases with each message of an incarnation.
 	Number uint64
+	// Plan is the number of the plan of builds that the sender knows. Gateways of earlier programs read it; it is 0 in urgent messages.
+	Plan uint64 `msgpack:",omitempty"`
 	// Domain is set if the message is a summary: its loads are those of all gateways of this failure domain together.
 	Domain string `msgpack:",omitempty"`
 	// PassedOn is set if a summary was passed on within a domain and must not be passed on again.
--- a/internal/connection/loads/sender.go
+++ b/internal/connection/loads/sender.go
@@ -52,6 +52,14 @@
 	return min(maxInterval, minInterval*time.Duration(max(1, n/peersAtMinInterval)))
 }
 
+// plan returns the number of the plan of builds that this gateway knows, 0 if there is none.
+func (e *Exchange) plan() uint64 {
+	if e.Plan == nil {
+		return 0
+	}
+	return e.Plan()
+}
+
 func (e *Exchange) speaks(same []site.Gateway, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -70,6 +78,7 @@
 		return
 	}
 	m := s.next()
+	m.Plan = s.exchange.plan()
 	m.setLoads(loads)
 	if s.exchange.Intake != nil {
 		m.Intake = newIntakeLists(s.exchange.Intake.Reports(now, maxIntakes, nil))
@@ -96,7 +105,7 @@
 	e := s.exchange
 	members := e.memberNames()
 	m := s.next()
-	m.Domain = e.Domain
+	m.Domain, m.Plan = e.Domain, e.plan()
 	m.setLoads(e.Table.SumLoads(now, maxSummaryLoads, members))
 	if e.Intake != nil {
 		m.Intake = newIntakeLists(e.Intake.Reports(now, maxSummaryIntakes, members))
