Ask the other gateways in whole rounds or not at all

Cause: beyond its first calls a gateway asked as many of the others as it had calls left, in each round. The first 1,000 calls of each gateway, after all were killed, are 60,000 at 60 gateways within a second. Change: a round that is not affordable within 0.4 s asks nobody; 512 calls, four whole rounds of the largest size, in place of the first 1,000. Measured: TestCallsAreLimited asks for whole rounds; it fails on the code before (rounds of parts). go test -race of the package passes.

--- a/internal/connection/takeups/doc.go
+++ b/internal/connection/takeups/doc.go
@@ -6,8 +6,8 @@
 // follows from the answers.
 //
 // Questions at about the same time share a round, which is one call to each of the other gateways. The calls of a gateway are limited in rate:
-// while they would exceed it, a round waits for a moment, and then asks as many of the others as it may. A gateway that is not asked, or that does
-// not answer in time, counts as one that did not answer.
+// while they would exceed it, a round waits for a moment, and asks nobody if that does not suffice. A gateway that is not asked, or that does not
+// answer in time, counts as one that did not answer.
 //
 // # Usage
 //
--- a/internal/connection/takeups/exchange.go
+++ b/internal/connection/takeups/exchange.go
@@ -25,8 +25,8 @@
 	maxPeers = 128
 	// messagesPerSecond and messagesBurst limit the calls of a gateway, and maxHold for how long a round waits for that.
 	messagesPerSecond = 50
-	messagesBurst     = 1000
-	maxHold           = 200 * time.Millisecond
+	messagesBurst     = 4 * maxPeers
+	maxHold           = 400 * time.Millisecond
 )
 
 // Peers lists the other gateways; registry.Registry implements it.
--- a/internal/connection/takeups/exchange_test.go
+++ b/internal/connection/takeups/exchange_test.go
@@ -208,6 +208,7 @@
 		r, wait := e.newRound(now)
 		is.True(len(r.peers) <= maxPeers)
 		is.True(wait <= maxHold)
+		is.True(len(r.peers) == 0 || len(r.peers) == maxPeers) // parts would leave no whole round
 		is.Equal(r.others, len(list))
 		calls += len(r.peers)
 		now = now.Add(max(wait, gatherTime))
--- a/internal/connection/takeups/round.go
+++ b/internal/connection/takeups/round.go
@@ -49,12 +49,9 @@
 	if wait = messages.DelayFrom(now); wait <= maxHold {
 		return r, max(wait, gatherTime)
 	}
+	// A part of a round would use up what a whole one needs.
 	messages.CancelAt(now)
-	allowed := 0
-	for allowed < len(r.peers) && e.limiter.AllowN(now, 1) {
-		allowed++
-	}
-	r.peers = r.peers[:allowed]
+	r.peers = nil
 	return r, gatherTime
 }
 
