Show cache parts of a tenant that became dedicated in use by others

Cause: the cache scope of tenants that are not dedicated stays the same when a tenant becomes dedicated, so what it made before stays shared.

--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -12,11 +12,11 @@
 
 var requests atomic.Int64
 
-// prompt sends a long prompt whose shared part has the given ID, and returns the ID of the request at once. done is called at its end.
-func (s *scene) prompt(g *gateway, shared string, done func()) (id string) {
+// prompt sends a long prompt with a key, whose shared part has the given ID, and returns the ID of the request at once. done is called at its end.
+func (s *scene) prompt(g *gateway, key, shared string, done func()) (id string) {
 	n := requests.Add(1)
 	id = fmt.Sprintf("q%04d", n)
-	header := http.Header{"X-Model": {model}, "X-Token-Count": {"17060,20"}, "X-Prompt-Prefix": {fmt.Sprintf("%s:12800,%08x:4260", shared, 0x70000000+n)}}
+	header := http.Header{"X-Key": {key}, "X-Model": {model}, "X-Token-Count": {"17060,20"}, "X-Prompt-Prefix": {fmt.Sprintf("%s:12800,%08x:4260", shared, 0x70000000+n)}}
 	s.record.line("%s with part %s is sent to %s", id, shared, g.name)
 	go func() {
 		status, body, err := s.send(g, http.MethodPost, "/sort/2f", id, 8*time.Second, header, strings.Repeat("x", 34_000))
@@ -40,7 +40,6 @@
 	r.Host = "jars.example"
 	r.Header.Set("X-Request-Id", id)
 	r.Header.Set("X-Request-Deadline", fmt.Sprint(deadline.Milliseconds()))
-	r.Header.Set("X-Key", "key-1")
 	response, err := g.client.Do(r)
 	if err != nil {
 		return 0, "", err
--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -34,14 +34,18 @@
 	jobs         chan *job
 	running, all atomic.Int32
 
-	mu     sync.Mutex
-	cached map[partKey]bool
+	mu sync.Mutex
+	// cached are the parts in memory, with the tenants whose requests made them.
+	cached map[partKey]string
+	// used is called for each part in memory that a request uses; it may be nil.
+	used func(request, tenant string, key partKey, maker string)
 }
 
 // job is the prompt of a request.
 type job struct {
 	ctx         context.Context
 	id, salt    string
+	tenant      string
 	parts       []part
 	fetch, save []string
 	until       time.Duration
@@ -55,7 +59,7 @@
 
 func newEngine(r *record, id, zone string, tokensPerMs float64, stores map[string]*kvStore) *engine {
 	e := &engine{record: r, id: id, zone: zone, tokensPerMs: tokensPerMs, stores: stores, born: time.Now().UnixMilli(), jobs: make(chan *job, 256),
-		cached: map[partKey]bool{}}
+		cached: map[partKey]string{}}
 	e.log.reset(1)
 	go e.work()
 	return e
@@ -103,7 +107,7 @@
 	e.all.Add(1)
 	defer e.all.Add(-1)
 	untilMs, _ := strconv.ParseInt(r.Header.Get("X-Kv-Until"), 10, 64)
-	j := &job{ctx: r.Context(), id: id, salt: r.Header.Get("X-Cache-Salt"), parts: parseParts(r.Header.Get("X-Prompt-Prefix")), until: time.Duration(untilMs) * time.Millisecond, read: make(chan struct{})}
+	j := &job{ctx: r.Context(), id: id, salt: r.Header.Get("X-Cache-Salt"), tenant: r.Header.Get("X-Tenant"), parts: parseParts(r.Header.Get("X-Prompt-Prefix")), until: time.Duration(untilMs) * time.Millisecond, read: make(chan struct{})}
 	j.fetch, j.save = strings.Split(r.Header.Get("X-Kv-Fetch"), ","), strings.Split(r.Header.Get("X-Kv-Save"), ",")
 	e.record.line("%s arrives at %s, fetch %q, save %q, until %d", id, e.id, r.Header.Get("X-Kv-Fetch"), r.Header.Get("X-Kv-Save"), untilMs)
 	e.jobs <- j
@@ -153,9 +157,12 @@
 	for i, p := range j.parts {
 		key := partKey{j.salt, p.id}
 		e.mu.Lock()
-		known := e.cached[key]
+		maker, known := e.cached[key]
 		e.mu.Unlock()
 		if known {
+			if e.used != nil {
+				e.used(j.id, j.tenant, key, maker)
+			}
 			continue
 		}
 		if store := e.stores[at(j.fetch, i)]; store == nil || !store.fetch(j.id, key, e.zone, j.until) {
@@ -165,7 +172,7 @@
 			}
 		}
 		e.mu.Lock()
-		e.cached[key] = true
+		e.cached[key] = j.tenant
 		e.mu.Unlock()
 		e.log.add(key, p.tokens)
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -18,6 +18,7 @@
 // cases are the cases by name. Each returns the number of times that its rule was broken.
 var cases = map[string]func(s *scene) (broken int, err error){
 	"savelate": playSaveLate,
+	"wall":     playWall,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin2/savelate.go
+++ b/review/standin2/savelate.go
@@ -23,7 +23,7 @@
 		s.store.Put("servers", e.id, e.entry("scribe-pool", 1))
 	}
 	s.store.Put("versions", model, map[string]any{"model": model, "version": 1})
-	s.store.Put("config", "main", s.promptConfiguration(store))
+	s.store.Put("config", "main", promptConfiguration(store, 1, tenant{"jeye930", "key-1", false}))
 	for i, zone := range zones[:2] {
 		if _, err = s.startGateway(fmt.Sprintf("edge-%s-%d", zone, i+1), zone); err != nil {
 			return 0, err
@@ -49,7 +49,7 @@
 	at := func(d time.Duration) { time.Sleep(time.Until(began.Add(d))) }
 	send := func(g int) {
 		open.Add(1)
-		s.prompt(s.gateways[g], shared, open.Done)
+		s.prompt(s.gateways[g], "key-1", shared, open.Done)
 	}
 	send(0)
 	at(460 * time.Millisecond)
@@ -67,18 +67,3 @@
 		send(0)
 	}
 }
-
-func (s *scene) promptConfiguration(store *kvStore) map[string]any {
-	return map[string]any{"version": 1,
-		"routes": []map[string]any{{"name": "r-sort", "hostname": "jars.example", "path_prefix": "/sort/", "kind": "streaming", "timeout_ms": 8000,
-			"target_latency_ms": 600, "priority": 1, "service": "scribe-pool", "attempts": 2, "public": false, "session_affinity": true, "resumable": true,
-			"gap_aim_ms": 300}},
-		"services": []map[string]any{
-			{"name": "card-cache", "kv_store_addr": store.address, "zone": store.zone, "kv_capacity": store.capacity, "link_mbps": store.linkMbps,
-				"max_concurrent": 12, "managed": true, "first_ms": 6.0},
-			{"name": "scribe-pool", "health_check": "/health", "max_connections": 370, "cold_start_s": 3.0, "cold_per_s": 33.0,
-				"engine": map[string]any{"slots": engineSlots, "kv_capacity": 70494, "kv_token_bytes": store.tokenBytes, "link_mbps": 180000.0, "managed": true,
-					"max_concurrent": 12, "models": []map[string]any{{"name": model}}}}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "jeye930", "api_keys": []string{"key-1"}, "priority": 1}}}
-}
