--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(s *scene) (broken int, err error){
 	"savelate": playSaveLate,
 	"wall":     playWall,
+	"gone":     playGone,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin2/scene.go
+++ b/review/standin2/scene.go
@@ -22,13 +22,12 @@
 
 // scene is a small deployment.
 type scene struct {
-	record  *record
-	trouble bool
-	block   *ports.Block
-	folder  string
-	store   *standin.Store
-	// path is the path from the gateways to the store.
-	path     *link.Link
+	record   *record
+	trouble  bool
+	block    *ports.Block
+	folder   string
+	store    *standin.Store
+	storeAt  netip.AddrPort
 	gateways []*gateway
 	closers  []func()
 	hosts    byte
@@ -40,8 +39,10 @@
 type gateway struct {
 	name           string
 	callers, ready netip.AddrPort
-	command        *exec.Cmd
-	client         *http.Client
+	// store is the path to the store.
+	store   *link.Link
+	command *exec.Cmd
+	client  *http.Client
 }
 
 func newScene(recordPath string, trouble bool) (s *scene, err error) {
@@ -55,11 +56,7 @@
 	if s.folder, err = os.MkdirTemp("", "review"); err != nil {
 		return nil, err
 	}
-	storeAddress, err := s.serve(withoutEra{s.store}, nil)
-	if err != nil {
-		return nil, err
-	}
-	if s.path, err = link.New(context.Background(), storeAddress); err != nil {
+	if s.storeAt, err = s.serve(withoutEra{s.store}, nil); err != nil {
 		return nil, err
 	}
 	first, err := s.block.Draw(s.block.Host(1))
@@ -76,11 +73,11 @@
 	for _, g := range s.gateways {
 		_ = g.command.Process.Signal(syscall.SIGKILL)
 		_ = g.command.Wait()
+		g.store.Close()
 	}
 	for _, c := range s.closers {
 		c()
 	}
-	s.path.Close()
 	_ = s.block.Close()
 	_ = os.RemoveAll(s.folder)
 	_ = s.record.file.Close()
@@ -138,8 +135,11 @@
 	if g.ready, err = s.block.Draw(host); err != nil {
 		return nil, err
 	}
+	if g.store, err = link.New(context.Background(), s.storeAt); err != nil {
+		return nil, err
+	}
 	values := map[string]string{"node_name": name, "ip": host.String(), "zone": domain, "listen.front": g.callers.String(), "listen.ready": g.ready.String(),
-		"internal_ports.0": fmt.Sprint(s.firstPeerPort), "internal_ports.1": fmt.Sprint(s.lastPeerPort), "provider.address": s.path.Address().String(),
+		"internal_ports.0": fmt.Sprint(s.firstPeerPort), "internal_ports.1": fmt.Sprint(s.lastPeerPort), "provider.address": g.store.Address().String(),
 		"limits.memory_mb": "284", "limits.max_fds": "4100", "bounds.retry_budget_ratio": "0.2", "bounds.budget_extra": "58", "bounds.budget_window_s": "10",
 		"bounds.grace_s": "8", "bounds.lease_ms": "3000", "bounds.thaw_ms": "300", "bounds.version_ms": "10000",
 		"contracts": "base,drain,config,cost,retry,recover,kvcache,stream,engine,tenants,places,platform"}
