--- a/review/standin2/configuration.go
+++ b/review/standin2/configuration.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 // tenant is a tenant with one key.
--- a/review/standin2/doc.go
+++ b/review/standin2/doc.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin2 plays the cases of the second review that are scripts. It starts real gateways as processes, as the deploy file says, and
 // plays their surroundings itself: the platform's store, servers, KV stores and clients, all on loopback addresses and the real clock.
 //
--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
