Show a long late answer that a planned stop breaks off

Cause: a late request that is no stream is taken by how long earlier ones took; an answer above 256 KiB is relayed as it arrives and cannot be replaced at the end of the stop.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,6 +22,7 @@
 	"savelate": playSaveLate,
 	"wall":     playWall,
 	"gone":     playGone,
+	"longstop": playLongStop,
 }
 
 func main() { os.Exit(run()) }
