Request one save of a part at a time, and no fetch while it may begin

Cause: a save has no time limit and cannot be recalled. Two gateways each requested a save of the same part, so that the second one was still pending when the first one made the part known; the contents lease bounds fetches by old knowledge, not such saves.

Change: tiering.Saves records the saves that engines may still begin and those in progress. Gateways tell each other with their loads. No second save is requested meanwhile, and a part with a pending save is not fetched, whoever requested it.

--- a/internal/connection/kvstore/catalog.go
+++ b/internal/connection/kvstore/catalog.go
@@ -44,6 +44,8 @@
 	Log       logr.Logger
 	// Floors holds, for each gateway and model, the lowest weight version whose parts the gateway still uses. It must not be nil.
 	Floors *tiering.Floors
+	// Saves holds the saves that this gateway and the others requested of engines.
+	Saves tiering.Saves
 	// Lifetimes states how long parts of replaced weight versions stay in use.
 	Lifetimes tiering.Lifetimes
 	// MaxParts limits the parts that are recorded, of all stores together; 0 means no limit. Parts beyond it count towards the used
@@ -83,7 +85,7 @@
 	// untracked is the number of complete parts that the last listing and the events since then reported and that were not recorded
 	// because of Catalog.MaxParts. It does not fall when such a part disappears.
 	untracked int
-	// saving holds the saves that this gateway instructed engines to make, until the store reports the part or saveTimeout has passed.
+	// saving holds the saves that this gateway instructed engines to make, until the store reports the part or tiering.SaveTimeout has passed.
 	saving map[Key]pendingSave
 	// discrepancies counts, since the last listing at listedAt, the saves that did not appear and, while there are untracked parts, all
 	// changes of parts that are not recorded.
@@ -130,9 +132,6 @@
 	callTimeout = 800 * time.Millisecond
 	// retryDelay is the pause after a call that failed.
 	retryDelay = 400 * time.Millisecond
-	// saveTimeout is how long a save may take before its part counts as missing and may be saved again. Most parts appear within a
-	// few hundred milliseconds.
-	saveTimeout = 1500 * time.Millisecond
 	// maxDiscrepancies is the number of discrepancies at which a store is listed again 1 s after the last listing instead of
 	// stallTimeout and 1 s after it: a save that did not appear may be a lost event.
 	maxDiscrepancies = 12
@@ -345,10 +344,10 @@
 	c.partCount--
 }
 
-// expireSaves removes pending saves whose parts did not appear within saveTimeout. The caller must hold the catalog's mu.
+// expireSaves removes pending saves whose parts did not appear within tiering.SaveTimeout. The caller must hold the catalog's mu.
 func (s *storeState) expireSaves(now time.Time) {
 	for key, save := range s.saving {
-		if now.Sub(save.startedAt) > saveTimeout {
+		if now.Sub(save.startedAt) > tiering.SaveTimeout {
 			delete(s.saving, key)
 			s.discrepancies++
 		}
--- a/internal/connection/kvstore/catalog_test.go
+++ b/internal/connection/kvstore/catalog_test.go
@@ -176,7 +176,8 @@
 		is.True(!c.Scope("Shared/M/2").Holds("K", part("whole", 100))) // another weight version
 		time.Sleep(holdTime)
 		is.Equal(scope.Room("K"), 1000-100-50-100)
-		scope.MarkSaving("K", part("new", 200), time.Now())
+		now := time.Now()
+		scope.SaveBegun(scope.RequestSave("K", part("new", 200), now, now.Add(time.Second)), now)
 		is.True(scope.Saving("K", part("new", 200)))
 		is.True(!scope.Holds("K", part("new", 200))) // not before the store reports it
 		is.Equal(scope.Room("K"), 550)
--- a/internal/connection/kvstore/lease.go
+++ b/internal/connection/kvstore/lease.go
@@ -18,7 +18,7 @@
 // it. A gateway that finds a new epoch requests no save for as long: all that was confirmed under the earlier epoch has expired then.
 // Neither a gateway that stands still nor a lost message undermines this, since the engine itself enforces the limit of the fetch.
 //
-// A save that was requested before a restart and starts after it is not covered.
+// A save that was requested before a restart may begin after it; tiering.Saves keeps its part from being fetched meanwhile.
 type lease struct {
 	// confirmedAt is when the store last confirmed its epoch, by the servers' clock; 0 if unknown.
 	confirmedAt time.Duration
--- a/internal/connection/kvstore/lease_test.go
+++ b/internal/connection/kvstore/lease_test.go
@@ -140,3 +140,46 @@
 		is.Equal(c.Scope(scopeV1).FetchBy("K"), time.Duration(0))
 	})
 }
+
+// TestNoFetchWhileLateSaveMayBegin guards against a fetch of a part that a save, which was requested before a restart of its store, writes after it:
+// by a gateway that the news of the restart has not reached, and that knows the part from another save.
+func TestNoFetchWhileLateSaveMayBegin(t *testing.T) {
+	s := &store{epoch: 1}
+	path := &silentPath{store: s}
+	runCatalog(t, s, &view{}, func(informed *kvstore.Catalog) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		started := time.Now()
+		uninformed := &kvstore.Catalog{View: informed.View, Stores: path, Log: logr.Discard(), Floors: &tiering.Floors{}, Now: func() time.Duration { return time.Since(started) }}
+		ended := make(chan error, 1)
+		go func() { ended <- uninformed.Run(ctx) }()
+		defer func() {
+			cancel()
+			<-ended
+		}()
+		time.Sleep(holdTime)
+		now := time.Now()
+		first := uninformed.Scope(scopeV1).RequestSave("K", part("a", 100), now, now.Add(8*time.Second))
+		late := informed.Scope(scopeV1).RequestSave("K", part("a", 100), now, now.Add(8*time.Second)) // before the reports of the other one
+		report := func() {
+			now := time.Now()
+			uninformed.Saves.SetPeer(now, "Informed", 1, informed.Saves.Reports(now, nil, 10))
+			informed.Saves.SetPeer(now, "Uninformed", 1, uninformed.Saves.Reports(now, nil, 10))
+		}
+		report()
+		uninformed.Scope(scopeV1).SaveBegun(first, time.Now())
+		s.set(func() { s.down = true })
+		time.Sleep(500 * time.Millisecond)
+		s.set(func() { s.down, s.held = false, []kvstore.Held{held("a", 100)} }) // both list it again
+		time.Sleep(1500 * time.Millisecond)
+		path.cut.Store(true)
+		s.set(func() { s.epoch, s.held = 2, nil })
+		for range 100 {
+			time.Sleep(10 * time.Millisecond)
+			is.True(!uninformed.Scope(scopeV1).Holds("K", part("a", 100))) // fetched while the late save may be in progress
+		}
+		informed.Scope(scopeV1).CancelSave(late) // its engine is gone
+		report()
+		is.True(uninformed.Scope(scopeV1).Holds("K", part("a", 100)))
+	})
+}
--- a/internal/connection/kvstore/scoped.go
+++ b/internal/connection/kvstore/scoped.go
@@ -17,12 +17,18 @@
 
 func (s *Scoped) key(p tiering.Part) Key { return Key{Scope: s.scope, ID: p.ID} }
 
-// Holds implements tiering.Catalog.
+// Holds implements tiering.Catalog. A part does not count as held while an engine may still begin a save of it, since the store may have
+// restarted a moment ago.
 func (s *Scoped) Holds(store string, p tiering.Part) bool {
 	s.catalog.mu.Lock()
 	defer s.catalog.mu.Unlock()
 	state := s.catalog.stores[store]
-	return state != nil && s.catalog.mayFetch(state) && state.held[s.key(p)] >= p.Tokens && p.Tokens > 0
+	return state != nil && s.catalog.mayFetch(state) && state.held[s.key(p)] >= p.Tokens && p.Tokens > 0 &&
+		!s.catalog.Saves.Pending(time.Now(), s.saveKey(store, p))
+}
+
+func (s *Scoped) saveKey(store string, p tiering.Part) uint64 {
+	return tiering.SaveKey(store, s.scope, p.ID)
 }
 
 // mayFetch reports whether parts may be fetched from a store and there is time left for that. The caller must hold mu.
@@ -50,7 +56,7 @@
 		return false
 	}
 	_, saving := state.saving[s.key(p)]
-	return saving
+	return saving || s.catalog.Saves.Active(time.Now(), s.saveKey(store, p))
 }
 
 // Room implements tiering.Catalog. It is 0 for a store whose contents are not known or that may have restarted a moment ago.
@@ -68,12 +74,25 @@
 	return room
 }
 
-// MarkSaving records that an engine was instructed to save a part. The room for the part counts as taken until the store reports it or
-// saveTimeout has passed. The part counts as held only once the store has reported it.
-func (s *Scoped) MarkSaving(store string, p tiering.Part, now time.Time) {
+// RequestSave records that an engine is instructed to save a part and does not begin to after until. It returns nil if the save must not be
+// requested. The room for the part counts as taken until the store reports it or tiering.SaveTimeout has passed. The part counts as held only
+// once the store has reported it.
+func (s *Scoped) RequestSave(store string, p tiering.Part, now, until time.Time) *tiering.Save {
 	s.catalog.mu.Lock()
 	defer s.catalog.mu.Unlock()
-	if state := s.catalog.stores[store]; state != nil {
+	state := s.catalog.stores[store]
+	if state == nil {
+		return nil
+	}
+	save := s.catalog.Saves.Request(now, s.saveKey(store, p), until)
+	if save != nil {
 		state.saving[s.key(p)] = pendingSave{tokens: p.Tokens, startedAt: now}
 	}
+	return save
 }
+
+// SaveBegun records that the engine has begun a save.
+func (s *Scoped) SaveBegun(save *tiering.Save, now time.Time) { s.catalog.Saves.Begun(now, save) }
+
+// CancelSave records that the engine will not begin a save.
+func (s *Scoped) CancelSave(save *tiering.Save) { s.catalog.Saves.Cancel(save) }
--- a/internal/connection/loads/doc.go
+++ b/internal/connection/loads/doc.go
@@ -1,7 +1,7 @@
 // Package loads exchanges the load of endpoints between the gateways of a site. An endpoint reports its own load only with its
 // responses, so that report is stale when it matters most: while long prompts wait there. A gateway also sends which endpoints are
-// cold (for gateways that have lost the platform's store), its weight version floors, and which long prompt parts are cached by the
-// endpoints that it follows.
+// cold (for gateways that have lost the platform's store), its weight version floors, which long prompt parts are cached by the
+// endpoints that it follows, and which saves of parts it requested.
 //
 // A gateway sends its state in one full message to each other gateway of its failure domain: at short intervals while it has load or a
 // cold endpoint to report, and at long ones while it has neither. What does not fit into one datagram is left out. The start and the end
--- a/internal/connection/loads/exchange.go
+++ b/internal/connection/loads/exchange.go
@@ -87,6 +87,9 @@
 	// maxSummaryLoads limits the endpoints in a summary, and maxSummaryParts the cached parts, of which each summary has others.
 	maxSummaryLoads = 128
 	maxSummaryParts = 60
+	// maxSaves limits the saves of parts in a message of a gateway and maxSummarySaves those in a summary.
+	maxSaves        = 48
+	maxSummarySaves = 160
 	// cachePeriod is the time between two messages or summaries with cached parts and floors.
 	cachePeriod = 300 * time.Millisecond
 	// maxCachedParts limits the cached parts in a full message for the same reason. The key and the length of a part take up 12 bytes.
@@ -116,6 +119,8 @@
 	Ages *staleness.Ages
 	// Links holds the delays of stores to exchange; it may be nil.
 	Links *tiering.Links
+	// Saves holds the saves of parts to exchange; it may be nil.
+	Saves *tiering.Saves
 	// Plan returns the number of the plan of builds that this gateway knows; it may be nil.
 	Plan func() uint64
 	// Delayed is called after each wait for the next message with how much later than planned it ended, which shows how busy this process is. It
@@ -214,7 +219,8 @@
 	if m.Intake != nil {
 		intakes, intakeOK = m.Intake.reports(ids)
 	}
-	if err != nil || !loadsOK || !cachedOK || !intakeOK || m.Name == "" || m.Name == e.Name {
+	saves, savesOK := m.saves()
+	if err != nil || !loadsOK || !cachedOK || !intakeOK || !savesOK || m.Name == "" || m.Name == e.Name {
 		e.unreadable.Add(1)
 		return nil
 	}
@@ -247,6 +253,13 @@
 	if e.Links != nil && len(m.Links) > 0 {
 		e.Links.SetPeer(now, source, m.links())
 	}
+	if e.Saves != nil {
+		incarnation := m.Incarnation
+		if m.Domain != "" {
+			incarnation = 0
+		}
+		e.Saves.SetPeer(now, source, incarnation, saves)
+	}
 	if e.Ages != nil {
 		for model, list := range m.Ages {
 			for _, a := range list {
--- a/internal/connection/loads/exchange_test.go
+++ b/internal/connection/loads/exchange_test.go
@@ -289,7 +289,7 @@
 		table := placement.New()
 		table.SetEndpoints(time.Now(), nil, viewSnapshot.Endpoints["S"])
 		g := group{table: table, exchange: &Exchange{Name: fmt.Sprintf("G%d", i), Incarnation: 1, Address: self.Address, Domain: self.FailureDomain,
-			Peers: gatewayList(others), Table: table, View: view{}, Floors: &tiering.Floors{}, Log: logr.Discard()}}
+			Peers: gatewayList(others), Table: table, View: view{}, Floors: &tiering.Floors{}, Saves: &tiering.Saves{}, Log: logr.Discard()}}
 		gateways = append(gateways, g)
 		go func() { ended <- g.exchange.Run(ctx) }()
 	}
@@ -390,6 +390,31 @@
 	}
 }
 
+// TestSavesReachAllDomains guards against a gateway that has a part fetched which another one, of its domain or of another, may still have saved,
+// and against a part that nobody may save any more.
+func TestSavesReachAllDomains(t *testing.T) {
+	gateways := startGroups(t, "a", "a", "b", "b")
+	e1 := viewSnapshot.Endpoints["S"][0]
+	now := time.Now()
+	gateways[1].table.Sent(now, e1, &placement.Request{Tokens: 100}, 100)
+	save := gateways[1].exchange.Saves.Request(now, 7, now.Add(time.Minute))
+	await := func(what string, met func(s *tiering.Saves) bool) {
+		t.Helper()
+		for i, g := range gateways {
+			for deadline := time.Now().Add(5 * time.Second); !met(g.exchange.Saves); time.Sleep(5 * time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatalf("gateway %d does not know that the save is %s", i, what)
+				}
+			}
+		}
+	}
+	await("pending", func(s *tiering.Saves) bool { return s.Pending(time.Now(), 7) })
+	gateways[1].exchange.Saves.Begun(time.Now().Add(time.Hour), save)
+	await("in progress", func(s *tiering.Saves) bool { return !s.Pending(time.Now(), 7) && s.Active(time.Now(), 7) })
+	gateways[1].exchange.Saves.Cancel(save)
+	await("over", func(s *tiering.Saves) bool { return !s.Active(time.Now(), 7) })
+}
+
 // TestSpeaker guards against a domain that nobody speaks for, as after the end of its speaker, and against one for which all speak.
 func TestSpeaker(t *testing.T) {
 	is := is.New(t)
--- a/internal/connection/loads/fuzz_test.go
+++ b/internal/connection/loads/fuzz_test.go
@@ -19,6 +19,7 @@
 	full.setLoads([]placement.Load{{Endpoint: "e1", InFlight: 2, Pending: 500, Held: 900, Cold: time.Second, HeardAgo: time.Millisecond}})
 	full.setCached([]placement.CachedParts{{Endpoint: "e1", Parts: []placement.Part{{Key: 7, Tokens: 2000}}}})
 	full.setLinks(map[string]tiering.LinkReport{"s": {Sum: time.Second, Count: 2}})
+	full.setSaves([]tiering.SaveReport{{Key: 7, Left: time.Second}, {Key: 8, Begun: true, Left: time.Millisecond}})
 	full.Intake = newIntakeLists([]intake.Report{{Endpoint: "e1", Sent: 1.5, Wanted: 4, Rate: 6.4, Ago: time.Second, Leaving: true}, {Endpoint: "e2", Rate: -1}}, 1)
 	summary := &message{Name: "C", Domain: "d", Incarnation: 1, Number: 9, GroupFloors: map[string]incarnationFloors{"X": {Incarnation: 3}}}
 	for _, m := range []*message{full, summary, {Name: "B", Some: true, PassedOn: true}} {
@@ -30,7 +31,7 @@
 	}
 	f.Add([]byte("\x81\xa4Kept\x81\xce\xff\xff\xff\xff\xc0"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		e := &Exchange{Name: "A", Domain: "a", Table: placement.New(), Floors: &tiering.Floors{}, Links: &tiering.Links{}, Intake: intake.New(), View: view{}, Log: logr.Discard()}
+		e := &Exchange{Name: "A", Domain: "a", Table: placement.New(), Floors: &tiering.Floors{}, Links: &tiering.Links{}, Saves: &tiering.Saves{}, Intake: intake.New(), View: view{}, Log: logr.Discard()}
 		e.init()
 		for range 2 {
 			passOn := e.handle(b, netip.AddrPort{}, time.Now())
--- a/internal/connection/loads/message.go
+++ b/internal/connection/loads/message.go
@@ -1,6 +1,7 @@
 package loads
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -48,6 +49,8 @@
 	Ages map[string][]versionAge `msgpack:",omitempty"`
 	// Links are the delays of first tokens after fetches, by store, as the sender or the gateways of its domain observed them.
 	Links map[string]linkReport `msgpack:",omitempty"`
+	// Saves lists, in each message, the saves of parts that the sender or the gateways of its domain requested of engines.
+	Saves *saveList `msgpack:",omitempty"`
 	// Intake lists the requests sent to endpoints that state the rate of requests that they take. It is empty in urgent messages.
 	Intake *intakeLists `msgpack:",omitempty"`
 	// Kept lists, by endpoint, the long prompt parts cached by the endpoints that the sender, or a gateway of its domain, follows.
@@ -103,6 +106,39 @@
 	return reports
 }
 
+// saveList lists saves of parts, as three lists of the same length.
+type saveList struct {
+	Keys   []uint64
+	Begun  []bool
+	LeftMs []int
+}
+
+// setSaves fills Saves.
+func (m *message) setSaves(reports []tiering.SaveReport) {
+	if len(reports) == 0 {
+		return
+	}
+	m.Saves = &saveList{}
+	for _, r := range reports {
+		m.Saves.Keys, m.Saves.Begun = append(m.Saves.Keys, r.Key), append(m.Saves.Begun, r.Begun)
+		m.Saves.LeftMs = append(m.Saves.LeftMs, int(r.Left.Milliseconds())+1)
+	}
+}
+
+// saves returns the content of Saves, and false if its lists differ in length.
+func (m *message) saves() (reports []tiering.SaveReport, ok bool) {
+	if m.Saves == nil {
+		return nil, true
+	}
+	if len(m.Saves.Begun) != len(m.Saves.Keys) || len(m.Saves.LeftMs) != len(m.Saves.Keys) {
+		return nil, false
+	}
+	for i, key := range m.Saves.Keys {
+		reports = append(reports, tiering.SaveReport{Key: key, Begun: m.Saves.Begun[i], Left: time.Duration(min(m.Saves.LeftMs[i], math.MaxInt32)) * time.Millisecond})
+	}
+	return reports, true
+}
+
 // cachedParts lists the prompt parts cached by one endpoint, as two lists of the same length.
 type cachedParts struct {
 	Keys   []uint64
--- a/internal/connection/loads/sender.go
+++ b/internal/connection/loads/sender.go
@@ -80,6 +80,7 @@
 	m := s.next()
 	m.Plan = s.exchange.plan()
 	m.setLoads(loads)
+	s.exchange.setSaves(m, now, nil)
 	if s.exchange.Intake != nil {
 		m.Intake = newIntakeLists(s.exchange.Intake.Reports(now, maxIntakes, nil))
 	}
@@ -107,6 +108,7 @@
 	m := s.next()
 	m.Domain, m.Plan = e.Domain, e.plan()
 	m.setLoads(e.Table.SumLoads(now, maxSummaryLoads, members))
+	e.setSaves(m, now, members)
 	if e.Intake != nil {
 		m.Intake = newIntakeLists(e.Intake.Reports(now, maxSummaryIntakes, members))
 	}
@@ -123,6 +125,17 @@
 	s.lastSummary = now
 }
 
+// setSaves adds the saves that this gateway and the members of its domain, if any, requested to a message.
+func (e *Exchange) setSaves(m *message, now time.Time, members map[string]bool) {
+	switch {
+	case e.Saves == nil:
+	case members == nil:
+		m.setSaves(e.Saves.Reports(now, nil, maxSaves))
+	default:
+		m.setSaves(e.Saves.Reports(now, members, maxSummarySaves))
+	}
+}
+
 func (e *Exchange) setAges(m *message) {
 	if e.Ages != nil {
 		m.setAges(e.Ages.Stated(bootclock.Now()))
@@ -171,6 +184,7 @@
 			loads := e.Table.UrgentLoads(time.Now())
 			m := s.next()
 			m.setLoads(loads)
+			e.setSaves(m, time.Now(), nil)
 			m.Some = true
 			e.broadcast(s.conn, same, m)
 			e.queueSummary(loads)
@@ -215,7 +229,9 @@
 	now := time.Now()
 	m := s.next()
 	m.Domain, m.Some = e.Domain, true
-	m.setLoads(e.Table.SumLoadsAt(now, endpoints[:min(len(endpoints), maxSummaryLoads)], e.memberNames()))
+	members := e.memberNames()
+	m.setLoads(e.Table.SumLoadsAt(now, endpoints[:min(len(endpoints), maxSummaryLoads)], members))
+	e.setSaves(m, now, members)
 	e.broadcast(s.conn, draw(others), m)
 	s.lastUrgentSummary = now
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -310,7 +310,7 @@
 	}
 	exchange := &loads.Exchange{Name: g.Settings.Name, Incarnation: rand.Uint64(), Address: g.Settings.LoadAddress(),
 		Domain: g.Settings.FailureDomain, Peers: g.Registry, Table: g.Table,
-		Floors: g.Tiers.Floors, Intake: g.Table.Intake, Ages: g.Registry.Ages, Links: g.links, View: g.Registry, Delayed: g.recordDelay, Log: g.Log}
+		Floors: g.Tiers.Floors, Intake: g.Table.Intake, Ages: g.Registry.Ages, Links: g.links, Saves: &g.Tiers.Saves, View: g.Registry, Delayed: g.recordDelay, Log: g.Log}
 	if g.Builds != nil {
 		exchange.Plan = func() uint64 { return g.Builds.Plan().Revision() }
 	}
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -53,6 +53,8 @@
 	observesLink bool
 	fetchedFrom  string
 	expected     time.Duration
+	// saves are the saves of parts that the endpoint was instructed to make.
+	saves requestedSaves
 	// flight is the attempt's entry in the silence watch, nil without one.
 	flight *flight
 	// answering is set once bytes of the answer's body have arrived; an answer that is not a stream then counts as begun.
@@ -245,6 +247,7 @@
 func (a *attempt) relayEvents(answer *endpoint.Answer, p []byte) (relayed bool, err error) {
 	req := a.req
 	a.answering.Store(true)
+	a.saves.begun(time.Now())
 	if a.prefillTokens > 0 {
 		took := time.Since(a.started)
 		req.handler.Table.Prefilled(a.endpoint, a.prefillTokens, took)
--- a/internal/request/forward/outcome.go
+++ b/internal/request/forward/outcome.go
@@ -16,6 +16,7 @@
 	becameSuspect, becameTrusted := a.req.handler.Table.Ended(now, a.endpoint, a.placed, a.prefillTokens, o)
 	a.prefillTokens, a.observed.outcome = 0, o
 	a.recordRoomFreed(now)
+	a.saves.recordOutcome(now, o)
 	if o == placement.Full {
 		a.req.handler.Hedging.Refused(now, a.req.service)
 	}
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -203,19 +203,20 @@
 	return store
 }
 
-// addTiers adds the fetches and saves to the header values for an endpoint with a weight version, and records the saves. It
+// addTiers adds the fetches and saves to the header values for an endpoint with a weight version, and returns the saves. It
 // adds nothing if the servers' clock is unknown, since Until cannot be set then.
-func (req *request) addTiers(o *Outgoing, service *site.Service, version uint64) {
+func (req *request) addTiers(o *Outgoing, service *site.Service, version uint64) (saves requestedSaves) {
 	clock, ok := time.Duration(0), false
 	if req.handler.Tiers != nil {
 		clock, ok = req.handler.Tiers.Clock()
 	}
 	if !ok {
-		return
+		return saves
 	}
 	o.Tiers = req.tierActions(service, version)
 	o.Until = clock + tiering.TransferTimeout
 	now, scope := time.Now(), req.handler.Tiers.Scope(o.Scope)
+	saves.scope = scope
 	for i, a := range o.Tiers {
 		if a.Fetch != nil {
 			by := scope.FetchBy(a.Fetch.Name)
@@ -226,9 +227,10 @@
 			o.Until = min(o.Until, by)
 		}
 		if a.Save != nil {
-			scope.MarkSaving(a.Save.Name, req.meta.Parts[i], now)
+			o.Tiers[i].Save = saves.request(a.Save, req.meta.Parts[i], now, now.Add(o.TimeLeft+saveMargin))
 		}
 	}
+	return saves
 }
 
 // ringKey returns the hash of the shared parts of the prompt, which determines the request's place on the ring. The name of a
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -236,7 +236,8 @@
 		req.handler.count("Intake.PassedOver." + req.service)
 	}
 	service := req.snapshot.Configuration.Services[req.service]
-	call, tiers := req.endpointCall(e, service)
+	call, tiers, saves := req.endpointCall(e, service)
+	a.saves = saves
 	if service != nil && service.Engine != nil {
 		a.expectedFirst = choice.FirstToken
 	}
@@ -265,7 +266,7 @@
 }
 
 // endpointCall builds the request for an endpoint, and returns the fetches and saves that it contains.
-func (req *request) endpointCall(e *site.Endpoint, service *site.Service) (call *endpoint.Call, tiers []tiering.Action) {
+func (req *request) endpointCall(e *site.Endpoint, service *site.Service) (call *endpoint.Call, tiers []tiering.Action, saves requestedSaves) {
 	o := &Outgoing{Endpoint: e.ID, TimeLeft: time.Until(req.deadline), Priority: -1, LastEvent: req.meta.LastEvent}
 	if req.organisation != nil {
 		o.Organisation = req.organisation.Name
@@ -274,7 +275,7 @@
 		o.Priority = req.enginePriority()
 		o.Version, _ = e.Version(req.meta.Model)
 		o.Scope = req.scope(o.Version).String()
-		req.addTiers(o, service, o.Version)
+		saves = req.addTiers(o, service, o.Version)
 	}
 	if req.stream != nil && req.stream.lastID != "" {
 		o.LastEvent = req.stream.lastID
@@ -286,7 +287,7 @@
 			s := req.handler.Codec.ParseAnswer(status, header)
 			// A refusal without an ID may be a late copy of one to an earlier request on the connection.
 			return s.ID == id || (s.ID == "" && s.NotRun && first)
-		}}, o.Tiers
+		}}, o.Tiers, saves
 }
 
 // shortPromptTokens is the prompt length up to which a request goes ahead of those with longer prompts and the same configured
