Count the time for missing endpoints from the store's first answer

Cause: a ready endpoint that is removed is kept for a while if a call to the store failed less than 3 s ago, since entries expire in an outage. A call that an outage swallowed fails when its time is up, after the return of the store, so that the 3 s reached beyond the outage; and the endpoint was kept for all the time for which it serves, and up to 0.25 s longer.

Change: a missing endpoint is kept until 1.75 s after the first answer after the last failed call, and dropped at that moment. What is removed later than that is dropped at once. EndpointMissing states keptMs.

TestEndpointRemovedAfterOutage: four of its five cases fail in 3 of 3 runs on the code before.

--- a/internal/version/registry/doc.go
+++ b/internal/version/registry/doc.go
@@ -7,8 +7,8 @@
 // configuration only by a higher version. During an outage of the store the snapshot stays unchanged while the followers
 // retry. The heartbeat objects of the gateways have no follower; they are listed periodically.
 //
-// A ready endpoint that is missing shortly after an outage is kept for MissingTime, since the object of a live endpoint that
-// expired during the outage is written again within about two seconds.
+// A ready endpoint that is missing after an outage is kept until MissingTime after the store answered again, since the object of a live
+// endpoint that expired during the outage is written again within about two seconds.
 //
 // # Usage
 //
--- a/internal/version/registry/endpoints.go
+++ b/internal/version/registry/endpoints.go
@@ -20,14 +20,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	recovering := now.Sub(r.endpointFollower.lastFailure()) < recoveryPeriod
+	missingUntil := r.endpointFollower.regained(now).Add(MissingTime)
 	for _, c := range changes {
 		old := r.endpoints[c.Name]
 		switch {
 		case c.Copied && !r.isNews(old, c):
-		case c.Removed && old != nil && recovering && old.State == site.Ready:
-			r.missingUntil[c.Name] = now.Add(MissingTime)
-			event.Info(r.Log, event.EndpointMissing, "endpoint", c.Name, "revision", c.Revision)
+		case c.Removed && old != nil && now.Before(missingUntil) && old.State == site.Ready:
+			r.keepMissing(c.Name, missingUntil)
+			event.Info(r.Log, event.EndpointMissing, "endpoint", c.Name, "revision", c.Revision, "keptMs", missingUntil.Sub(now).Milliseconds())
 		case c.Removed || c.Err != nil:
 			r.recordDeparture(old, now)
 			delete(r.endpoints, c.Name)
@@ -120,26 +120,42 @@
 	r.publish()
 }
 
-// dropMissing periodically drops the endpoints that did not come back after an outage, until ctx is done.
+// keepMissing keeps a missing endpoint until a time. The caller must hold mu.
+func (r *Registry) keepMissing(id string, until time.Time) {
+	r.missingUntil[id] = until
+	select {
+	case r.missingChanged <- struct{}{}:
+	default:
+	}
+}
+
+// dropMissing drops the endpoints that did not come back after an outage, each at its time, until ctx is done.
 func (r *Registry) dropMissing(ctx context.Context) {
-	ticker := time.NewTicker(250 * time.Millisecond)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			r.dropMissingAt(now)
+		case <-r.missingChanged:
+		case <-timer.C:
+		}
+		if next := r.dropMissingAt(time.Now()); !next.IsZero() {
+			timer.Reset(time.Until(next))
 		}
 	}
 }
 
-func (r *Registry) dropMissingAt(now time.Time) {
+// dropMissingAt drops the endpoints whose time has come and returns the time of the next one, zero if there is none.
+func (r *Registry) dropMissingAt(now time.Time) (next time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	dropped := false
 	for id, until := range r.missingUntil {
 		if now.Before(until) {
+			if next.IsZero() || until.Before(next) {
+				next = until
+			}
 			continue
 		}
 		r.recordDeparture(r.endpoints[id], now)
@@ -151,4 +167,5 @@
 	if dropped {
 		r.publishEndpoints()
 	}
+	return next
 }
--- a/internal/version/registry/follower.go
+++ b/internal/version/registry/follower.go
@@ -78,6 +78,8 @@
 	// contactAt is the bootclock time of the last successful call to the store, zero if there was none.
 	contactAt time.Duration
 	failedAt  time.Time
+	// regainedAt is when a call succeeded after one that had failed, zero if that did not happen.
+	regainedAt time.Time
 }
 
 // lastContact returns the bootclock time of the last successful call to the store, zero if there was none.
@@ -94,6 +96,17 @@
 	return f.failedAt
 }
 
+// regained returns when the store answered again after the last failed call, now if the present answer is the first one, and zero if no call has
+// failed yet.
+func (f *follower[T]) regained(now time.Time) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failedAt.After(f.regainedAt) {
+		return now
+	}
+	return f.regainedAt
+}
+
 // run lists and watches the kind until ctx is done.
 func (f *follower[T]) run(ctx context.Context) {
 	f.revisions, f.unreadable = map[string]uint64{}, unreadable{}
@@ -338,6 +351,9 @@
 	if relayed, ok := f.source.(aged); ok {
 		f.contactAt -= relayed.Age()
 	}
+	if f.failedAt.After(f.regainedAt) {
+		f.regainedAt = time.Now()
+	}
 	f.mu.Unlock()
 }
 
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -21,11 +21,10 @@
 )
 
 const (
-	// MissingTime is how long a ready endpoint that is missing after an outage of the store is kept. The object of a live
-	// endpoint is written again within about two seconds.
-	MissingTime = 2 * time.Second
-	// recoveryPeriod is how long after its last failed call the store counts as recovering from an outage.
-	recoveryPeriod = 3 * time.Second
+	// MissingTime is how long after the end of an outage of the store a ready endpoint that is missing is kept. The object of a live
+	// endpoint is written again within about two seconds, of which a gateway misses some. It is shorter than the time for which an
+	// endpoint serves after its removal, so that a removal just before the end of the outage is obeyed in time, too.
+	MissingTime = 1750 * time.Millisecond
 	// endpointWatchTimeout and configurationWatchTimeout are how long a watch waits for a change. A lost response goes unnoticed
 	// until then, so both are shorter than the time after which a gateway counts as connected again once its network path to
 	// the store has recovered.
@@ -94,6 +93,8 @@
 	restored chan struct{}
 	// missingUntil maps each endpoint that disappeared after an outage to the time at which it is dropped.
 	missingUntil map[string]time.Time
+	// missingChanged receives a value when an endpoint is added to missingUntil.
+	missingChanged chan struct{}
 	// departed holds the endpoints that have left, by ID, and reinstated the failure domains that are no longer evacuated, with the time.
 	departed   map[string]departure
 	reinstated map[string]time.Time
@@ -143,6 +144,7 @@
 			r.Ages = &staleness.Ages{}
 		}
 		r.endpoints, r.missingUntil = map[string]*site.Endpoint{}, map[string]time.Time{}
+		r.missingChanged = make(chan struct{}, 1)
 		r.departed, r.reinstated = map[string]departure{}, map[string]time.Time{}
 		r.storedRollouts, r.rolloutReports, r.heldBuilds = map[string]StoredRollout{}, map[string]RolloutReport{}, map[build]time.Time{}
 		r.members, r.sharedChanges = map[string]member{}, map[string]observedChange{}
--- a/internal/version/registry/registry_test.go
+++ b/internal/version/registry/registry_test.go
@@ -181,6 +181,15 @@
 	change()
 }
 
+// disrupt runs change with mu held and lets the pending watches notice it.
+func (s *source[T]) disrupt(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // shared adds Get and the writes of registry.Objects to a source.
 type shared struct{ *source[json.RawMessage] }
 
@@ -442,6 +451,42 @@
 	})
 }
 
+// TestEndpointRemovedAfterOutage guards against sending work to an endpoint later than it serves after its removal, since a call to the store failed a
+// moment before: one that was lost in an outage and failed only after it, or a single one.
+func TestEndpointRemovedAfterOutage(t *testing.T) {
+	const drainTime = 2 * time.Second
+	lost := func(s *source[*site.Endpoint], on bool) { s.pathDown = on }
+	refused := func(s *source[*site.Endpoint], on bool) { s.down = on }
+	for name, c := range map[string]struct {
+		disrupt func(s *source[*site.Endpoint], on bool)
+		outage  time.Duration
+		// after is the time from the end of the outage until the removal, within that from the removal until the endpoint must not be used.
+		after, within time.Duration
+	}{
+		"calls lost in an outage":      {lost, 4500 * time.Millisecond, 3 * time.Second, drainTime},
+		"calls lost in a short outage": {lost, 100 * time.Millisecond, 3 * time.Second, drainTime},
+		"calls refused in an outage":   {refused, 4500 * time.Millisecond, 3 * time.Second, 500 * time.Millisecond},
+		"removed soon after":           {refused, 4500 * time.Millisecond, 1500 * time.Millisecond, drainTime},
+		"one call refused":             {refused, time.Millisecond, 500 * time.Millisecond, drainTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runRegistry(t, func(t *testing.T, f *fixture) {
+				is := is.New(t)
+				f.endpoints.put("e1", endpoint("e1"), nil)
+				f.endpoints.put("e2", endpoint("e2"), nil)
+				time.Sleep(10 * time.Second)
+				f.endpoints.disrupt(func() { c.disrupt(f.endpoints, true) })
+				time.Sleep(c.outage)
+				f.endpoints.set(func() { c.disrupt(f.endpoints, false) })
+				time.Sleep(c.after)
+				f.endpoints.remove("e1")
+				time.Sleep(c.within)
+				is.Equal(f.ids(), []string{"e2"})
+			})
+		})
+	}
+}
+
 // TestRetryBackoff guards against too many calls during an outage of the store, and against detecting its end late.
 func TestRetryBackoff(t *testing.T) {
 	runRegistry(t, func(t *testing.T, f *fixture) {
