Give the tenants that share parts a new scope when one leaves them

Cause: the cache scope of all tenants that share parts was "Shared", whoever they are, so that it stayed the same when one of them became dedicated. A request that waited for room also kept the organisation that it had found on its arrival.

Change: the scope contains a hash of the names of the dedicated tenants and is as before if there are none. Whether a request's tenant is dedicated is decided when the request is sent.

--- a/internal/request/forward/codec.go
+++ b/internal/request/forward/codec.go
@@ -91,8 +91,15 @@
 // scope returns the cache scope of the request at engines that serve the given weight version.
 func (req *request) scope(version uint64) tiering.Scope {
 	s := tiering.Scope{Model: req.meta.Model, Version: version}
-	if req.organisation != nil && req.organisation.Dedicated {
+	if req.isDedicated() {
 		s.Organisation = req.organisation.Name
+	} else {
+		s.Sharing = req.snapshot.Configuration.Sharing()
 	}
 	return s
 }
+
+// isDedicated reports whether the organisation of the request is dedicated now. It may have become so since the request arrived.
+func (req *request) isDedicated() bool {
+	return req.organisation != nil && req.snapshot.Configuration.IsDedicated(req.organisation)
+}
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -237,7 +237,7 @@
 // dedicated organisation is part of it.
 func (req *request) ringKey() uint64 {
 	var b strings.Builder
-	if req.organisation != nil && req.organisation.Dedicated {
+	if req.isDedicated() {
 		b.WriteString(req.organisation.Name)
 	}
 	for _, p := range req.sharedParts() {
--- a/pkg/site/configuration.go
+++ b/pkg/site/configuration.go
@@ -2,7 +2,10 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -130,12 +133,16 @@
 
 	byHost       map[string][]*Route
 	byCredential map[string]*Organisation
+	byName       map[string]*Organisation
+	// sharing is the result of Sharing.
+	sharing string
 }
 
 // NewConfiguration returns a configuration with its lookup tables.
 func NewConfiguration(version uint64, routes []Route, services []Service, organisations []Organisation, limits Limits) *Configuration {
 	c := &Configuration{Version: version, Routes: routes, Services: make(map[string]*Service, len(services)),
-		Organisations: organisations, Limits: limits, byHost: map[string][]*Route{}, byCredential: map[string]*Organisation{}}
+		Organisations: organisations, Limits: limits, byHost: map[string][]*Route{}, byCredential: map[string]*Organisation{}, byName: map[string]*Organisation{},
+		sharing: sharing(organisations)}
 	for i := range services {
 		c.Services[services[i].Name] = &services[i]
 	}
@@ -147,6 +154,7 @@
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
 	for i := range organisations {
+		c.byName[organisations[i].Name] = &organisations[i]
 		for _, credential := range organisations[i].Credentials {
 			c.byCredential[credential] = &organisations[i]
 		}
@@ -178,6 +186,33 @@
 	return o, ok
 }
 
+// IsDedicated reports whether an organisation is dedicated in this configuration, in which it may have changed since it was looked up.
+func (c *Configuration) IsDedicated(o *Organisation) bool {
+	if current, ok := c.byName[o.Name]; ok {
+		return current.Dedicated
+	}
+	return o.Dedicated
+}
+
+// Sharing identifies the organisations that share parts by those that do not. It differs between two configurations with different dedicated
+// organisations, so that what an organisation made before it became dedicated is found by none of the others. It is empty if none is dedicated.
+func (c *Configuration) Sharing() string { return c.sharing }
+
+func sharing(organisations []Organisation) string {
+	var names []string
+	for _, o := range organisations {
+		if o.Dedicated {
+			names = append(names, strconv.Quote(o.Name))
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	slices.Sort(names)
+	sum := sha256.Sum256([]byte(strings.Join(slices.Compact(names), "")))
+	return hex.EncodeToString(sum[:16])
+}
+
 // Moved returns the routes of resumable streams of c that get other services in a later configuration.
 func (c *Configuration) Moved(next *Configuration, now time.Time) (moved []MovedRoute) {
 	for i := range next.Routes {
--- a/pkg/tiering/plan_test.go
+++ b/pkg/tiering/plan_test.go
@@ -130,6 +130,8 @@
 		s := tiering.Scope{Model: rapid.StringMatching(`[a-z0-9/%]{1,4}`).Draw(t, "model"), Version: rapid.Uint64Range(0, 20).Draw(t, "version")}
 		if rapid.Bool().Draw(t, "dedicated") {
 			s.Organisation = word.Draw(t, "organisation")
+		} else {
+			s.Sharing = rapid.StringMatching(`[a-z0-9]{0,4}`).Draw(t, "sharing")
 		}
 		return s
 	})
@@ -143,7 +145,7 @@
 			t.Fatalf("%+v was parsed as %+v", a, parsed)
 		}
 	})
-	for _, text := range []string{"", "Shared", "Shared/M", "Shared/M/x", "Other/M/1", "1"} {
+	for _, text := range []string{"", "Shared", "Shared/M", "Shared/M/x", "Other/M/1", "1", "Shared./M/1", "Shared.a%2F/M/1", "Sharedab/M/1"} {
 		if _, ok := tiering.ParseScope(text); ok {
 			t.Errorf("invalid text %q was parsed as a scope", text)
 		}
--- a/pkg/tiering/scope.go
+++ b/pkg/tiering/scope.go
@@ -11,11 +11,15 @@
 type Scope struct {
 	// Organisation is the name of a dedicated organisation, or empty for the organisations that share parts.
 	Organisation string
-	Model        string
-	Version      uint64
+	// Sharing identifies the organisations that share parts, in lower-case letters and digits (site.Configuration.Sharing); it is empty
+	// if no organisation is dedicated, and for a dedicated one.
+	Sharing string
+	Model   string
+	Version uint64
 }
 
-// Prefixes of the text of a scope: one for the organisations that share parts, one for dedicated organisations.
+// Prefixes of the text of a scope: one for the organisations that share parts, which a point and Sharing may follow, and one for dedicated
+// organisations.
 const (
 	sharedScope    = "Shared"
 	dedicatedScope = "Own"
@@ -24,8 +28,11 @@
 // String returns the text of the scope. Different scopes have different texts: slashes in names are escaped.
 func (s Scope) String() string {
 	tail := "/" + url.PathEscape(s.Model) + "/" + strconv.FormatUint(s.Version, 10)
-	if s.Organisation == "" {
+	switch {
+	case s.Organisation == "" && s.Sharing == "":
 		return sharedScope + tail
+	case s.Organisation == "":
+		return sharedScope + "." + s.Sharing + tail
 	}
 	return dedicatedScope + "/" + url.PathEscape(s.Organisation) + tail
 }
@@ -46,7 +53,11 @@
 	}
 	organisation, dedicated := strings.CutPrefix(head, dedicatedScope+"/")
 	if !dedicated && head != sharedScope {
-		return s, false
+		sharing, ok := strings.CutPrefix(head, sharedScope+".")
+		if !ok || sharing == "" || strings.Trim(sharing, "0123456789abcdefghijklmnopqrstuvwxyz") != "" {
+			return s, false
+		}
+		s.Sharing = sharing
 	}
 	s.Version = n
 	if s.Model, err = url.PathUnescape(model); err != nil {
