Limit only the pending saves of a gateway

Cause: the limit of 48 recorded saves a gateway, which lets a report fit into a message, also counted saves in progress, of which each counts for 1.5 s.

--- a/pkg/tiering/saves.go
+++ b/pkg/tiering/saves.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxOwnSaves limits the recorded saves of this gateway, so that their report fits into a message.
-	maxOwnSaves = 48
+	// maxPendingSaves limits the pending saves of this gateway, so that their report fits into a message.
+	maxPendingSaves = 48
 	// maxSaveTime limits the time for which a save that is reported by another gateway counts.
 	maxSaveTime = 2 * time.Minute
 	// SaveTimeout is how long a save may take before its part counts as missing and may be saved again. Most parts appear within a few
@@ -65,12 +65,12 @@
 }
 
 // Request records that a save is requested of an engine that does not begin it after until. It returns nil, and the save must not be requested,
-// if another one of the part is pending or in progress, or if this gateway has recorded too many.
+// if another one of the part is pending or in progress, or if too many of this gateway are pending.
 func (s *Saves) Request(now time.Time, key uint64, until time.Time) *Save {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	maps.DeleteFunc(s.own, func(save *Save, _ bool) bool { return !now.Before(save.until) })
-	if s.any(now, key, func(peerSave) bool { return true }) || len(s.own) >= maxOwnSaves {
+	if s.any(now, key, func(peerSave) bool { return true }) || s.ownPending() >= maxPendingSaves {
 		return nil
 	}
 	if s.own == nil {
@@ -81,6 +81,16 @@
 	return save
 }
 
+// ownPending returns the number of pending saves of this gateway. The caller must hold s.mu.
+func (s *Saves) ownPending() (n int) {
+	for save := range s.own {
+		if !save.begun {
+			n++
+		}
+	}
+	return n
+}
+
 // Begun records that the engine has begun a save.
 func (s *Saves) Begun(now time.Time, save *Save) {
 	s.mu.Lock()
