Count the use of replaced parts from the first later version

Cause: how long parts of a replaced weight version are used, and when they are freed, was counted from the naming of the version in force. When still another version was named, the time began anew: a gateway that had learned of it had parts fetched again that all had given up, while one that had not learned of it freed them.

--- a/internal/connection/kvstore/catalog_test.go
+++ b/internal/connection/kvstore/catalog_test.go
@@ -282,7 +282,7 @@
 			s := &store{epoch: 1, held: []kvstore.Held{{Key: kvstore.Key{Scope: oldScope, ID: "a"}, Tokens: 10},
 				{Key: kvstore.Key{Scope: currentScope, ID: "b"}, Tokens: 10}, {Key: kvstore.Key{Scope: "foreign", ID: "c"}, Tokens: 10}}}
 			v := &view{leader: c.leader, snapshot: &site.Snapshot{Versions: map[string]uint64{"M": 2},
-				NamedAt: map[string]time.Duration{"M": bootclock.Now() - c.namedFor}}}
+				Namings: map[string]site.Namings{"M": {{Version: 2, NamedAt: bootclock.Now() - c.namedFor}}}}}
 			runCatalog(t, s, v, func(*kvstore.Catalog) {
 				is := is.New(t)
 				time.Sleep(2 * time.Second)
@@ -319,7 +319,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := &store{epoch: 1, held: []kvstore.Held{held("a", 100)}}
 			v := &view{leader: true, others: c.others, snapshot: &site.Snapshot{Versions: map[string]uint64{"M": 2},
-				NamedAt: map[string]time.Duration{"M": bootclock.Now()}, UnnamedAt: map[string]time.Duration{"M": bootclock.Now()},
+				Namings:   map[string]site.Namings{"M": {{Version: 2, NamedAt: bootclock.Now(), UnnamedAt: bootclock.Now()}}},
 				Endpoints: map[string][]*site.Endpoint{}}}
 			for _, version := range c.versions {
 				v.snapshot.Endpoints["S"] = append(v.snapshot.Endpoints["S"], endpoint(version))
@@ -359,7 +359,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			v := &view{versionsAge: c.versionsAge, snapshot: &site.Snapshot{Versions: map[string]uint64{"M": 4},
-				NamedAt: map[string]time.Duration{"M": bootclock.Now()}, UnnamedAt: map[string]time.Duration{"M": bootclock.Now()},
+				Namings:   map[string]site.Namings{"M": {{Version: 4, NamedAt: bootclock.Now(), UnnamedAt: bootclock.Now()}}},
 				Endpoints: map[string][]*site.Endpoint{}}}
 			for _, version := range c.versions {
 				v.snapshot.Endpoints["S"] = append(v.snapshot.Endpoints["S"],
--- a/internal/connection/kvstore/floors.go
+++ b/internal/connection/kvstore/floors.go
@@ -19,7 +19,7 @@
 func (c *Catalog) Uses(model string, version uint64) bool { return c.Floors.Uses(model, version) }
 
 // raiseFloors raises the version floors of this gateway. The floor of a model rises to rolledOutVersion, but not above the named version,
-// and to the named version once that has been named for Lifetimes.Last. If the named versions have not been confirmed for
+// and above each version once that has been replaced for Lifetimes.Last. If the named versions have not been confirmed for
 // tiering.MaxViewAge, the floors also rise to the highest floors of the other gateways.
 func (c *Catalog) raiseFloors(snapshot *site.Snapshot) {
 	now := bootclock.Now()
@@ -28,8 +28,8 @@
 	}
 	for model, named := range snapshot.Versions {
 		floor, reason := min(named, rolledOutVersion(snapshot, model)), "most endpoints have a newer version"
-		if now-snapshot.UnnamedAt[model] >= c.Lifetimes.Last() {
-			floor, reason = named, "the grace period after its replacement is over"
+		if oldest := snapshot.Namings[model].Oldest(c.Lifetimes.Last(), now); oldest > floor {
+			floor, reason = oldest, "the grace period after its replacement is over"
 		}
 		if floor > 0 && c.Floors.Raise(model, floor, now) {
 			event.Info(c.Log, event.WeightVersionGivenUp, "model", model, "below", floor, "named", named, "reason", reason)
--- a/internal/connection/kvstore/free.go
+++ b/internal/connection/kvstore/free.go
@@ -132,14 +132,15 @@
 }
 
 // retired reports whether a part may be freed because no gateway uses it any more, either by the gateways' version floors or by the time
-// since this gateway first saw the current named version, if that is newer than the part's version.
+// since this gateway first saw a later version than the part's named.
 func (c *Catalog) retired(snapshot *site.Snapshot, key Key, unused func(model string, version uint64) bool) bool {
 	scope, ok := tiering.ParseScope(key.Scope)
 	if !ok {
 		return false
 	}
 	named, known := snapshot.Versions[scope.Model]
-	return known && (c.Lifetimes.Retired(scope.Version, named, key.ID, bootclock.Now()-snapshot.NamedAt[scope.Model]) ||
+	replacedFor := snapshot.Namings[scope.Model].MinReplacedFor(scope.Version, bootclock.Now())
+	return known && (c.Lifetimes.Retired(scope.Version, named, key.ID, replacedFor) ||
 		unused(scope.Model, scope.Version))
 }
 
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -147,15 +147,15 @@
 	if req.handler.Tiers == nil || service.Engine == nil || version == 0 || len(req.sharedParts()) == 0 {
 		return nil
 	}
-	namedFor := bootclock.Now() - req.snapshot.UnnamedAt[req.meta.Model]
+	replacedFor := req.snapshot.Namings[req.meta.Model].MaxReplacedFor(version, bootclock.Now())
 	named, age, lifetimes := req.snapshot.Versions[req.meta.Model], req.handler.View.VersionsAge(), req.handler.Lifetimes
-	if !lifetimes.MayUse(version, named, age, namedFor) ||
+	if !lifetimes.MayUse(version, named, age, replacedFor) ||
 		!req.handler.Tiers.Uses(req.meta.Model, version) {
 		return nil
 	}
 	actions := tiering.Plan(req.handler.Tiers.List(), req.sharedParts(), req.handler.Tiers.Scope(req.scope(version).String()))
 	for i, p := range req.sharedParts() {
-		if !lifetimes.MayUsePart(version, named, p.ID, age, namedFor) {
+		if !lifetimes.MayUsePart(version, named, p.ID, age, replacedFor) {
 			clear(actions[i:]) // a part is of use only with all parts before it
 			break
 		}
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -49,7 +49,7 @@
 	endpointMinInterval = 300 * time.Millisecond
 	sharedMinInterval   = 150 * time.Millisecond
 	// unnamedBeforeBoot is how long before the boot of the machine a weight version that the first read found is assumed to have
-	// been still unnamed (see site.Snapshot.UnnamedAt). It is longer than any time for which a replaced weight version is used.
+	// been still unnamed (see site.Naming). It is longer than any time for which a replaced weight version is used.
 	unnamedBeforeBoot = time.Hour
 	// versionsWatchTimeout is how long a watch of weight versions waits. KV stores are used only while the versions were
 	// confirmed recently.
@@ -150,8 +150,8 @@
 		r.members, r.sharedChanges = map[string]member{}, map[string]observedChange{}
 		r.restored, r.rewriteSignal = make(chan struct{}, 1), make(chan struct{}, 1)
 		r.next = site.Snapshot{Endpoints: map[string][]*site.Endpoint{}, Evacuated: map[string]bool{},
-			Versions: map[string]uint64{}, NamedAt: map[string]time.Duration{},
-			UnnamedAt: map[string]time.Duration{}, Updating: map[string]bool{}, Marks: map[uint64]quarantine.Evidence{}, Gateways: 1}
+			Versions: map[string]uint64{}, Namings: map[string]site.Namings{},
+			Updating: map[string]bool{}, Marks: map[uint64]quarantine.Evidence{}, Gateways: 1}
 		first := r.next
 		r.current.Store(&first)
 		r.configurationFollower = &follower[*site.Configuration]{kind: "Configuration", source: r.Configurations,
@@ -319,16 +319,17 @@
 		if c.Removed || c.Err != nil || c.Value.Version <= r.next.Versions[c.Value.Model] {
 			continue
 		}
-		versions, namedAt, unnamedAt := maps.Clone(r.next.Versions), maps.Clone(r.next.NamedAt), maps.Clone(r.next.UnnamedAt)
+		versions, namings := maps.Clone(r.next.Versions), maps.Clone(r.next.Namings)
 		// lastContact is the time of the last successful call before this one; that call did not return this version.
 		now, contact := bootclock.Now(), r.versionFollower.lastContact()
-		versions[c.Value.Model], namedAt[c.Value.Model], unnamedAt[c.Value.Model] = c.Value.Version, now, contact
+		naming := site.Naming{Version: c.Value.Version, NamedAt: now, UnnamedAt: contact}
 		r.Ages.Named(c.Value.Model, c.Value.Version, now, contact != 0)
 		if contact == 0 {
 			// The first read of the store returned the version, so it may have been named at any earlier time.
-			unnamedAt[c.Value.Model] = -unnamedBeforeBoot
+			naming.UnnamedAt = -unnamedBeforeBoot
 		}
-		r.next.Versions, r.next.NamedAt, r.next.UnnamedAt = versions, namedAt, unnamedAt
+		versions[c.Value.Model], namings[c.Value.Model] = c.Value.Version, namings[c.Value.Model].Add(naming)
+		r.next.Versions, r.next.Namings = versions, namings
 		event.Info(r.Log, event.WeightVersionNamed, "model", c.Value.Model, "version", c.Value.Version, "revision", c.Revision)
 		r.publish()
 	}
--- a/internal/version/registry/registry_test.go
+++ b/internal/version/registry/registry_test.go
@@ -538,7 +538,7 @@
 		time.Sleep(time.Second)
 		snapshot := r.Current()
 		is.Equal(snapshot.Versions["M"], uint64(2))
-		is.True(!tiering.Lifetimes{}.MayUse(1, 2, 0, 0-snapshot.UnnamedAt["M"])) // holds even at boot clock 0, on a machine that has just booted
+		is.True(!tiering.Lifetimes{}.MayUse(1, 2, 0, snapshot.Namings["M"].MaxReplacedFor(1, 0))) // holds even at boot clock 0, on a machine that has just booted
 		cancel()
 		is.NoErr(<-ended)
 	})
--- a/pkg/site/endpoint.go
+++ b/pkg/site/endpoint.go
@@ -70,12 +70,10 @@
 	EndpointsRevision uint64
 	// Evacuated are the failure domains that must not get any work.
 	Evacuated map[string]bool
-	// Versions is the weight version to be served for each model, which is called the named version. NamedAt is when this gateway first
-	// saw the version named, UnnamedAt the last time at which it knew that the version was not yet named. Both are times since the start
-	// of the machine; UnnamedAt is negative if the version was already named when the gateway first read the versions.
-	Versions  map[string]uint64
-	NamedAt   map[string]time.Duration
-	UnnamedAt map[string]time.Duration
+	// Versions is the weight version to be served for each model, which is called the named version, and Namings tells when this gateway
+	// learned of it and of those before.
+	Versions map[string]uint64
+	Namings  map[string]Namings
 	// Gateways is the number of gateways that share limits, including this one. It is at least 1.
 	Gateways int
 	// Updating are the endpoints that are about to change their weights. UpdatingAt is when this gateway last replaced the set.
--- a/pkg/tiering/lifetime.go
+++ b/pkg/tiering/lifetime.go
@@ -26,19 +26,19 @@
 
 // MayUse reports whether parts of a weight version may be fetched and saved: those of the named version or a later one, and
 // those of an earlier version whose lifetime has not passed since it was replaced, but none if the snapshot is as old as
-// MaxViewAge. snapshotAge is the age of the snapshot of the named versions. namedFor is the time since the last moment at
-// which the named version was known not to be named yet, an upper limit of the time for which it has been named.
-func (l Lifetimes) MayUse(version, named uint64, snapshotAge, namedFor time.Duration) bool {
-	return snapshotAge < MaxViewAge && (version >= named || namedFor < l.Last())
+// MaxViewAge. snapshotAge is the age of the snapshot of the named versions. replacedFor is the time since the last moment at
+// which no later version than the given one was known to be named, an upper limit of the time for which it has been replaced.
+func (l Lifetimes) MayUse(version, named uint64, snapshotAge, replacedFor time.Duration) bool {
+	return snapshotAge < MaxViewAge && (version >= named || replacedFor < l.Last())
 }
 
 // MayUsePart is MayUse for a single part.
-func (l Lifetimes) MayUsePart(version, named uint64, id string, snapshotAge, namedFor time.Duration) bool {
-	return l.MayUse(version, named, snapshotAge, namedFor) && (version >= named || namedFor < l.Of(id))
+func (l Lifetimes) MayUsePart(version, named uint64, id string, snapshotAge, replacedFor time.Duration) bool {
+	return l.MayUse(version, named, snapshotAge, replacedFor) && (version >= named || replacedFor < l.Of(id))
 }
 
-// Retired reports whether a part of a weight version may be freed. namedFor is the time since this gateway learned
-// the named version, a lower limit of the time for which it has been named.
-func (l Lifetimes) Retired(version, named uint64, id string, namedFor time.Duration) bool {
-	return version < named && namedFor >= l.Of(id)+TransferTimeout+retireMargin
+// Retired reports whether a part of a weight version may be freed. replacedFor is the time since this gateway learned of the
+// first later version, a lower limit of the time for which the version has been replaced.
+func (l Lifetimes) Retired(version, named uint64, id string, replacedFor time.Duration) bool {
+	return version < named && replacedFor >= l.Of(id)+TransferTimeout+retireMargin
 }
