Read the description of a KV store under the catalog's lock

Cause: a new configuration replaces the description of a store, with the same name and address, under the lock, while the goroutine that follows the store, or frees stalled saves there, reads it without the lock. Callers see nothing of it.

Change: it is read under the lock where a source is selected and where parts are freed.

--- a/internal/connection/kvstore/catalog.go
+++ b/internal/connection/kvstore/catalog.go
@@ -105,18 +105,26 @@
 	direct  bool
 }
 
+// storeOf returns the description of a store, which a new configuration may replace.
+func (c *Catalog) storeOf(state *storeState) tiering.Store {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return state.store
+}
+
 // selectSource returns the store itself, if this gateway must read its events itself, or a randomly chosen gateway that does.
 func (c *Catalog) selectSource(state *storeState) eventSource {
-	direct := eventSource{client: c.Stores, address: state.store.Address, direct: true}
+	store := c.storeOf(state)
+	direct := eventSource{client: c.Stores, address: store.Address, direct: true}
 	if c.RelayPort == 0 || c.Relays == nil {
 		return direct
 	}
-	leaders, self := c.View.Leaders(state.store.Name, max(1, int(readerShare*float64(state.maxReaders))))
+	leaders, self := c.View.Leaders(store.Name, max(1, int(readerShare*float64(state.maxReaders))))
 	if self || len(leaders) == 0 {
 		return direct
 	}
 	leader := leaders[rand.IntN(len(leaders))]
-	return eventSource{client: c.Relays, address: relayAddress(netip.AddrPortFrom(leader, c.RelayPort), state.store.Name)}
+	return eventSource{client: c.Relays, address: relayAddress(netip.AddrPortFrom(leader, c.RelayPort), store.Name)}
 }
 
 // pendingSave is a part that an engine was instructed to save.
--- a/internal/connection/kvstore/free.go
+++ b/internal/connection/kvstore/free.go
@@ -59,7 +59,7 @@
 // freeStalledSaves frees the saves that the last listing shows to have stalled, at most maxFreeParts, if this gateway is the leader of
 // the store and reads the store's events itself.
 func (c *Catalog) freeStalledSaves(ctx context.Context, state *storeState) {
-	if !c.View.IsLeader(state.store.Name) {
+	if !c.View.IsLeader(c.storeOf(state).Name) {
 		return
 	}
 	f := freeRequest{state: state, reason: "save stalled", timeout: stalledFreeTimeout}
@@ -87,12 +87,13 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := c.Stores.Free(callCtx, f.state.store.Address, f.parts, f.epoch, clock+f.timeout)
+	store := c.storeOf(f.state)
+	err := c.Stores.Free(callCtx, store.Address, f.parts, f.epoch, clock+f.timeout)
 	outcome := "freed"
 	if err != nil {
 		outcome = err.Error()
 	}
-	event.Info(c.Log, event.CacheFreed, "store", f.state.store.Name, "epoch", f.epoch, "parts", len(f.parts),
+	event.Info(c.Log, event.CacheFreed, "store", store.Name, "epoch", f.epoch, "parts", len(f.parts),
 		"reason", f.reason, "outcome", outcome)
 	if err == nil {
 		c.removeFreed(f)
