--- a/internal/connection/kvstore/lease_test.go
+++ b/internal/connection/kvstore/lease_test.go
@@ -40,6 +40,19 @@
 	return changes, errors.CombineErrors(p.delivered(ctx), err)
 }
 
+// runAnother runs a second catalog until end is called.
+func runAnother(v kvstore.View, stores kvstore.Stores) (c *kvstore.Catalog, end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	started := time.Now()
+	c = &kvstore.Catalog{View: v, Stores: stores, Log: logr.Discard(), Floors: &tiering.Floors{}, Now: func() time.Duration { return time.Since(started) }}
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx) }()
+	return c, func() {
+		cancel()
+		<-ended
+	}
+}
+
 // TestNoSaveWhileFetchesOfEarlierEpochMayRun guards against a fetch of a part that is being saved again after a restart of its store, by a
 // gateway that the news of the restart has not reached.
 func TestNoSaveWhileFetchesOfEarlierEpochMayRun(t *testing.T) {
@@ -48,15 +61,8 @@
 		path := &silentPath{store: s}
 		runCatalog(t, s, &view{}, func(informed *kvstore.Catalog) {
 			is := is.New(t)
-			ctx, cancel := context.WithCancel(context.Background())
-			started := time.Now()
-			uninformed := &kvstore.Catalog{View: informed.View, Stores: path, Log: logr.Discard(), Floors: &tiering.Floors{}, Now: func() time.Duration { return time.Since(started) }}
-			ended := make(chan error, 1)
-			go func() { ended <- uninformed.Run(ctx) }()
-			defer func() {
-				cancel()
-				<-ended
-			}()
+			uninformed, end := runAnother(informed.View, path)
+			defer end()
 			time.Sleep(holdTime)
 			is.True(uninformed.Scope(scopeV1).Holds("K", part("a", 100)))
 			path.cut.Store(true)
@@ -148,15 +154,8 @@
 	path := &silentPath{store: s}
 	runCatalog(t, s, &view{}, func(informed *kvstore.Catalog) {
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(context.Background())
-		started := time.Now()
-		uninformed := &kvstore.Catalog{View: informed.View, Stores: path, Log: logr.Discard(), Floors: &tiering.Floors{}, Now: func() time.Duration { return time.Since(started) }}
-		ended := make(chan error, 1)
-		go func() { ended <- uninformed.Run(ctx) }()
-		defer func() {
-			cancel()
-			<-ended
-		}()
+		uninformed, end := runAnother(informed.View, path)
+		defer end()
 		time.Sleep(holdTime)
 		now := time.Now()
 		first := uninformed.Scope(scopeV1).RequestSave("K", part("a", 100), now, now.Add(8*time.Second))
--- a/pkg/tiering/saves.go
+++ b/pkg/tiering/saves.go
@@ -33,14 +33,14 @@
 type Saves struct {
 	mu    sync.Mutex
 	own   map[*Save]bool
-	peers map[savesPeer][]peerSave
+	peers map[savesPeer][]saveState
 }
 
 // Save is a save that this gateway requested.
-type Save struct{ peerSave }
+type Save struct{ saveState }
 
-// peerSave is a save that counts until a time: while begun is not set, that from which on the engine does not begin it any more.
-type peerSave struct {
+// saveState is the state of a save, which counts until a time: until the engine does not begin it any more, or, if begun is set, until it is over.
+type saveState struct {
 	key   uint64
 	begun bool
 	until time.Time
@@ -70,13 +70,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	maps.DeleteFunc(s.own, func(save *Save, _ bool) bool { return !now.Before(save.until) })
-	if s.any(now, key, func(peerSave) bool { return true }) || s.ownPending() >= maxPendingSaves {
+	if s.any(now, key, func(saveState) bool { return true }) || s.ownPending() >= maxPendingSaves {
 		return nil
 	}
 	if s.own == nil {
 		s.own = map[*Save]bool{}
 	}
-	save := &Save{peerSave{key: key, until: until}}
+	save := &Save{saveState{key: key, until: until}}
 	s.own[save] = true
 	return save
 }
@@ -111,21 +111,21 @@
 func (s *Saves) Pending(now time.Time, key uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.any(now, key, func(save peerSave) bool { return !save.begun })
+	return s.any(now, key, func(save saveState) bool { return !save.begun })
 }
 
 // Active reports whether a save of a part is pending or in progress.
 func (s *Saves) Active(now time.Time, key uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.any(now, key, func(peerSave) bool { return true })
+	return s.any(now, key, func(saveState) bool { return true })
 }
 
 // any reports whether there is a save of a part that counts and meets a condition. The caller must hold s.mu.
-func (s *Saves) any(now time.Time, key uint64, condition func(peerSave) bool) bool {
-	matches := func(save peerSave) bool { return save.key == key && now.Before(save.until) && condition(save) }
+func (s *Saves) any(now time.Time, key uint64, condition func(saveState) bool) bool {
+	matches := func(save saveState) bool { return save.key == key && now.Before(save.until) && condition(save) }
 	for save := range s.own {
-		if matches(save.peerSave) {
+		if matches(save.saveState) {
 			return true
 		}
 	}
@@ -141,19 +141,19 @@
 func (s *Saves) SetPeer(now time.Time, peer string, incarnation uint64, reports []SaveReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	maps.DeleteFunc(s.peers, func(p savesPeer, saves []peerSave) bool {
+	maps.DeleteFunc(s.peers, func(p savesPeer, saves []saveState) bool {
 		replaced := p == savesPeer{peer, incarnation}
-		return replaced || !slices.ContainsFunc(saves, func(save peerSave) bool { return now.Before(save.until) })
+		return replaced || !slices.ContainsFunc(saves, func(save saveState) bool { return now.Before(save.until) })
 	})
 	if len(reports) == 0 {
 		return
 	}
-	saves := make([]peerSave, len(reports))
+	saves := make([]saveState, len(reports))
 	for i, r := range reports {
-		saves[i] = peerSave{key: r.Key, begun: r.Begun, until: now.Add(min(r.Left, maxSaveTime))}
+		saves[i] = saveState{key: r.Key, begun: r.Begun, until: now.Add(min(r.Left, maxSaveTime))}
 	}
 	if s.peers == nil {
-		s.peers = map[savesPeer][]peerSave{}
+		s.peers = map[savesPeer][]saveState{}
 	}
 	s.peers[savesPeer{peer, incarnation}] = saves
 }
@@ -163,13 +163,13 @@
 func (s *Saves) Reports(now time.Time, peers map[string]bool, limit int) (reports []SaveReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	add := func(save peerSave) {
+	add := func(save saveState) {
 		if left := save.until.Sub(now); left > 0 {
 			reports = append(reports, SaveReport{Key: save.key, Begun: save.begun, Left: left})
 		}
 	}
 	for save := range s.own {
-		add(save.peerSave)
+		add(save.saveState)
 	}
 	for p, saves := range s.peers {
 		if peers[p.name] {
