End a pending save with the connection of its request

Cause: a save stayed pending until the deadline of its request, up to 12 s, if the attempt broke off, found its engine silent or was given up. Its part could be neither saved nor fetched meanwhile.

Change: the save is cancelled, since servers drop a request whose connection closes.

--- a/internal/request/forward/saves.go
+++ b/internal/request/forward/saves.go
@@ -35,15 +35,15 @@
 	s.list = nil
 }
 
-// recordOutcome records the end of the attempt. If the endpoint may still work on the request, the saves stay pending.
+// recordOutcome records the end of the attempt. An endpoint that has not answered drops the request, since its connection closes.
 func (s *requestedSaves) recordOutcome(now time.Time, o placement.Outcome) {
 	switch o {
 	case placement.Answered, placement.Failed:
 		s.begun(now)
-	case placement.Full, placement.Misdirected, placement.Unreachable:
-		for _, save := range s.list {
-			s.scope.CancelSave(save)
-		}
-		s.list = nil
+		return
 	}
+	for _, save := range s.list {
+		s.scope.CancelSave(save)
+	}
+	s.list = nil
 }
