Log by which times replaced parts are fetched and freed

No log told whether a fetch was requested too late by the requester's own count, past its time limit, or whether parts were freed too soon, and by which rule.

Change: ReplacedPartsFetched has the upper limit of the time since the replacement, the servers' clock and the time limit of the fetch; CacheFreed the weight versions, the lower limit of that time, the clock and the first 32 IDs; WeightVersionNamed how long ago the version was certainly not named yet. Nothing is decided by them.

Measured: tests of the four packages pass.

--- a/internal/connection/kvstore/free.go
+++ b/internal/connection/kvstore/free.go
@@ -14,6 +14,8 @@
 const (
 	// maxFreeParts limits the parts that one call frees.
 	maxFreeParts = 500
+	// maxLoggedParts limits the parts that are logged of one call.
+	maxLoggedParts = 32
 	// freeTimeout is the time within which the store must receive a call that frees parts; the store refuses it after that.
 	freeTimeout = time.Second
 	// stalledFreeTimeout replaces freeTimeout for a stalled save. It is shorter than the delay with which a store reports an event: if
@@ -93,13 +95,41 @@
 	if err != nil {
 		outcome = err.Error()
 	}
+	versions, replacedFor := c.freedVersions(f.parts)
 	event.Info(c.Log, event.CacheFreed, "store", store.Name, "epoch", f.epoch, "parts", len(f.parts),
-		"reason", f.reason, "outcome", outcome)
+		"reason", f.reason, "outcome", outcome, "versions", versions, "replacedMs", replacedFor.Milliseconds(),
+		"clockMs", clock.Milliseconds(), "first", f.firstIDs())
 	if err == nil {
 		c.removeFreed(f)
 	}
 }
 
+// freedVersions returns the weight versions of parts in ascending order, and a lower limit of the time for which the lowest one has been replaced.
+func (c *Catalog) freedVersions(parts []Key) (versions []uint64, replacedFor time.Duration) {
+	lowest := tiering.Scope{}
+	for _, key := range parts {
+		scope, ok := tiering.ParseScope(key.Scope)
+		if !ok {
+			continue
+		}
+		if len(versions) == 0 || scope.Version < lowest.Version {
+			lowest = scope
+		}
+		if i, found := slices.BinarySearch(versions, scope.Version); !found {
+			versions = slices.Insert(versions, i, scope.Version)
+		}
+	}
+	return versions, c.View.Current().Namings[lowest.Model].MinReplacedFor(lowest.Version, bootclock.Now())
+}
+
+// firstIDs returns the IDs of the first parts, at most maxLoggedParts.
+func (f *freeRequest) firstIDs() (ids []string) {
+	for _, key := range f.parts[:min(len(f.parts), maxLoggedParts)] {
+		ids = append(ids, key.ID)
+	}
+	return ids
+}
+
 func (c *Catalog) removeFreed(f freeRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -169,4 +169,7 @@
 	RolloutReportFailed
 	// TakeUpNotAnswered is logged, at level 1, when another gateway did not answer which build began a stream.
 	TakeUpNotAnswered
+	// ReplacedPartsFetched is logged when a request lets an engine fetch parts of a replaced weight version, with the upper limit of the time for
+	// which it has been replaced and the time limit of the fetch by the servers' clock.
+	ReplacedPartsFetched
 )
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"primrosecourse/internal/event"
 	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/pkg/placement"
 	"primrosecourse/pkg/ring"
@@ -230,9 +232,22 @@
 			o.Tiers[i].Save = saves.request(a.Save, req.meta.Parts[i], now, now.Add(o.TimeLeft+saveMargin))
 		}
 	}
+	req.logReplacedFetch(o, version, clock)
 	return saves
 }
 
+// logReplacedFetch logs a fetch of parts of a replaced weight version, before which the servers' clock was at clock.
+func (req *request) logReplacedFetch(o *Outgoing, version uint64, clock time.Duration) {
+	named := req.snapshot.Versions[req.meta.Model]
+	fetches := func(a tiering.Action) bool { return a.Fetch != nil }
+	if version >= named || !slices.ContainsFunc(o.Tiers, fetches) {
+		return
+	}
+	replacedFor := req.snapshot.Namings[req.meta.Model].MaxReplacedFor(version, bootclock.Now())
+	event.Debug(req.handler.Log, event.ReplacedPartsFetched, "request", req.meta.ID, "endpoint", o.Endpoint, "version", version, "named", named,
+		"replacedMs", replacedFor.Milliseconds(), "clockMs", clock.Milliseconds(), "untilMs", o.Until.Milliseconds())
+}
+
 // ringKey returns the hash of the shared parts of the prompt, which determines the request's place on the ring. The name of a
 // dedicated organisation is part of it.
 func (req *request) ringKey() uint64 {
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -330,7 +330,12 @@
 		}
 		versions[c.Value.Model], namings[c.Value.Model] = c.Value.Version, namings[c.Value.Model].Add(naming)
 		r.next.Versions, r.next.Namings = versions, namings
-		event.Info(r.Log, event.WeightVersionNamed, "model", c.Value.Model, "version", c.Value.Version, "revision", c.Revision)
+		unnamed := time.Duration(-1) * time.Millisecond
+		if contact != 0 {
+			unnamed = now - contact
+		}
+		event.Info(r.Log, event.WeightVersionNamed, "model", c.Value.Model, "version", c.Value.Version, "revision", c.Revision,
+			"unnamedMs", unnamed.Milliseconds())
 		r.publish()
 	}
 }
