Take an answer as complete up to the start of its call

What callers saw: MIXED, answers made from parts of a replaced weight version that a KV store freed while an engine fetched them, always at a gateway that had been frozen over the naming.

Cause: the use of replaced parts is limited by the last moment at which the version was certainly not named. The registry took the arrival of the last answer for it, less the age that another gateway stated as it answered. An answer that waits, in a frozen process or on its way, does not have what changes meanwhile. Such a gateway counted up to 4 s less than the one that frees, whose margin is 1 s. VersionsAge, ConfigurationAge and SharedAge had the same fault; SharedAge did not even count the stated age.

Ruled out: frees that are too early (12.4 s after the naming, as meant), time limits of fetches (1 s after their request).

Change: registry.CompleteAt is the start of the call, or the end of its wait if nothing had changed by then. Followers keep the latest such time, and what other gateways pass on is as much older as they state. Ages are rounded up. TestAgeIsPassedOn compared ages at arrival, which no longer exist; it now compares with the time of the gateway that read the store. Every test of the relay checks each result.

--- a/internal/connection/watchrelay/relay.go
+++ b/internal/connection/watchrelay/relay.go
@@ -82,9 +82,9 @@
 	own    *journal
 
 	mu sync.Mutex
-	// age is how old the last result already was when it was received; through is the gateway that sent it, invalid for the store.
-	age     time.Duration
-	through netip.Addr
+	// completeAt is the bootclock time up to which the last result was complete; through is the gateway that sent it, invalid for the store.
+	completeAt time.Duration
+	through    netip.Addr
 	// servedAt is when another gateway last asked for this kind.
 	servedAt time.Time
 	// storeFailedAt is when the store last failed to answer, zero if it answered since.
@@ -150,11 +150,11 @@
 	return k
 }
 
-// Age returns how old the last result already was when it was received: 0 if it came from the store.
-func (k *Kind) Age() time.Duration {
+// CompleteAt returns the bootclock time up to which the last result had all changes, false before the first one.
+func (k *Kind) CompleteAt() (at time.Duration, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.age
+	return k.completeAt, k.completeAt != 0
 }
 
 // List implements registry.Source.
@@ -167,7 +167,7 @@
 	changes, revision, err = k.store.List(ctx)
 	if err == nil {
 		k.own.replace(changes, revision, start)
-		k.received(0, netip.Addr{})
+		k.received(start, netip.Addr{})
 		return changes, revision, nil
 	}
 	k.storeFailed()
@@ -195,14 +195,12 @@
 	case k.isAsked():
 		wait = shortWait
 	}
-	asOf := bootclock.Now()
+	began := bootclock.Now()
 	changes, revision, err = k.store.Watch(ctx, after, wait)
 	if err == nil {
-		if len(changes) == 0 { // The store waited, so nothing had changed by then.
-			asOf = min(asOf+wait, bootclock.Now())
-		}
-		k.own.update(after, changes, revision, asOf)
-		k.received(0, netip.Addr{})
+		at := registry.CompleteAt(began, wait, len(changes) > 0)
+		k.own.update(after, changes, revision, at)
+		k.received(at, netip.Addr{})
 	} else if ctx.Err() == nil && !errors.Is(err, platform.ErrWatchGap) {
 		k.storeFailed()
 	}
@@ -261,10 +259,11 @@
 		if !k.relay.mayAsk(leader) {
 			continue
 		}
+		began := bootclock.Now()
 		a, changes, err := k.relay.call(ctx, leader, query, wait)
 		age := time.Duration(a.AgeMs) * time.Millisecond
-		if err == nil && age <= k.maxAge {
-			k.received(age, leader)
+		if err == nil && age >= 0 && age <= k.maxAge {
+			k.received(registry.CompleteAt(began, wait, a.Gap || len(changes) > 0)-age, leader)
 			return a, changes, true
 		}
 		if ctx.Err() != nil || errors.Is(err, errTooMuch) {
@@ -278,16 +277,17 @@
 	return a, nil, false
 }
 
-func (k *Kind) received(age time.Duration, through netip.Addr) {
+// received records the last result, which was complete up to the given bootclock time.
+func (k *Kind) received(completeAt time.Duration, through netip.Addr) {
 	k.mu.Lock()
 	changed := k.through != through
-	k.age, k.through = age, through
+	k.completeAt, k.through = completeAt, through
 	if !through.IsValid() {
 		k.storeFailedAt = time.Time{}
 	}
 	k.mu.Unlock()
 	if changed {
-		event.Info(k.relay.Log, event.WatchRelayed, "kind", k.name, "through", text(through), "ageMs", age.Milliseconds())
+		event.Info(k.relay.Log, event.WatchRelayed, "kind", k.name, "through", text(through), "ageMs", (bootclock.Now() - completeAt).Milliseconds())
 	}
 }
 
--- a/internal/connection/watchrelay/relay_test.go
+++ b/internal/connection/watchrelay/relay_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"strings"
@@ -18,6 +19,7 @@
 	"github.com/matryer/is"
 
 	"primrosecourse/internal/connection/call"
+	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/internal/process/platform"
 )
 
@@ -30,10 +32,25 @@
 	gap      uint64 // changes up to this revision are forgotten
 	changed  chan struct{}
 	calls    int
+	// madeAt has the bootclock time of each change by its revision.
+	madeAt map[uint64]time.Duration
+	// missing are results without a change that was made before the time up to which they are stated to be complete.
+	missing []string
 }
 
 func newStore() *store {
-	return &store{objects: map[string]Change{}, revision: 10, changed: make(chan struct{})}
+	return &store{objects: map[string]Change{}, revision: 10, changed: make(chan struct{}), madeAt: map[uint64]time.Duration{}}
+}
+
+// check records if a result up to a revision lacks a change that was made before completeAt.
+func (s *store) check(revision uint64, completeAt time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.log {
+		if made := s.madeAt[c.Revision]; c.Revision > revision && made < completeAt {
+			s.missing = append(s.missing, fmt.Sprintf("%q, made %v before", c.Name, completeAt-made))
+		}
+	}
 }
 
 func (s *store) put(name, value string) uint64 {
@@ -42,7 +59,7 @@
 	s.revision++
 	c := Change{Name: name, Revision: s.revision, Value: json.RawMessage(value)}
 	s.objects[name] = c
-	s.log = append(s.log, c)
+	s.log, s.madeAt[s.revision] = append(s.log, c), bootclock.Now()
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.revision
@@ -53,7 +70,7 @@
 	defer s.mu.Unlock()
 	s.revision++
 	delete(s.objects, name)
-	s.log = append(s.log, Change{Name: name, Revision: s.revision, Removed: true})
+	s.log, s.madeAt[s.revision] = append(s.log, Change{Name: name, Revision: s.revision, Removed: true}), bootclock.Now()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -63,6 +80,22 @@
 	store *store
 	mu    sync.Mutex
 	cut   bool
+	// late is how long the answers are on their way.
+	late time.Duration
+}
+
+func (p *path) setLate(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.late = d
+}
+
+// deliver waits while an answer is on its way.
+func (p *path) deliver() {
+	p.mu.Lock()
+	d := p.late
+	p.mu.Unlock()
+	time.Sleep(d)
 }
 
 func (p *path) setCut(cut bool) {
@@ -81,6 +114,7 @@
 	if p.isCut() {
 		return nil, 0, platform.ErrUnavailable
 	}
+	defer p.deliver()
 	p.store.mu.Lock()
 	defer p.store.mu.Unlock()
 	p.store.calls++
@@ -114,6 +148,7 @@
 		revision, changed := p.store.revision, p.store.changed
 		p.store.mu.Unlock()
 		if len(changes) > 0 || expired {
+			p.deliver()
 			return changes, revision, nil
 		}
 		select {
@@ -160,8 +195,9 @@
 	mu       sync.Mutex
 	seen     map[string]string
 	revision uint64
-	// hang makes it leave calls of others unanswered, as a frozen process does.
+	// hang makes it leave calls of others unanswered, as a frozen process does. late is how long its answers are on their way.
 	hang bool
+	late time.Duration
 }
 
 const maxAge = 300 * time.Millisecond
@@ -171,6 +207,11 @@
 	t.Helper()
 	s = newStore()
 	s.put("first", `"1"`)
+	t.Cleanup(func() {
+		if len(s.missing) > 0 {
+			t.Errorf("%d results lack changes from before the time up to which they are stated to be complete; the first: %s", len(s.missing), s.missing[0])
+		}
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	var followers sync.WaitGroup
@@ -193,7 +234,7 @@
 				<-r.Context().Done()
 				return
 			}
-			g.relay.ServeHTTP(w, r)
+			g.serveLate(w, r)
 		}), ReadHeaderTimeout: time.Second}
 		go func() { _ = server.Serve(l) }()
 		followers.Go(func() { g.follow(ctx) })
@@ -214,6 +255,18 @@
 	return g.hang
 }
 
+// serveLate answers a call of another gateway. The answer is on its way for g.late.
+func (g *gateway) serveLate(w http.ResponseWriter, r *http.Request) {
+	answer := httptest.NewRecorder()
+	g.relay.ServeHTTP(answer, r)
+	g.mu.Lock()
+	late := g.late
+	g.mu.Unlock()
+	time.Sleep(late)
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes())
+}
+
 func (g *gateway) follow(ctx context.Context) {
 	listed := false
 	for ctx.Err() == nil {
@@ -242,6 +295,9 @@
 			}
 			g.revision, listed = revision, true
 			g.mu.Unlock()
+			if at, ok := g.kind.CompleteAt(); ok {
+				g.path.store.check(revision, at)
+			}
 		}
 	}
 }
@@ -339,14 +395,43 @@
 	_, gateways := start(t, 2)
 	await(t, gateways, "first", `"1"`, 3*time.Second)
 	time.Sleep(2500 * time.Millisecond)
-	oldest := time.Duration(0)
 	for range 100 {
-		oldest = max(oldest, gateways[1].kind.Age())
-		is.True(gateways[1].kind.Age() <= maxAge)
+		passedOn, ok := gateways[1].kind.CompleteAt()
+		is.True(ok)
+		own := gateways[0].kind.own
+		own.mu.Lock()
+		direct := own.directAt
+		own.mu.Unlock()
+		is.True(passedOn <= direct)
+		is.True(bootclock.Now()-passedOn <= 2*maxAge)
 		time.Sleep(2 * time.Millisecond)
 	}
-	is.True(oldest > 0)
-	is.Equal(gateways[0].kind.Age(), time.Duration(0))
+}
+
+// TestLateAnswers guards against an answer that counts as complete up to its arrival, although changes were made while it was on its way from the store
+// or from another gateway.
+func TestLateAnswers(t *testing.T) {
+	for name, delay := range map[string]func(g *gateway, d time.Duration){
+		"from the store": func(g *gateway, d time.Duration) { g.path.setLate(d) },
+		"from another gateway": func(g *gateway, d time.Duration) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.late = d
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, gateways := start(t, 3)
+			await(t, gateways, "first", `"1"`, 3*time.Second)
+			for _, g := range gateways {
+				delay(g, 200*time.Millisecond)
+			}
+			for i := range 40 {
+				time.Sleep(time.Duration(37+13*(i%7)) * time.Millisecond)
+				s.put("a", fmt.Sprintf(`"%d"`, i))
+			}
+			await(t, gateways, "a", `"39"`, 3*time.Second)
+		})
+	}
 }
 
 // TestMalformedCalls guards against a call that stops the relay.
--- a/internal/connection/watchrelay/serve.go
+++ b/internal/connection/watchrelay/serve.go
@@ -46,7 +46,7 @@
 		http.Error(w, errTooMuch.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
-	a.AgeMs = (bootclock.Now() - a.directAt).Milliseconds()
+	a.AgeMs = (bootclock.Now() - a.directAt).Milliseconds() + 1 // rounded up
 	body, err := msgpack.Marshal(&a)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/version/registry/follower.go
+++ b/internal/version/registry/follower.go
@@ -26,11 +26,6 @@
 	defaultSettleTime = 3 * time.Second
 )
 
-// aged is a source whose last result was already some time old when it was received, since it was passed on.
-type aged interface {
-	Age() time.Duration
-}
-
 // follower lists and watches the objects of one kind and passes their changes to apply.
 type follower[T any] struct {
 	kind   string
@@ -75,18 +70,19 @@
 	// cancel ends the pending watch, nil if there is none; watchBegan is when that watch began.
 	cancel     context.CancelFunc
 	watchBegan time.Time
-	// contactAt is the bootclock time of the last successful call to the store, zero if there was none.
-	contactAt time.Duration
-	failedAt  time.Time
+	// completeAt is the bootclock time up to which all changes are known, zero if no call has succeeded.
+	completeAt time.Duration
+	failedAt   time.Time
 	// regainedAt is when a call succeeded after one that had failed, zero if that did not happen.
 	regainedAt time.Time
 }
 
-// lastContact returns the bootclock time of the last successful call to the store, zero if there was none.
-func (f *follower[T]) lastContact() time.Duration {
+// lastComplete returns the bootclock time up to which all changes are known, zero if no call has succeeded. It does not depend on when an answer
+// arrived.
+func (f *follower[T]) lastComplete() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.contactAt
+	return f.completeAt
 }
 
 // lastFailure returns when a call last failed, zero if never. A lost watch history and a cancelled watch do not count.
@@ -120,10 +116,10 @@
 		if f.settles(start) {
 			listed = false
 		}
-		err := f.step(ctx, listed, down)
+		completeAt, err := f.step(ctx, listed, down)
 		switch {
 		case err == nil:
-			f.recordContact()
+			f.recordSuccess(completeAt)
 			if listed {
 				gaps = 0
 			}
@@ -171,18 +167,19 @@
 	}
 }
 
-// step makes one call and applies what it returned.
-func (f *follower[T]) step(ctx context.Context, listed, down bool) error {
+// step makes one call and applies what it returned. It returns the bootclock time up to which that is complete.
+func (f *follower[T]) step(ctx context.Context, listed, down bool) (completeAt time.Duration, err error) {
+	began := bootclock.Now()
 	if !listed {
 		changes, revision, err := f.source.List(ctx)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		if revision < f.revision {
-			return errors.Newf("list revision decreased from %d to %d", f.revision, revision)
+			return 0, errors.Newf("list revision decreased from %d to %d", f.revision, revision)
 		}
 		f.list(changes, revision, time.Now())
-		return nil
+		return f.completeTime(began, 0, true), nil
 	}
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -202,17 +199,28 @@
 	changes, revision, err := f.source.Watch(watchCtx, f.revision, timeout)
 	f.setWatch(nil)
 	if err != nil && watchCtx.Err() != nil {
-		return context.Canceled
+		return 0, context.Canceled
 	}
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if revision < f.revision {
-		return errors.Wrapf(platform.ErrWatchGap, "watch revision decreased from %d to %d", f.revision, revision)
+		return 0, errors.Wrapf(platform.ErrWatchGap, "watch revision decreased from %d to %d", f.revision, revision)
 	}
+	completeAt = f.completeTime(began, timeout, len(changes) > 0)
 	f.revision = revision
 	f.update(changes)
-	return nil
+	return completeAt, nil
+}
+
+// completeTime returns the bootclock time up to which the last result of the source is complete, which is that of a call that began at began.
+func (f *follower[T]) completeTime(began, wait time.Duration, changed bool) time.Duration {
+	if passedOn, ok := f.source.(dated); ok {
+		if at, ok := passedOn.CompleteAt(); ok {
+			return at
+		}
+	}
+	return CompleteAt(began, wait, changed)
 }
 
 // setWatch records the cancel function of the watch that begins now, nil when it has ended. prompted is set if the watch is to return at once.
@@ -345,12 +353,10 @@
 	f.apply(newer)
 }
 
-func (f *follower[T]) recordContact() {
+// recordSuccess records a successful call and the bootclock time up to which its result is complete.
+func (f *follower[T]) recordSuccess(completeAt time.Duration) {
 	f.mu.Lock()
-	f.contactAt = bootclock.Now()
-	if relayed, ok := f.source.(aged); ok {
-		f.contactAt -= relayed.Age()
-	}
+	f.completeAt = max(f.completeAt, completeAt, 1) // not zero, even on a machine that has just booted
 	if f.failedAt.After(f.regainedAt) {
 		f.regainedAt = time.Now()
 	}
--- a/internal/version/registry/late_test.go
+++ b/internal/version/registry/late_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
@@ -36,9 +35,6 @@
 // TestNamingBeforeLateAnswer guards against cached parts of a replaced weight version that are used for too long by a gateway which receives an answer
 // from before the naming after it.
 func TestNamingBeforeLateAnswer(t *testing.T) {
-	if os.Getenv("PRIMROSE_KNOWN_RED") == "" {
-		t.Skip("known to fail, see KNOWN-RED.txt; PRIMROSE_KNOWN_RED=1 runs it")
-	}
 	is := is.New(t)
 	versions := &lateSource{source: newSource[site.ModelVersion](), given: make(chan struct{}), release: make(chan struct{})}
 	versions.put("M", site.ModelVersion{Model: "M", Version: 1}, nil)
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -179,7 +179,7 @@
 
 // Complete reports whether a configuration, the endpoints, the weight versions and the rollouts have been read.
 func (r *Registry) Complete() bool {
-	return r.Current().Configuration != nil && r.endpointFollower.lastContact() > 0 && r.versionFollower.lastContact() > 0 &&
+	return r.Current().Configuration != nil && r.endpointFollower.lastComplete() > 0 && r.versionFollower.lastComplete() > 0 &&
 		r.KnowsRollouts()
 }
 
@@ -187,14 +187,14 @@
 // if it never did.
 func (r *Registry) ConfigurationAge() time.Duration {
 	r.init()
-	return bootclock.Now() - r.configurationFollower.lastContact()
+	return bootclock.Now() - r.configurationFollower.lastComplete()
 }
 
 // VersionsAge returns how long ago the store last confirmed the weight versions, or the time since the boot of the machine if
 // it never did.
 func (r *Registry) VersionsAge() time.Duration {
 	r.init()
-	return bootclock.Now() - r.versionFollower.lastContact()
+	return bootclock.Now() - r.versionFollower.lastComplete()
 }
 
 // ReplacedFor returns the time since the first version of a model above the given one was named, as staleness.Ages counts it.
@@ -320,19 +320,19 @@
 			continue
 		}
 		versions, namings := maps.Clone(r.next.Versions), maps.Clone(r.next.Namings)
-		// lastContact is the time of the last successful call before this one; that call did not return this version.
-		now, contact := bootclock.Now(), r.versionFollower.lastContact()
-		naming := site.Naming{Version: c.Value.Version, NamedAt: now, UnnamedAt: contact}
-		r.Ages.Named(c.Value.Model, c.Value.Version, now, contact != 0)
-		if contact == 0 {
+		// The results of the calls before this one did not have this version.
+		now, unnamedAt := bootclock.Now(), r.versionFollower.lastComplete()
+		naming := site.Naming{Version: c.Value.Version, NamedAt: now, UnnamedAt: unnamedAt}
+		r.Ages.Named(c.Value.Model, c.Value.Version, now, unnamedAt != 0)
+		if unnamedAt == 0 {
 			// The first read of the store returned the version, so it may have been named at any earlier time.
 			naming.UnnamedAt = -unnamedBeforeBoot
 		}
 		versions[c.Value.Model], namings[c.Value.Model] = c.Value.Version, namings[c.Value.Model].Add(naming)
 		r.next.Versions, r.next.Namings = versions, namings
 		unnamed := time.Duration(-1) * time.Millisecond
-		if contact != 0 {
-			unnamed = now - contact
+		if unnamedAt != 0 {
+			unnamed = now - unnamedAt
 		}
 		event.Info(r.Log, event.WeightVersionNamed, "model", c.Value.Model, "version", c.Value.Version, "revision", c.Revision,
 			"unnamedMs", unnamed.Milliseconds())
--- a/internal/version/registry/rollouts.go
+++ b/internal/version/registry/rollouts.go
@@ -64,14 +64,14 @@
 // SharedAge returns how long ago the store last confirmed the shared objects, or the time since the boot of the machine if it never did.
 func (r *Registry) SharedAge() time.Duration {
 	r.init()
-	return bootclock.Now() - r.sharedFollower.lastContact()
+	return bootclock.Now() - r.sharedFollower.lastComplete()
 }
 
 // KnowsRollouts reports whether the rollouts and their states have been read, the rollouts by a call that began after the endpoints had been
 // listed for the first time.
 func (r *Registry) KnowsRollouts() bool {
 	r.init()
-	return r.rolloutFollower == nil || (r.rolloutsConfirmed.Load() && r.sharedFollower.lastContact() > 0)
+	return r.rolloutFollower == nil || (r.rolloutsConfirmed.Load() && r.sharedFollower.lastComplete() > 0)
 }
 
 // markEndpointsListed records the first list of endpoints. The caller must hold mu.
--- a/internal/version/registry/source.go
+++ b/internal/version/registry/source.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"time"
+
+	"primrosecourse/internal/process/bootclock"
 )
 
 // Change is the current state of one object, or its removal. Revisions contain the era of the store, see EraSize.
@@ -28,6 +30,22 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []Change[T], revision uint64, err error)
 }
 
+// dated is a source that knows up to when its last result was complete, since it was passed on or the watch waited for less time.
+type dated interface {
+	// CompleteAt returns the bootclock time up to which the last result had all changes, false if it was asked for by the last call itself.
+	CompleteAt() (at time.Duration, ok bool)
+}
+
+// CompleteAt returns the bootclock time up to which the answer to a call that began at began had all changes, the only one that is certain: the
+// answer may have been on its way, and its reader suspended, for any time. changed reports whether it has any changes; without them, it was
+// given after wait.
+func CompleteAt(began, wait time.Duration, changed bool) time.Duration {
+	if end := began + wait; !changed && end <= bootclock.Now() {
+		return end
+	}
+	return began
+}
+
 // Objects reads and writes the objects that gateways share.
 type Objects interface {
 	Source[json.RawMessage]
