Don't pass on an older list as fresh

Cause: while the store fails, a gateway takes the list of another gateway, which may be older than what it had.

Change: an older list has no such time until the store answers again.

Evidence: TestOlderListIsNotFresh failed ("complete up to 10s without the change at revision 6") and passes.

--- a/internal/connection/watchrelay/journal.go
+++ b/internal/connection/watchrelay/journal.go
@@ -28,7 +28,7 @@
 	steps   []step
 	changes int
 	first   uint64
-	// directAt is when the store itself last answered, by the clock that continues while the machine is suspended.
+	// directAt is the time up to which an answer of the store itself was complete, by the clock that continues while the machine is suspended.
 	directAt time.Duration
 	// changed is closed and replaced when the journal changes.
 	changed chan struct{}
@@ -53,6 +53,9 @@
 func (j *journal) replace(listed []Change, revision uint64, direct time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if revision < j.revision { // the list lacks what the store's last answer had
+		j.directAt = 0
+	}
 	j.objects = make(map[string]Change, len(listed))
 	for _, c := range listed {
 		j.objects[c.Name] = c
--- a/internal/connection/watchrelay/relay.go
+++ b/internal/connection/watchrelay/relay.go
@@ -98,7 +98,7 @@
 type answer struct {
 	// Revision is the revision up to which the changes are complete.
 	Revision uint64
-	// AgeMs is how long ago the store answered the gateway that answers, in milliseconds.
+	// AgeMs is how long ago what the store told the gateway that answers was complete, in milliseconds.
 	AgeMs int64
 	// Gap is set if the changes since the revision that was asked for are no longer known here.
 	Gap bool `msgpack:",omitempty"`
