Let the source that calls the store state up to when a result is complete

Cause: an entry without a name is left out of the result of a watch, so that a watch which it ended early looked like one that had waited. If its answer came late, in a frozen process, it counted as complete up to the end of the wait, at most 2.5 s too late.

Evidence: TestNamelessEventInLateAnswer failed without it ("complete up to 199ms after the store answered") and passes. go test -race of platform, registry and watchrelay passes.

--- a/internal/connection/watchrelay/relay.go
+++ b/internal/connection/watchrelay/relay.go
@@ -198,7 +198,7 @@
 	began := bootclock.Now()
 	changes, revision, err = k.store.Watch(ctx, after, wait)
 	if err == nil {
-		at := registry.CompleteAt(began, wait, len(changes) > 0)
+		at := registry.CompleteTime(k.store, began, wait, len(changes) > 0)
 		k.own.update(after, changes, revision, at)
 		k.received(at, netip.Addr{})
 	} else if ctx.Err() == nil && !errors.Is(err, platform.ErrWatchGap) {
--- a/internal/version/registry/follower.go
+++ b/internal/version/registry/follower.go
@@ -179,7 +179,7 @@
 			return 0, errors.Newf("list revision decreased from %d to %d", f.revision, revision)
 		}
 		f.list(changes, revision, time.Now())
-		return f.completeTime(began, 0, true), nil
+		return CompleteTime(f.source, began, 0, true), nil
 	}
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -207,22 +207,12 @@
 	if revision < f.revision {
 		return 0, errors.Wrapf(platform.ErrWatchGap, "watch revision decreased from %d to %d", f.revision, revision)
 	}
-	completeAt = f.completeTime(began, timeout, len(changes) > 0)
+	completeAt = CompleteTime(f.source, began, timeout, len(changes) > 0)
 	f.revision = revision
 	f.update(changes)
 	return completeAt, nil
 }
 
-// completeTime returns the bootclock time up to which the last result of the source is complete, which is that of a call that began at began.
-func (f *follower[T]) completeTime(began, wait time.Duration, changed bool) time.Duration {
-	if passedOn, ok := f.source.(dated); ok {
-		if at, ok := passedOn.CompleteAt(); ok {
-			return at
-		}
-	}
-	return CompleteAt(began, wait, changed)
-}
-
 // setWatch records the cancel function of the watch that begins now, nil when it has ended. prompted is set if the watch is to return at once.
 func (f *follower[T]) setWatch(cancel context.CancelFunc) (prompted bool) {
 	f.mu.Lock()
--- a/internal/version/registry/source.go
+++ b/internal/version/registry/source.go
@@ -30,12 +30,23 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []Change[T], revision uint64, err error)
 }
 
-// dated is a source that knows up to when its last result was complete, since it was passed on or the watch waited for less time.
+// dated is a source that states up to when its last result was complete. A source that calls the store knows best how long that waited, and one
+// that reads through another gateway how old the result was.
 type dated interface {
-	// CompleteAt returns the bootclock time up to which the last result had all changes, false if it was asked for by the last call itself.
+	// CompleteAt returns the bootclock time up to which the last result had all changes, false if that is not known.
 	CompleteAt() (at time.Duration, ok bool)
 }
 
+// CompleteTime returns the bootclock time up to which the last result of a source had all changes: what it states, or CompleteAt.
+func CompleteTime[T any](source Source[T], began, wait time.Duration, changed bool) time.Duration {
+	if d, ok := source.(dated); ok {
+		if at, ok := d.CompleteAt(); ok {
+			return at
+		}
+	}
+	return CompleteAt(began, wait, changed)
+}
+
 // CompleteAt returns the bootclock time up to which the answer to a call that began at began had all changes, the only one that is certain: the
 // answer may have been on its way, and its reader suspended, for any time. changed reports whether it has any changes; without them, it was
 // given after wait.
