Confirm shared objects every 400 ms while a rollout is active

Cause: a rollout's target gets nothing, and nothing is decided, while that age is over 2 s. A gateway that reads through another one adds its own wait, the stated age and the next wait, of 0.8 s each.

Change: the watch of shared objects waits for 400 ms at most while a rollout is active.

--- a/internal/version/registry/rollouts.go
+++ b/internal/version/registry/rollouts.go
@@ -18,7 +18,7 @@
 	rolloutsWatchTimeout = 5 * time.Second
 	// orderWatchTimeout is how long a watch of shared objects waits while a rollout is active: nothing is sent to its target unless its state
 	// was confirmed recently.
-	orderWatchTimeout = 800 * time.Millisecond
+	orderWatchTimeout = 400 * time.Millisecond
 	// promptWatchTimeout is how long a watch waits that is to confirm a kind at once.
 	promptWatchTimeout = 5 * time.Millisecond
 )
