Keep a time ahead of the servers' clock from prolonging fetches

What callers saw: nothing so far; shown by a test.

Cause: serverClock kept the most advanced time that any KV store or any other gateway had stated, as none was thought to state a time in the future. One answer that is 3 s ahead (a clock that is ahead for a moment, a garbled number, a relayed estimate) made X-Kv-Until of all fetches late by 3 s, and it sank by 1 ms/s only. Parts are kept for 1 s beyond the time limit of the last fetch, so that a fetch could read what was freed. Each gateway that reads stores through this one took the estimate over. The lease of a store's contents was prolonged by the same answer. The estimate did not follow a clock that was set back by less than 10 s either.

Change: the time in an answer was read between call and answer, which bounds the offset of the clocks from both sides. A time at which a store is said to have confirmed its epoch is not later than that estimate. ServersClockDisputed logs what is disregarded and followed.

Of a single store that is ahead for more than 5 s, nothing tells it from a clock that was set.

--- a/internal/connection/kvstore/catalog.go
+++ b/internal/connection/kvstore/catalog.go
@@ -228,9 +228,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.setClock(listing.Clock)
+	c.setClock(state, source, listing.Clock, sentAt)
 	now := time.Now()
-	storeEpoch, confirmedAt := listing.StoreEpoch, listing.ConfirmedAt
+	storeEpoch, confirmedAt := listing.StoreEpoch, c.notAhead(listing.ConfirmedAt)
 	if source.direct {
 		storeEpoch, confirmedAt = listing.Epoch, c.confirmedAt(listing.Clock, sentAt)
 	}
@@ -271,14 +271,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.setClock(changes.Clock)
+	c.setClock(state, source, changes.Clock, sentAt)
 	if changes.Lost || changes.Epoch != state.epoch {
 		state.known = false
 		event.Info(c.Log, event.CacheStoreLost, "store", state.store.Name, "epoch", changes.Epoch, "before", state.epoch,
 			"eventsLost", changes.Lost)
 		return since, false, nil
 	}
-	confirmedAt := changes.ConfirmedAt
+	confirmedAt := c.notAhead(changes.ConfirmedAt)
 	if source.direct {
 		confirmedAt = c.confirmedAt(changes.Clock, sentAt)
 	}
@@ -342,9 +342,16 @@
 	state.known = false
 }
 
-func (c *Catalog) setClock(clock time.Duration) {
-	if clock > 0 {
-		c.clock.observe(clock, c.now())
+// setClock takes the time that a response to a call of sentAt stated, 0 if none, into account. The caller must hold mu.
+func (c *Catalog) setClock(state *storeState, source eventSource, stated, sentAt time.Duration) {
+	if stated <= 0 {
+		return
+	}
+	now := c.now()
+	verdict := c.clock.observe(clockSource{store: state.store.Name, direct: source.direct}, stated, sentAt, now)
+	if verdict == clockDisregarded || verdict == clockSet {
+		event.Info(c.Log, event.ServersClockDisputed, "store", state.store.Name, "from", source.address, "decision", verdict.String(),
+			"statedMs", stated.Milliseconds(), "tookMs", (now - sentAt).Milliseconds(), "clockMs", c.clock.serverTime(now).Milliseconds())
 	}
 }
 
@@ -353,13 +360,22 @@
 func (c *Catalog) confirmedAt(stated, sentAt time.Duration) time.Duration {
 	switch {
 	case stated > 0:
-		return stated
+		return c.notAhead(stated)
 	case !c.clock.known:
 		return 0
 	}
 	return c.clock.serverTime(sentAt)
 }
 
+// notAhead returns a past time that a response states, or the estimated current time by the servers' clock if that is earlier. The caller must
+// hold mu.
+func (c *Catalog) notAhead(stated time.Duration) time.Duration {
+	if !c.clock.known {
+		return stated
+	}
+	return min(stated, c.clock.serverTime(c.now()))
+}
+
 // Clock returns the estimated current time by the servers' clock, and false if no response has stated a time yet.
 func (c *Catalog) Clock() (clock time.Duration, ok bool) {
 	c.mu.Lock()
--- a/internal/connection/kvstore/catalog_test.go
+++ b/internal/connection/kvstore/catalog_test.go
@@ -36,6 +36,9 @@
 	freed      []kvstore.Key
 	// withoutClock is set if only listings state the time, neverStatesTime if no response does.
 	withoutClock, neverStatesTime bool
+	// ahead is how far the clock of the store is ahead. If aheadAnswers is positive, it is so for that number of answers only.
+	ahead        time.Duration
+	aheadAnswers int
 }
 
 // serverTime returns the time by the clock of the stores.
@@ -46,7 +49,13 @@
 	if s.neverStatesTime || (s.withoutClock && !listing) {
 		return 0
 	}
-	return serverTime()
+	stated := serverTime() + s.ahead
+	if s.aheadAnswers > 0 {
+		if s.aheadAnswers--; s.aheadAnswers == 0 {
+			s.ahead = 0
+		}
+	}
+	return stated
 }
 
 func (s *store) List(context.Context, string) (kvstore.Listing, error) {
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -172,4 +172,7 @@
 	// ReplacedPartsFetched is logged when a request lets an engine fetch parts of a replaced weight version, with the upper limit of the time for
 	// which it has been replaced and the time limit of the fetch by the servers' clock.
 	ReplacedPartsFetched
+	// ServersClockDisputed is logged when a KV store, or another gateway that reads it, states a time that contradicts its earlier ones, and when
+	// its clock is then taken to have been set.
+	ServersClockDisputed
 )
--- a/internal/event/id_string.go
+++ b/internal/event/id_string.go
@@ -137,6 +137,7 @@
 	_ = x[RolloutReportFailed-1167]
 	_ = x[TakeUpNotAnswered-1168]
 	_ = x[ReplacedPartsFetched-1169]
+	_ = x[ServersClockDisputed-1170]
 	_ = x[OrderStarted-4000]
 	_ = x[OrderStopped-4001]
 	_ = x[OrderShardTaken-4002]
@@ -158,7 +159,7 @@
 
 const (
 	_ID_name_0 = "EntryStartedEntryStoppedAgentUnreachableAgentReachableAgentPushRejectedRequestRoutedRequestRefusedRequestResumedRequestEndedCallRoutedEntryReadyEntryDrainingEntryCutOffEntryConfigAppliedEntryOverloaded"
-	_ID_name_1 = "GatewayStartedGatewayStoppedGatewayReadyGatewayDrainingGatewayReloadedStoreLostStoreRegainedStoreHistoryLostStoreWriteFailedObjectUnreadableConfigurationAppliedConfigurationIgnoredEndpointListedEndpointMissingEndpointRemovedDomainEvacuatedWeightVersionNamedGatewaysCountedEndpointSuspectEndpointTrustedRequestSentRequestFailedAttemptRequestDeniedRequestAnsweredRequestAbandonedLeaseGainedLeaseLostOrderSentRequestMarkedCacheStoreListedCacheStoreLostCacheFreedLoadsNotSentLogDroppedRepeatsSpentRepeatsGrantedGatewayOverloadedEngineCacheFollowedEngineCacheLostWeightVersionGivenUpEndpointSilentEndpointQuietWatchRelayedWeightUpdatesAdmittedPartSuspectedPartClearedPartQuarantinedEndpointRateStatedStoreRestoredChangeIgnoredObjectRewrittenEndpointClosedGatewayDelayedBuildPlanAppliedBuildPlanProposedStreamsReportedStreamTakenUpStreamBuildLostRequestAtStopConnectionEndedRequestSentLateAnswerEndCheckedRequestHedgedHedgeEndedRolloutOrderedRolloutDecidedRolloutRecordedRolloutReportFailedTakeUpNotAnsweredReplacedPartsFetched"
+	_ID_name_1 = "GatewayStartedGatewayStoppedGatewayReadyGatewayDrainingGatewayReloadedStoreLostStoreRegainedStoreHistoryLostStoreWriteFailedObjectUnreadableConfigurationAppliedConfigurationIgnoredEndpointListedEndpointMissingEndpointRemovedDomainEvacuatedWeightVersionNamedGatewaysCountedEndpointSuspectEndpointTrustedRequestSentRequestFailedAttemptRequestDeniedRequestAnsweredRequestAbandonedLeaseGainedLeaseLostOrderSentRequestMarkedCacheStoreListedCacheStoreLostCacheFreedLoadsNotSentLogDroppedRepeatsSpentRepeatsGrantedGatewayOverloadedEngineCacheFollowedEngineCacheLostWeightVersionGivenUpEndpointSilentEndpointQuietWatchRelayedWeightUpdatesAdmittedPartSuspectedPartClearedPartQuarantinedEndpointRateStatedStoreRestoredChangeIgnoredObjectRewrittenEndpointClosedGatewayDelayedBuildPlanAppliedBuildPlanProposedStreamsReportedStreamTakenUpStreamBuildLostRequestAtStopConnectionEndedRequestSentLateAnswerEndCheckedRequestHedgedHedgeEndedRolloutOrderedRolloutDecidedRolloutRecordedRolloutReportFailedTakeUpNotAnsweredReplacedPartsFetchedServersClockDisputed"
 	_ID_name_2 = "AgentStartedAgentStoppedAgentAddressTakenEpochRaisedEpochNotRaisedAgentFencedEntryConnectedEntryDisconnectedEntryRejectedEntryTooSlowPromptAcceptedPromptRefusedPromptEndedCallRefusedCallEndedEngineTurnedColdEngineDownEngineServingEngineDiffersEngineOrderedEngineOrderFailedRequestSuspectedQuarantineNotStoredAgentDrainingAgentCutOffConfigRefusedLoadPermitMissingQuarantineStoredAgentPartFailedEngineRateLimited"
 	_ID_name_3 = "AgentFetchDecidedAgentFetchFailedAgentStoreFailedAgentExportedAgentExportFailed"
 	_ID_name_4 = "ConfigStartedConfigStoppedConfigReadyConfigAcceptedConfigInvalidConfigReadFailedConfigWatchGapConfigDirectReadConfigWatchingPeerConnectedPeerClosedPeerRefusedPeerContentSentConfigPlatformOlder"
@@ -168,7 +169,7 @@
 
 var (
 	_ID_index_0 = [...]uint8{0, 12, 24, 40, 54, 71, 84, 98, 112, 124, 134, 144, 157, 168, 186, 201}
-	_ID_index_1 = [...]uint16{0, 14, 28, 40, 55, 70, 79, 92, 108, 124, 140, 160, 180, 194, 209, 224, 239, 257, 272, 287, 302, 313, 333, 346, 361, 377, 388, 397, 406, 419, 435, 449, 459, 471, 481, 493, 507, 524, 543, 558, 578, 592, 605, 617, 638, 651, 662, 677, 695, 708, 721, 736, 750, 764, 780, 797, 812, 825, 840, 853, 868, 883, 899, 912, 922, 936, 950, 965, 984, 1001, 1021}
+	_ID_index_1 = [...]uint16{0, 14, 28, 40, 55, 70, 79, 92, 108, 124, 140, 160, 180, 194, 209, 224, 239, 257, 272, 287, 302, 313, 333, 346, 361, 377, 388, 397, 406, 419, 435, 449, 459, 471, 481, 493, 507, 524, 543, 558, 578, 592, 605, 617, 638, 651, 662, 677, 695, 708, 721, 736, 750, 764, 780, 797, 812, 825, 840, 853, 868, 883, 899, 912, 922, 936, 950, 965, 984, 1001, 1021, 1041}
 	_ID_index_2 = [...]uint16{0, 12, 24, 41, 52, 66, 77, 91, 108, 121, 133, 147, 160, 171, 182, 191, 207, 217, 230, 243, 256, 273, 289, 308, 321, 332, 345, 362, 378, 393, 410}
 	_ID_index_3 = [...]uint8{0, 17, 33, 49, 62, 79}
 	_ID_index_4 = [...]uint8{0, 13, 26, 37, 51, 64, 80, 94, 110, 124, 137, 147, 158, 173, 192}
@@ -181,7 +182,7 @@
 	case 1000 <= i && i <= 1014:
 		i -= 1000
 		return _ID_name_0[_ID_index_0[i]:_ID_index_0[i+1]]
-	case 1100 <= i && i <= 1169:
+	case 1100 <= i && i <= 1170:
 		i -= 1100
 		return _ID_name_1[_ID_index_1[i]:_ID_index_1[i+1]]
 	case 2000 <= i && i <= 2029:
