Free a stalled save only right after the listing that shows it

What callers saw: nothing so far; shown by a test.

Cause: the time limit of the call that frees stalled saves was the estimated time at the call plus 50 ms. If the listing was on its way for long (the call may take 800 ms), or the gateway stood still after it, a save that was resumed and completed since was freed while engines fetched it: gateways learn of a completed part 60 ms after it at the earliest. An estimate of the clock that was ahead delayed the limit as well.

Change: the limit is 50 ms after the time that the listing states, or, if it states none, after the call of the listing. CacheFreed has the limit (untilMs).

Ruled out: a longer limit in case of slow listings, since it would not be within the time for which completed parts are unknown. A store whose listing and the call that follows take more than 50 ms together has no stalled saves freed; before, the call alone had to take less.

Evidence: go test -run TestFreesNoSaveLongAfterItsListing ./internal/connection/kvstore without the change: "1 != 0" (freed 100 ms after the listing) in two of three cases; with it all pass. go test -race of the package passes (25.9 s). The store of the tests now refuses calls whose time has passed, as PROTOCOL.md says.

--- a/internal/connection/kvstore/catalog_test.go
+++ b/internal/connection/kvstore/catalog_test.go
@@ -34,11 +34,13 @@
 	lost, down bool
 	listCalls  int
 	freed      []kvstore.Key
-	// withoutClock is set if only listings state the time, neverStatesTime if no response does.
-	withoutClock, neverStatesTime bool
+	// withoutClock is set if only listings state the time, listsWithoutClock if they do not, neverStatesTime if no response does.
+	withoutClock, listsWithoutClock, neverStatesTime bool
 	// ahead is how far the clock of the store is ahead. If aheadAnswers is positive, it is so for that number of answers only.
 	ahead        time.Duration
 	aheadAnswers int
+	// listDelay is how long the response to a listing is on its way.
+	listDelay time.Duration
 }
 
 // serverTime returns the time by the clock of the stores.
@@ -46,7 +48,7 @@
 
 // stated returns the time that a response states.
 func (s *store) stated(listing bool) time.Duration {
-	if s.neverStatesTime || (s.withoutClock && !listing) {
+	if s.neverStatesTime || (s.withoutClock && !listing) || (s.listsWithoutClock && listing) {
 		return 0
 	}
 	stated := serverTime() + s.ahead
@@ -59,6 +61,12 @@
 }
 
 func (s *store) List(context.Context, string) (kvstore.Listing, error) {
+	listing, err := s.list()
+	time.Sleep(s.listDelay)
+	return listing, err
+}
+
+func (s *store) list() (kvstore.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listCalls++
@@ -84,10 +92,10 @@
 	return c, nil
 }
 
-func (s *store) Free(_ context.Context, _ string, parts []kvstore.Key, epoch uint64, _ time.Duration) error {
+func (s *store) Free(_ context.Context, _ string, parts []kvstore.Key, epoch uint64, until time.Duration) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if epoch != s.epoch {
+	if epoch != s.epoch || serverTime() > until {
 		return errors.New("status 409")
 	}
 	s.freed = append(s.freed, parts...)
@@ -405,6 +413,26 @@
 	})
 }
 
+// TestFreesNoSaveLongAfterItsListing guards against freeing a save that was stalled when the store listed it and has been completed since, so that
+// engines fetch it: the listing was on its way for long, or the gateway stood still after it.
+func TestFreesNoSaveLongAfterItsListing(t *testing.T) {
+	for name, s := range map[string]*store{"all responses state the time": {}, "listings do": {withoutClock: true},
+		"listings do not": {listsWithoutClock: true}} {
+		t.Run(name, func(t *testing.T) {
+			s.epoch, s.unfinished = 1, []kvstore.Unfinished{{Key: held("stuck", 0).Key, Done: 10, Reserved: 100}}
+			s.listDelay = 100 * time.Millisecond
+			runCatalog(t, s, &view{leader: true}, func(*kvstore.Catalog) {
+				is := is.NewRelaxed(t)
+				time.Sleep(time.Minute)
+				is.Equal(len(s.freedParts()), 0)
+				s.set(func() { s.listDelay = 20 * time.Millisecond })
+				time.Sleep(20 * time.Second)
+				is.True(len(s.freedParts()) > 0)
+			})
+		})
+	}
+}
+
 // runUntilEnd runs a catalog until the test ends.
 func runUntilEnd(t *testing.T, c *kvstore.Catalog) {
 	t.Helper()
--- a/internal/connection/kvstore/free.go
+++ b/internal/connection/kvstore/free.go
@@ -18,8 +18,9 @@
 	maxLoggedParts = 32
 	// freeTimeout is the time within which the store must receive a call that frees parts; the store refuses it after that.
 	freeTimeout = time.Second
-	// stalledFreeTimeout replaces freeTimeout for a stalled save. It is shorter than the delay with which a store reports an event: if
-	// the part was saved again since the listing, no gateway has learned of that yet, so that no engine fetches the part.
+	// stalledFreeTimeout is the time after the listing within which the store must receive a call that frees stalled saves. It is shorter than
+	// the delay with which a store reports an event: if the part was saved again since the listing, no gateway has learned of that yet, so that
+	// no engine fetches the part.
 	stalledFreeTimeout = 50 * time.Millisecond
 	// stallTimeout is the time without progress after which a save counts as stalled.
 	stallTimeout = 6 * time.Second
@@ -36,11 +37,12 @@
 
 // freeRequest is a call that frees parts of one store.
 type freeRequest struct {
-	state   *storeState
-	epoch   uint64
-	parts   []Key
-	reason  string
-	timeout time.Duration
+	state  *storeState
+	epoch  uint64
+	parts  []Key
+	reason string
+	// until is the time by the servers' clock after which the store refuses the call, 0 for freeTimeout after it.
+	until time.Duration
 }
 
 // freeRetired frees the parts of retired weight versions in the stores whose leader this gateway is. It also discards the version
@@ -58,16 +60,17 @@
 	}
 }
 
-// freeStalledSaves frees the saves that the last listing shows to have stalled, at most maxFreeParts, if this gateway is the leader of
+// freeStalledSaves frees the saves that the listing just made shows to have stalled, at most maxFreeParts, if this gateway is the leader of
 // the store and reads the store's events itself.
 func (c *Catalog) freeStalledSaves(ctx context.Context, state *storeState) {
 	if !c.View.IsLeader(c.storeOf(state).Name) {
 		return
 	}
-	f := freeRequest{state: state, reason: "save stalled", timeout: stalledFreeTimeout}
+	f := freeRequest{state: state, reason: "save stalled"}
 	c.mu.Lock()
-	f.epoch = state.epoch
-	if !state.direct {
+	// The listing was the last to confirm the epoch.
+	f.epoch, f.until = state.epoch, state.lease.confirmedAt+stalledFreeTimeout
+	if !state.direct || state.lease.confirmedAt == 0 {
 		c.mu.Unlock()
 		return
 	}
@@ -87,10 +90,13 @@
 	if !ok {
 		return
 	}
+	if f.until == 0 {
+		f.until = clock + freeTimeout
+	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	store := c.storeOf(f.state)
-	err := c.Stores.Free(callCtx, store.Address, f.parts, f.epoch, clock+f.timeout)
+	err := c.Stores.Free(callCtx, store.Address, f.parts, f.epoch, f.until)
 	outcome := "freed"
 	if err != nil {
 		outcome = err.Error()
@@ -98,7 +104,7 @@
 	versions, replacedFor := c.freedVersions(f.parts)
 	event.Info(c.Log, event.CacheFreed, "store", store.Name, "epoch", f.epoch, "parts", len(f.parts),
 		"reason", f.reason, "outcome", outcome, "versions", versions, "replacedMs", replacedFor.Milliseconds(),
-		"clockMs", clock.Milliseconds(), "first", f.firstIDs())
+		"clockMs", clock.Milliseconds(), "untilMs", f.until.Milliseconds(), "first", f.firstIDs())
 	if err == nil {
 		c.removeFreed(f)
 	}
@@ -149,7 +155,7 @@
 		if !state.known || !state.direct || !c.View.IsLeader(name) {
 			continue
 		}
-		f := freeRequest{state: state, epoch: state.epoch, reason: "weight version is retired", timeout: freeTimeout}
+		f := freeRequest{state: state, epoch: state.epoch, reason: "weight version is retired"}
 		for key := range state.held {
 			if len(f.parts) < maxFreeParts && c.retired(snapshot, key, unused) {
 				f.parts = append(f.parts, key)
