--- a/internal/connection/kvstore/catalog_test.go
+++ b/internal/connection/kvstore/catalog_test.go
@@ -34,8 +34,13 @@
 	lost, down bool
 	listCalls  int
 	freed      []kvstore.Key
-	// withoutClock is set if only listings state the time, neverStatesTime if no response does.
-	withoutClock, neverStatesTime bool
+	// withoutClock is set if only listings state the time, listsWithoutClock if they do not, neverStatesTime if no response does.
+	withoutClock, listsWithoutClock, neverStatesTime bool
+	// ahead is how far the clock of the store is ahead. If aheadAnswers is positive, it is so for that number of answers only.
+	ahead        time.Duration
+	aheadAnswers int
+	// listDelay is how long the response to a listing is on its way.
+	listDelay time.Duration
 }
 
 // serverTime returns the time by the clock of the stores.
@@ -43,13 +48,25 @@
 
 // stated returns the time that a response states.
 func (s *store) stated(listing bool) time.Duration {
-	if s.neverStatesTime || (s.withoutClock && !listing) {
+	if s.neverStatesTime || (s.withoutClock && !listing) || (s.listsWithoutClock && listing) {
 		return 0
 	}
-	return serverTime()
+	stated := serverTime() + s.ahead
+	if s.aheadAnswers > 0 {
+		if s.aheadAnswers--; s.aheadAnswers == 0 {
+			s.ahead = 0
+		}
+	}
+	return stated
 }
 
 func (s *store) List(context.Context, string) (kvstore.Listing, error) {
+	listing, err := s.list()
+	time.Sleep(s.listDelay)
+	return listing, err
+}
+
+func (s *store) list() (kvstore.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listCalls++
@@ -75,10 +92,10 @@
 	return c, nil
 }
 
-func (s *store) Free(_ context.Context, _ string, parts []kvstore.Key, epoch uint64, _ time.Duration) error {
+func (s *store) Free(_ context.Context, _ string, parts []kvstore.Key, epoch uint64, until time.Duration) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if epoch != s.epoch {
+	if epoch != s.epoch || serverTime() > until {
 		return errors.New("status 409")
 	}
 	s.freed = append(s.freed, parts...)
@@ -396,6 +413,74 @@
 	})
 }
 
+// TestFreesNoSaveLongAfterItsListing guards against freeing a save that was stalled when the store listed it and has been completed since, so that
+// engines fetch it: the listing was on its way for long, or the gateway stood still after it.
+func TestFreesNoSaveLongAfterItsListing(t *testing.T) {
+	for name, s := range map[string]*store{"all responses state the time": {}, "listings do": {withoutClock: true},
+		"listings do not": {listsWithoutClock: true}} {
+		t.Run(name, func(t *testing.T) {
+			s.epoch, s.unfinished = 1, []kvstore.Unfinished{{Key: held("stuck", 0).Key, Done: 10, Reserved: 100}}
+			s.listDelay = 100 * time.Millisecond
+			runCatalog(t, s, &view{leader: true}, func(*kvstore.Catalog) {
+				is := is.NewRelaxed(t)
+				time.Sleep(time.Minute)
+				is.Equal(len(s.freedParts()), 0)
+				s.set(func() { s.listDelay = 20 * time.Millisecond })
+				time.Sleep(20 * time.Second)
+				is.True(len(s.freedParts()) > 0)
+			})
+		})
+	}
+}
+
+// TestNoFetchWhileStalledSaveMayBeFreed guards against a fetch of a part that is freed as a stalled save: the save was resumed and completed while the
+// call that frees it was on its way, which this gateway learns at once.
+func TestNoFetchWhileStalledSaveMayBeFreed(t *testing.T) {
+	const freeTime = 50 * time.Millisecond // after a listing
+	for name, appear := range map[string]func(s *store){
+		"event": func(s *store) { s.changes = append(s.changes, kvstore.Change{Held: held("resumed", 100)}) },
+		"listing": func(s *store) {
+			s.lost = true
+			s.held = append(s.held, held("resumed", 100))
+		},
+		"first listing after a failure": func(s *store) {
+			s.down = true
+			s.held = append(s.held, held("resumed", 100))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &store{epoch: 1, held: []kvstore.Held{held("earlier", 100)}}
+			runCatalog(t, s, &view{}, func(c *kvstore.Catalog) {
+				is := is.NewRelaxed(t)
+				is.True(c.Scope(scopeV1).Holds("K", part("earlier", 100)))
+				s.set(func() { appear(s) })
+				var told, fetched time.Duration
+				listings := s.listCount()
+				for range 2000 {
+					time.Sleep(time.Millisecond)
+					s.set(func() {
+						if s.down && !c.Scope(scopeV1).Holds("K", part("earlier", 100)) {
+							s.down, listings = false, s.listCalls
+						}
+						listed := s.listCalls > listings
+						if pending := s.down || len(s.changes) > 0 || len(s.held) > 1 && !listed; told == 0 && !pending {
+							told = serverTime()
+						}
+					})
+					if fetched == 0 && c.Scope(scopeV1).Holds("K", part("resumed", 100)) {
+						fetched = serverTime()
+					}
+					if told > 0 && fetched == 0 && serverTime() > told+time.Millisecond {
+						is.True(c.Scope(scopeV1).Saving("K", part("resumed", 100))) // would be saved again
+					}
+				}
+				is.True(fetched-told >= freeTime)
+				is.True(fetched-told < time.Second)
+			})
+		})
+	}
+}
+
 // runUntilEnd runs a catalog until the test ends.
 func runUntilEnd(t *testing.T, c *kvstore.Catalog) {
 	t.Helper()
