Go by the present versions when parts are to be fetched

The time limit of the fetch does not bound this, as it counts from the decision. The version floors of this gateway end it within 500 ms.

--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -149,8 +149,11 @@
 	if req.handler.Tiers == nil || service.Engine == nil || version == 0 || len(req.sharedParts()) == 0 {
 		return nil
 	}
-	replacedFor := req.snapshot.Namings[req.meta.Model].MaxReplacedFor(version, bootclock.Now())
-	named, age, lifetimes := req.snapshot.Versions[req.meta.Model], req.handler.View.VersionsAge(), req.handler.Lifetimes
+	// The request may have waited since it read its snapshot. This one is no older than age.
+	age, lifetimes := req.handler.View.VersionsAge(), req.handler.Lifetimes
+	current := req.handler.View.Current()
+	replacedFor := current.Namings[req.meta.Model].MaxReplacedFor(version, bootclock.Now())
+	named := current.Versions[req.meta.Model]
 	if !lifetimes.MayUse(version, named, age, replacedFor) ||
 		!req.handler.Tiers.Uses(req.meta.Model, version) {
 		return nil
@@ -238,12 +241,13 @@
 
 // logReplacedFetch logs a fetch of parts of a replaced weight version, before which the servers' clock was at clock.
 func (req *request) logReplacedFetch(o *Outgoing, version uint64, clock time.Duration) {
-	named := req.snapshot.Versions[req.meta.Model]
+	current := req.handler.View.Current()
+	named := current.Versions[req.meta.Model]
 	fetches := func(a tiering.Action) bool { return a.Fetch != nil }
 	if version >= named || !slices.ContainsFunc(o.Tiers, fetches) {
 		return
 	}
-	replacedFor := req.snapshot.Namings[req.meta.Model].MaxReplacedFor(version, bootclock.Now())
+	replacedFor := current.Namings[req.meta.Model].MaxReplacedFor(version, bootclock.Now())
 	event.Debug(req.handler.Log, event.ReplacedPartsFetched, "request", req.meta.ID, "endpoint", o.Endpoint, "version", version, "named", named,
 		"replacedMs", replacedFor.Milliseconds(), "clockMs", clock.Milliseconds(), "untilMs", o.Until.Milliseconds())
 }
