Keep the stores that bound the servers' clock while the machine is suspended

Cause: a source counted for 10 s after its last response, by the time of the machine. After a longer suspension the first response was the only source, so that a faulty store decided the estimate alone.

Change: of a time without any response, 2 s count. The same holds for the 5 s after which a clock counts as set forward.

--- a/internal/connection/kvstore/clock.go
+++ b/internal/connection/kvstore/clock.go
@@ -21,6 +21,9 @@
 	minClockSetbacks = 2
 	// clockSourceLifetime is how long a source counts after its last response.
 	clockSourceLifetime = 10 * time.Second
+	// maxResponseGap is how much of a time without any response counts for clockStepTime and clockSourceLifetime: while this machine is
+	// suspended, no source can be heard.
+	maxResponseGap = 2 * time.Second
 )
 
 // serverClock estimates the clock of the servers, that is of the KV stores, from the times in their responses. Deadlines by an estimate that is
@@ -37,6 +40,8 @@
 	known   bool
 	offset  time.Duration // the servers' clock minus this machine's time since its start
 	sources map[clockSource]*sourceClock
+	// observedAt is the time since the start of this machine of the last observation, heardFor the time in which there were observations.
+	observedAt, heardFor time.Duration
 }
 
 // clockSource is a store, or a relay of it.
@@ -51,13 +56,15 @@
 	if c.sources == nil {
 		c.sources = map[clockSource]*sourceClock{}
 	}
-	maps.DeleteFunc(c.sources, func(_ clockSource, s *sourceClock) bool { return now-s.heardAt > clockSourceLifetime })
+	c.heardFor += min(now-c.observedAt, maxResponseGap)
+	c.observedAt = now
+	maps.DeleteFunc(c.sources, func(_ clockSource, s *sourceClock) bool { return c.heardFor-s.heardAt > clockSourceLifetime })
 	s := c.sources[source]
 	if s == nil {
 		s = &sourceClock{}
 		c.sources[source] = s
 	}
-	verdict := s.observe(offsetBounds{lowest: stated - now, lowestAt: now, highest: stated - sentAt + maxStatedAge, highestAt: now}, now)
+	verdict := s.observe(offsetBounds{lowest: stated - now, lowestAt: now, highest: stated - sentAt + maxStatedAge, highestAt: now}, now, c.heardFor)
 	offset, ok := c.estimate(now, true)
 	if !ok {
 		offset, _ = c.estimate(now, false)
@@ -128,9 +135,10 @@
 type sourceClock struct {
 	offsetBounds
 	// count is the number of responses within the bounds, 0 before the first one.
-	count   int
+	count int
+	// heardAt is serverClock.heardFor at the last response.
 	heardAt time.Duration
-	// step holds the bounds of the last stepCount responses, since stepSince, all of which contradict the bounds.
+	// step holds the bounds of the last stepCount responses, since serverClock.heardFor was stepSince, all of which contradict the bounds.
 	step      offsetBounds
 	stepCount int
 	stepSince time.Duration
@@ -152,8 +160,8 @@
 	clockSet
 )
 
-func (s *sourceClock) observe(o offsetBounds, now time.Duration) clockVerdict {
-	s.heardAt = now
+func (s *sourceClock) observe(o offsetBounds, now, heardFor time.Duration) clockVerdict {
+	s.heardAt = heardFor
 	if s.count == 0 {
 		s.offsetBounds, s.count = o, 1
 		return clockAgreed
@@ -171,7 +179,7 @@
 		s.step.narrow(o, now)
 		s.stepCount++
 	} else {
-		s.step, s.stepCount, s.stepSince = o, 1, now
+		s.step, s.stepCount, s.stepSince = o, 1, heardFor
 	}
 	if s.wasSet(now) {
 		s.offsetBounds, s.count, s.stepCount = s.step, s.stepCount, 0
@@ -187,5 +195,5 @@
 	if back > 0 {
 		return back > minClockReset || s.stepCount >= min(s.count, minClockSetbacks)
 	}
-	return s.stepCount >= minClockSteps && now-s.stepSince >= clockStepTime
+	return s.stepCount >= minClockSteps && s.heardAt-s.stepSince >= clockStepTime
 }
