--- a/internal/connection/kvstore/clock.go
+++ b/internal/connection/kvstore/clock.go
@@ -13,10 +13,9 @@
 	// maxStatedAge is how long before its call began the time that a response states may have been read. Another gateway states an estimate,
 	// which is behind.
 	maxStatedAge = 300 * time.Millisecond
-	// clockStepTime is how long a source must state times ahead of its earlier ones, in minClockSteps responses or more and without others,
-	// until its clock is taken to have been set forward.
+	// clockStepTime is how long a source must state times ahead of its earlier ones, and no others, until its clock is taken to have been set
+	// forward.
 	clockStepTime = 5 * time.Second
-	minClockSteps = 3
 	// minClockSetbacks is the number of responses in a row after which the clock of a source is taken to have been set back.
 	minClockSetbacks = 2
 	// clockSourceLifetime is how long a source counts after its last response.
@@ -195,5 +194,5 @@
 	if back > 0 {
 		return back > minClockReset || s.stepCount >= min(s.count, minClockSetbacks)
 	}
-	return s.stepCount >= minClockSteps && s.heardAt-s.stepSince >= clockStepTime
+	return s.heardAt-s.stepSince >= clockStepTime
 }
