Free by version floors only on the word of all gateways

It would be MIXED, a fetch from a part that is freed before the fetch has ended.

Cause: the parts of a replaced version are freed early once the floors of all other gateways have risen, and these are taken from lists that the platform's store may answer with data that is seconds old. A gateway that started shortly before the naming, or whose object the store refuses, is on none of them, and so is one that an older list lacks. Its floor was not asked for. If it knows the naming but its view of the endpoints is behind, it lets engines fetch replaced parts for up to 10 to 16 s, and the parts are freed from 2.5 s after the naming on. The same holds for the last second of a gateway that stops: once its object is gone, nothing waited for its fetches.

Ruled out: a gateway that starts after the naming (it takes all lower versions for long replaced), floors of an earlier incarnation (they have risen after the naming, so that the next one started after it), a killed gateway that starts again (its object stays), the free by time.

Change: a gateway uses parts of a replaced version only if its object has been in the store since before the naming, renewed within 30 s (Registry.PresentSince). The one that frees needs a list that is up to date and was asked for after the naming and 2 s ago or more (GatewaysAt); all on it must have raised their floors. One that is not on it has either given the version up or does not know of the naming, and the latter uses no stores 6 s after it, so nothing is freed by floors within 8 s. The list is made only while parts wait for it, from 6 s after the naming on, at most once in 4 s, by leaders of stores. TestFreesVersionsBelowAllFloors has the naming 9 s ago, not now, and three new cases; its old ones are as they were otherwise.

--- a/cmd/primrose-gateway/main.go
+++ b/cmd/primrose-gateway/main.go
@@ -110,7 +110,7 @@
 	store.Log = log
 	defer store.Close()
 	r := &registry.Registry{Name: settings.Name, LoadAddress: settings.LoadAddress(), FailureDomain: settings.FailureDomain,
-		Members: platform.Members(store), Log: log}
+		Members: platform.Members(store), CurrentMembers: platform.CurrentMembers(store), Log: log}
 	relay := &watchrelay.Relay{Leaders: r, Port: settings.RelayAddress().Port(), Calls: call.New(call.Settings{IdleConnections: 8}), Log: log}
 	shared := platform.Shared(store, relay.Source("Shared", slowRelayAge, platform.RawShared(store)))
 	r.Configurations = platform.Configurations(relay.Source("Configuration", fastRelayAge, platform.RawConfigurations(store)))
--- a/internal/connection/kvstore/catalog.go
+++ b/internal/connection/kvstore/catalog.go
@@ -22,6 +22,13 @@
 	Current() *site.Snapshot
 	// OtherGateways returns the names of the other gateways, and false if they are not known.
 	OtherGateways() (names []string, ok bool)
+	// GatewaysAt returns the names of the other gateways that were present at a bootclock time, and that time: any other one was not present for its own
+	// PresentSince then. It returns false if they are not known. ListGateways makes them be listed anew.
+	GatewaysAt() (names []string, at time.Duration, ok bool)
+	ListGateways()
+	// PresentSince returns the bootclock time since which this gateway has been in each result of GatewaysAt of the others, and false if it may not be
+	// now.
+	PresentSince() (at time.Duration, ok bool)
 	// IsLeader reports whether this gateway is the leader of name, that is, the first of all gateways in the rendezvous-hash order
 	// for name.
 	IsLeader(name string) bool
--- a/internal/connection/kvstore/catalog_test.go
+++ b/internal/connection/kvstore/catalog_test.go
@@ -1,11 +1,13 @@
 package kvstore_test
 
 import (
+	"cmp"
 	"context"
 	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,8 +117,21 @@
 	// floors holds the version floors with which the catalog starts.
 	floors      tiering.Floors
 	versionsAge time.Duration
+	// listedAt is when the others were listed up to date, absent is set if they may not find this gateway, and presentSince is since when they do.
+	listedAt, presentSince time.Duration
+	absent                 bool
+	// listed counts the calls of ListGateways.
+	listed atomic.Int32
 }
 
+func (v *view) GatewaysAt() ([]string, time.Duration, bool) {
+	return v.others, v.listedAt, v.others != nil
+}
+
+func (v *view) ListGateways() { v.listed.Add(1) }
+
+func (v *view) PresentSince() (time.Duration, bool) { return v.presentSince, !v.absent }
+
 func (v *view) OtherGateways() ([]string, bool) { return v.others, v.others != nil }
 
 func (v *view) Current() *site.Snapshot { return v.snapshot }
@@ -307,19 +322,25 @@
 		floorAge  time.Duration // age of that floor, and of this gateway's own floor of 2 if endpoints have moved to version 2
 		versions  []uint64
 		freed     int
+		// replaced is how long ago version 2 was named, 0 for 9 s, and listed how long ago the others were listed, 0 for 3 s.
+		replaced, listed time.Duration
 	}{
-		"all floors are above version 1":       {[]string{"G2"}, 2, 10 * time.Second, []uint64{2, 2, 2, 2, 2}, 1},
-		"no other gateways":                    {[]string{}, 0, 10 * time.Second, []uint64{2}, 1},
-		"a fetch may still be running":         {[]string{"G2"}, 2, 0, []uint64{2, 2, 2, 2, 2}, 0},
-		"many endpoints still have version 1":  {[]string{"G2"}, 2, 10 * time.Second, []uint64{1, 1, 1, 2, 2}, 0},
-		"another gateway still uses version 1": {[]string{"G2"}, 1, 10 * time.Second, []uint64{2, 2, 2, 2, 2}, 0},
-		"no floor from one gateway":            {[]string{"G2", "G3"}, 2, 10 * time.Second, []uint64{2, 2, 2, 2, 2}, 0},
-		"other gateways are not known":         {nil, 2, 10 * time.Second, []uint64{2, 2, 2, 2, 2}, 0},
+		"all floors are above version 1":                {others: []string{"G2"}, peerFloor: 2, floorAge: 10 * time.Second, versions: []uint64{2, 2, 2, 2, 2}, freed: 1},
+		"no other gateways":                             {others: []string{}, peerFloor: 0, floorAge: 10 * time.Second, versions: []uint64{2}, freed: 1},
+		"a fetch may still be running":                  {others: []string{"G2"}, peerFloor: 2, floorAge: 0, versions: []uint64{2, 2, 2, 2, 2}, freed: 0},
+		"many endpoints still have version 1":           {others: []string{"G2"}, peerFloor: 2, floorAge: 10 * time.Second, versions: []uint64{1, 1, 1, 2, 2}, freed: 0},
+		"another gateway still uses version 1":          {others: []string{"G2"}, peerFloor: 1, floorAge: 10 * time.Second, versions: []uint64{2, 2, 2, 2, 2}, freed: 0},
+		"no floor from one gateway":                     {others: []string{"G2", "G3"}, peerFloor: 2, floorAge: 10 * time.Second, versions: []uint64{2, 2, 2, 2, 2}, freed: 0},
+		"other gateways are not known":                  {others: nil, peerFloor: 2, floorAge: 10 * time.Second, versions: []uint64{2, 2, 2, 2, 2}, freed: 0},
+		"a gateway may not know of version 2":           {others: []string{"G2"}, peerFloor: 2, floorAge: 6 * time.Second, versions: []uint64{2, 2, 2, 2, 2}, replaced: 7 * time.Second},
+		"others were listed before version 2 was named": {others: []string{"G2"}, peerFloor: 2, floorAge: 10 * time.Second, versions: []uint64{2, 2, 2, 2, 2}, listed: 10 * time.Second},
+		"a gateway may have left just before the list":  {others: []string{"G2"}, peerFloor: 2, floorAge: 10 * time.Second, versions: []uint64{2, 2, 2, 2, 2}, listed: time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &store{epoch: 1, held: []kvstore.Held{held("a", 100)}}
-			v := &view{leader: true, others: c.others, snapshot: &site.Snapshot{Versions: map[string]uint64{"M": 2},
-				Namings:   map[string]site.Namings{"M": {{Version: 2, NamedAt: bootclock.Now(), UnnamedAt: bootclock.Now()}}},
+			namedAt := bootclock.Now() - cmp.Or(c.replaced, 9*time.Second)
+			v := &view{leader: true, others: c.others, listedAt: bootclock.Now() - cmp.Or(c.listed, 3*time.Second), snapshot: &site.Snapshot{Versions: map[string]uint64{"M": 2},
+				Namings:   map[string]site.Namings{"M": {{Version: 2, NamedAt: namedAt, UnnamedAt: namedAt}}},
 				Endpoints: map[string][]*site.Endpoint{}}}
 			for _, version := range c.versions {
 				v.snapshot.Endpoints["S"] = append(v.snapshot.Endpoints["S"], endpoint(version))
@@ -339,6 +360,57 @@
 	}
 }
 
+// TestUsesReplacedVersion guards against a fetch of parts of a replaced version for a gateway that those which free them may not know.
+func TestUsesReplacedVersion(t *testing.T) {
+	const ago = 3 * time.Second // since version 2 was named
+	for name, c := range map[string]struct {
+		presentFor time.Duration
+		absent     bool
+		uses       bool
+	}{
+		"found since before the naming": {presentFor: 2 * ago, uses: true},
+		"found since after the naming":  {presentFor: ago / 2},
+		"not found any more":            {presentFor: 2 * ago, absent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := bootclock.Now()
+			catalog := &kvstore.Catalog{Floors: &tiering.Floors{}, View: &view{absent: c.absent, presentSince: now - c.presentFor, snapshot: &site.Snapshot{
+				Namings: map[string]site.Namings{"M": {{Version: 2, NamedAt: now - ago, UnnamedAt: now - ago}}}}}}
+			is.Equal(catalog.Uses("M", 1), c.uses)
+			is.True(catalog.Uses("M", 2))
+			is.True(catalog.Uses("N", 1)) // no version of it has been named
+		})
+	}
+}
+
+// TestListsGatewaysIfNeeded guards against lists of the gateways that are up to date, which are dear, while no parts wait for them.
+func TestListsGatewaysIfNeeded(t *testing.T) {
+	for name, c := range map[string]struct {
+		floor            uint64 // of this gateway; that of the other one is unknown
+		replaced, listed time.Duration
+		held             []kvstore.Held
+		lists            bool
+	}{
+		"parts wait":            {2, 9 * time.Second, 5 * time.Second, []kvstore.Held{held("a", 100)}, true},
+		"just listed":           {2, 9 * time.Second, time.Second, []kvstore.Held{held("a", 100)}, false},
+		"version is still used": {1, 9 * time.Second, 5 * time.Second, []kvstore.Held{held("a", 100)}, false},
+		"just replaced":         {2, time.Second, 5 * time.Second, []kvstore.Held{held("a", 100)}, false},
+		"no such parts":         {2, 9 * time.Second, 5 * time.Second, nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := bootclock.Now()
+			v := &view{leader: true, others: []string{"G2"}, listedAt: now - c.listed, snapshot: &site.Snapshot{Versions: map[string]uint64{"M": 2},
+				Namings: map[string]site.Namings{"M": {{Version: 2, NamedAt: now - c.replaced, UnnamedAt: now - c.replaced}}}}}
+			v.floors.Raise("M", c.floor, now)
+			runCatalog(t, &store{epoch: 1, held: c.held}, v, func(*kvstore.Catalog) {
+				time.Sleep(time.Second)
+				is.New(t).Equal(v.listed.Load() > 0, c.lists)
+			})
+		})
+	}
+}
+
 // TestRaisesFloors guards against versions that are never given up because each version is named before most endpoints have loaded the
 // previous one, and against a gateway that does not learn of new versions and so prevents the others from freeing parts.
 func TestRaisesFloors(t *testing.T) {
--- a/internal/connection/kvstore/doc.go
+++ b/internal/connection/kvstore/doc.go
@@ -8,7 +8,8 @@
 // was known before end before anything is saved again.
 //
 // Stores do not evict anything by themselves. For each store, its leader (see View.IsLeader) frees the parts of weight versions that
-// no gateway uses any more, and parts whose save has stalled.
+// no gateway uses any more, and parts whose save has stalled. Whether a version is in use follows from the time since it was replaced, or from the floors
+// of all gateways on a list that is up to date (see View.GatewaysAt). A gateway that such a list may lack uses no replaced version.
 //
 // # Usage
 //
--- a/internal/connection/kvstore/floors.go
+++ b/internal/connection/kvstore/floors.go
@@ -15,8 +15,20 @@
 // requested again before the remaining endpoints switch.
 const rolloutShare = 0.8
 
-// Uses reports whether this gateway still uses parts of a weight version.
-func (c *Catalog) Uses(model string, version uint64) bool { return c.Floors.Uses(model, version) }
+// Uses reports whether this gateway still uses parts of a weight version. Those of a replaced one may be freed unless the gateways that free them have
+// found this one in their lists since before the naming.
+func (c *Catalog) Uses(model string, version uint64) bool {
+	if !c.Floors.Uses(model, version) {
+		return false
+	}
+	now := bootclock.Now()
+	replacedFor := c.View.Current().Namings[model].MaxReplacedFor(version, now)
+	if replacedFor == 0 {
+		return true
+	}
+	since, present := c.View.PresentSince()
+	return present && replacedFor <= now-since
+}
 
 // raiseFloors raises the version floors of this gateway. The floor of a model rises to rolledOutVersion, but not above the named version,
 // and above each version once that has been replaced for Lifetimes.Last. If the named versions have not been confirmed for
--- a/internal/connection/kvstore/free.go
+++ b/internal/connection/kvstore/free.go
@@ -21,6 +21,8 @@
 	// stalledFreeTimeout replaces freeTimeout for a stalled save. It is shorter than the delay with which a store reports an event: if
 	// the part was saved again since the listing, no gateway has learned of that yet, so that no engine fetches the part.
 	stalledFreeTimeout = 50 * time.Millisecond
+	// gatewaysListInterval is the time after which the gateways are listed again while parts can't be freed by the last list.
+	gatewaysListInterval = 4 * time.Second
 	// stallTimeout is the time without progress after which a save counts as stalled.
 	stallTimeout = 6 * time.Second
 )
@@ -46,16 +48,29 @@
 // freeRetired frees the parts of retired weight versions in the stores whose leader this gateway is. It also discards the version
 // floors of gateways that are not in the list of other gateways, if that list is known.
 func (c *Catalog) freeRetired(ctx context.Context) {
-	others, known := c.View.OtherGateways()
-	if known {
+	if others, known := c.View.OtherGateways(); known {
 		c.Floors.RetainPeers(func(peer string) bool { return slices.Contains(others, peer) })
 	}
+	snapshot, now := c.View.Current(), bootclock.Now()
+	others, listedAt, known := c.View.GatewaysAt()
+	wanted := false
 	unused := func(model string, version uint64) bool {
-		return known && c.Floors.Unused(model, version, others, bootclock.Now())
+		replacedFor := snapshot.Namings[model].MinReplacedFor(version, now)
+		if !tiering.MayList(replacedFor) || c.Floors.Uses(model, version) {
+			return false
+		}
+		if known && tiering.MayFree(replacedFor, now-listedAt) && c.Floors.Unused(model, version, others, now) {
+			return true
+		}
+		wanted = true
+		return false
 	}
-	for _, f := range c.retiredParts(c.View.Current(), unused) {
+	for _, f := range c.retiredParts(snapshot, unused) {
 		c.free(ctx, f)
 	}
+	if wanted && (!known || now-listedAt >= gatewaysListInterval) {
+		c.View.ListGateways()
+	}
 }
 
 // freeStalledSaves frees the saves that the last listing shows to have stalled, at most maxFreeParts, if this gateway is the leader of
--- a/internal/version/registry/doc.go
+++ b/internal/version/registry/doc.go
@@ -5,7 +5,8 @@
 // Each kind has one follower, which lists the kind once and then watches it. It lists again when the store has lost the
 // watch history or a watch returns a lower revision than before. An object is replaced only by a later revision, and the
 // configuration only by a higher version. During an outage of the store the snapshot stays unchanged while the followers
-// retry. The heartbeat objects of the gateways have no follower; they are listed periodically.
+// retry. The heartbeat objects of the gateways have no follower; they are listed periodically. These lists may be seconds old. One that is up
+// to date is made for ListGateways only. PresentSince tells since when this gateway is on each such list.
 //
 // A ready endpoint that is missing after an outage is kept until MissingTime after the store answered again, since the object of a live
 // endpoint that expired during the outage is written again within about two seconds.
--- a/internal/version/registry/members.go
+++ b/internal/version/registry/members.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"primrosecourse/internal/event"
+	"primrosecourse/internal/process/bootclock"
 	"primrosecourse/internal/process/platform"
 	"primrosecourse/pkg/site"
 )
@@ -51,10 +52,7 @@
 func (r *Registry) applyMembers(changes []Change[json.RawMessage], revision uint64, asked, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.membersListedAt.IsZero() && Era(revision) > r.membersEra {
-		r.membersRestoredAt = now
-	}
-	r.membersEra = max(r.membersEra, Era(revision))
+	r.observeMembersEra(revision, now)
 	restored := !r.membersRestoredAt.IsZero() && now.Sub(r.membersRestoredAt) < memberTimeout
 	r.membersListedAt, r.membersAskedAt = now, asked
 	listed := map[string]bool{}
@@ -85,6 +83,14 @@
 	r.updateGateways(now)
 }
 
+// observeMembersEra records whether the revision of a list of the gateways shows that the store was restored. The caller must hold mu.
+func (r *Registry) observeMembersEra(revision uint64, now time.Time) {
+	if !r.membersListedAt.IsZero() && Era(revision) > r.membersEra {
+		r.membersRestoredAt = now
+	}
+	r.membersEra = max(r.membersEra, Era(revision))
+}
+
 // isHost reports whether an address is that of a single host, with a port.
 func isHost(a netip.AddrPort) bool {
 	return a.IsValid() && a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
@@ -266,10 +272,12 @@
 func (r *Registry) heartbeat(ctx context.Context) {
 	var revision uint64
 	for n := uint64(1); ctx.Err() == nil; n++ {
+		began := bootclock.Now()
 		next, err := r.putMember(ctx, r.Name, revision, Member{Name: r.Name, Beat: n, Address: r.LoadAddress,
 			FailureDomain: r.FailureDomain})
 		if err == nil {
 			revision = next
+			r.extendPresence(began)
 		}
 		r.deleteObsolete(ctx, time.Now())
 		delay := heartbeatInterval*3/4 + rand.N(heartbeatInterval/2)
@@ -279,6 +287,7 @@
 		}
 		r.awaitHeartbeat(ctx, delay)
 	}
+	r.presence.end()
 	// A planned stop returns this gateway's share of the limits to the others. The timeout limits how long an outage of the
 	// store can delay the stop, of which little time may be left.
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
--- a/internal/version/registry/members_test.go
+++ b/internal/version/registry/members_test.go
@@ -46,3 +46,26 @@
 		is.Equal(readers, want) // of so many that are allowed
 	}
 }
+
+// TestPresence guards against a gateway that relies on being counted by the others for longer than they count it, or without a break after one.
+func TestPresence(t *testing.T) {
+	is := is.New(t)
+	p := &presence{}
+	check := func(anew, wantAnew bool, since, until time.Duration) {
+		t.Helper()
+		is.Equal(anew, wantAnew)
+		at, ok := p.at(until - 1)
+		is.True(ok)
+		is.Equal(at, since)
+		_, ok = p.at(until)
+		is.True(!ok)
+	}
+	check(p.extend(time.Second, 2*time.Second), true, 2*time.Second, time.Second+presenceTime)
+	check(p.extend(20*time.Second, 21*time.Second), false, 2*time.Second, 20*time.Second+presenceTime)
+	late := 20*time.Second + presenceTime
+	check(p.extend(late-time.Second, late), true, late, late-time.Second+presenceTime) // acknowledged when it had ended
+	p.end()
+	_, ok := p.at(late)
+	is.True(!ok)
+	is.True(presenceTime < memberTimeout)
+}
--- a/internal/version/registry/registry.go
+++ b/internal/version/registry/registry.go
@@ -76,9 +76,11 @@
 	Builds *builds.Book
 	// Members are the heartbeat objects of the gateways. Their lists may be seconds old.
 	Members Objects
-	Log     logr.Logger
+	// CurrentMembers lists the same objects, up to date. It may be nil; GatewaysAt then returns none.
+	CurrentMembers Source[json.RawMessage]
+	Log            logr.Logger
 	// Changed is called after each change of the snapshot, one call at a time. It must not block or call Rank, IsLeader,
-	// Leaders or OtherGateways, because the registry is locked meanwhile.
+	// Leaders, OtherGateways or GatewaysAt, because the registry is locked meanwhile.
 	Changed func(*site.Snapshot)
 
 	current  atomic.Pointer[site.Snapshot]
@@ -109,6 +111,11 @@
 	membersRestoredAt time.Time
 	// membersFailedAt is when listing the gateways last failed, zero if never.
 	membersFailedAt time.Time
+	presence        presence // of this gateway
+	// currentGateways is the last list that was up to date, nil if there is none that is certain to be complete; listSignal receives a value when
+	// another one is to be made.
+	currentGateways *currentGateways
+	listSignal      chan struct{}
 	peers           atomic.Pointer[[]site.Gateway]
 	// sharedChanges holds the last change of each shared object. rewrites are those that a restored store lost or has an older state of, and
 	// that this gateway may write again.
@@ -148,7 +155,7 @@
 		r.departed, r.reinstated = map[string]departure{}, map[string]time.Time{}
 		r.storedRollouts, r.rolloutReports, r.heldBuilds = map[string]StoredRollout{}, map[string]RolloutReport{}, map[build]time.Time{}
 		r.members, r.sharedChanges = map[string]member{}, map[string]observedChange{}
-		r.restored, r.rewriteSignal = make(chan struct{}, 1), make(chan struct{}, 1)
+		r.restored, r.rewriteSignal, r.listSignal = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 		r.next = site.Snapshot{Endpoints: map[string][]*site.Endpoint{}, Evacuated: map[string]bool{},
 			Versions: map[string]uint64{}, Namings: map[string]site.Namings{},
 			Updating: map[string]bool{}, Marks: map[uint64]quarantine.Evidence{}, Gateways: 1}
@@ -230,6 +237,9 @@
 		restartWatches = append(restartWatches, r.rolloutFollower.restartWatch)
 		tasks.Go(func() { r.rolloutFollower.run(ctx) })
 	}
+	if r.CurrentMembers != nil {
+		tasks.Go(func() { r.listCurrent(ctx) })
+	}
 	for _, run := range []func(context.Context){r.configurationFollower.run, r.endpointFollower.run, r.sharedFollower.run,
 		evacuations.run, r.versionFollower.run, r.heartbeat, r.dropMissing, r.followMembers, r.rewriteLost} {
 		tasks.Go(func() { run(ctx) })
--- a/internal/version/registry/registry_test.go
+++ b/internal/version/registry/registry_test.go
@@ -232,7 +232,9 @@
 	evacuations     *source[struct{}]
 	versions        *source[site.ModelVersion]
 	shared, members shared
-	registry        *registry.Registry
+	// currentMembers has the objects of the gateways that are listed up to date.
+	currentMembers *source[json.RawMessage]
+	registry       *registry.Registry
 }
 
 // runRegistry runs a test with a running registry on a virtual clock.
@@ -246,9 +248,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{configurations: newSource[*site.Configuration](), endpoints: newSource[*site.Endpoint](),
 			evacuations: newSource[struct{}](), versions: newSource[site.ModelVersion](),
-			shared: shared{newSource[json.RawMessage]()}, members: shared{newSource[json.RawMessage]()}}
+			shared: shared{newSource[json.RawMessage]()}, members: shared{newSource[json.RawMessage]()},
+			currentMembers: newSource[json.RawMessage]()}
 		f.registry = &registry.Registry{Name: "G1", Configurations: f.configurations, Endpoints: f.endpoints,
-			Evacuations: f.evacuations, Versions: f.versions, Shared: f.shared, Members: f.members, Log: log}
+			Evacuations: f.evacuations, Versions: f.versions, Shared: f.shared, Members: f.members, CurrentMembers: f.currentMembers, Log: log}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- f.registry.Run(ctx) }()
--- a/pkg/tiering/lifetime.go
+++ b/pkg/tiering/lifetime.go
@@ -42,3 +42,20 @@
 func (l Lifetimes) Retired(version, named uint64, id string, replacedFor time.Duration) bool {
 	return version < named && replacedFor >= l.Of(id)+TransferTimeout+retireMargin
 }
+
+// unawareTime is the time since the naming of a version after which no gateway lets engines fetch parts of a replaced one because it has not learned
+// of the naming.
+const unawareTime = MaxViewAge + TransferTimeout + retireMargin
+
+// MayList reports whether a list of the gateways that is made now serves to free the parts of a weight version by version floors. replacedFor is a lower
+// limit of the time for which the version has been replaced.
+func MayList(replacedFor time.Duration) bool {
+	return replacedFor >= unawareTime-TransferTimeout-retireMargin
+}
+
+// MayFree reports whether the parts of a weight version may be freed if the version floors of all gateways on a list exclude it, which was up to date
+// listedFor ago. replacedFor is a lower limit of the time for which the version has been replaced. A gateway that is not on the list lets engines fetch
+// such parts only before it learns of the naming, or has left and had them fetched before the list.
+func MayFree(replacedFor, listedFor time.Duration) bool {
+	return replacedFor >= unawareTime && listedFor <= replacedFor && listedFor >= TransferTimeout+retireMargin
+}
