--- a/internal/request/forward/replacedparts_test.go
+++ b/internal/request/forward/replacedparts_test.go
@@ -44,6 +44,10 @@
 func (v *currentView) OtherGateways() ([]string, bool)          { return nil, false }
 func (v *currentView) IsLeader(string) bool                     { return false }
 func (v *currentView) Leaders(string, int) ([]netip.Addr, bool) { return nil, true }
+func (v *currentView) PresentSince() (time.Duration, bool)      { return -time.Hour, true }
+func (v *currentView) ListGateways()                            {}
+
+func (v *currentView) GatewaysAt() ([]string, time.Duration, bool) { return nil, 0, false }
 
 // TestReplacedPartsOfEarlierSnapshot guards against a request that lets an engine fetch parts of a replaced version, which are being freed, since it
 // goes by the versions of before it waited.
