Tie each response of a server or store to its call

What callers saw: nothing yet; shown by a test only.

Cause: package call keeps connections, and net/http ties a response to its call by the order on the connection alone. A late second copy, sent once the next request has arrived, was taken for the response to that. So a KV store's list passed as events without any, old events as new ones, and a free that was refused or a conditional write that conflicted as done. Events of engines go through the same client.

Change: with Settings.IDHeader a call carries a random 64-bit ID. A response with another one is ErrOtherCall: outcome unknown, never ErrNotSent, not repeated. One without an ID is accepted as before. The connection is closed. net/http offers a connection to others before it hands out a response without a body, and what it has read ahead outlives a close of the socket, so Do also waits until net/http has given the connection up. The platform's clients set the header; calls between gateways don't. internal/standin/stutter sends the copies.

Tried: closing the socket without that wait.

--- a/internal/connection/call/client.go
+++ b/internal/connection/call/client.go
@@ -5,6 +5,10 @@
 // never a request that can change state after a byte of it was sent. Redirects are not followed but returned like other
 // responses.
 //
+// HTTP/1.1 ties a response to its call by the order on the connection alone, so that a second copy of a response, if it arrives late, looks
+// like the response to the next call. With Settings.IDHeader each call carries an ID of its own, which servers echo. A response with another ID
+// is ErrOtherCall, and its connection is closed. A response without an ID is taken for that to the call, since not every server echoes.
+//
 // The package contains no addresses or formats and does not interpret statuses. Requests of callers are sent to endpoints with
 // package endpoint instead, because their handling depends on each byte that was read.
 //
@@ -18,10 +22,13 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +41,8 @@
 	ErrNotSent = errors.New("call was not sent")
 	// ErrTooLong means that the body of the response exceeds its limit.
 	ErrTooLong = errors.New("response exceeds its size limit")
+	// ErrOtherCall means that a response carries the ID of another call; the one to this call is lost.
+	ErrOtherCall = errors.New("response to another call")
 )
 
 const (
@@ -57,6 +66,8 @@
 	IdleTime        time.Duration
 	// MaxConnections limits the connections to an address; 0 means no limit.
 	MaxConnections int
+	// IDHeader is the name of the header for the ID of a call, which a server echoes. If it is empty, calls have no IDs.
+	IDHeader string
 	// ProbeTime is the idle time before the first TCP keep-alive probe and the interval between probes; 0 disables them. A
 	// connection without other traffic is closed after three intervals if neither of the two probes sent in them gets a
 	// response.
@@ -65,8 +76,9 @@
 
 // Client makes HTTP calls. It is safe for concurrent use.
 type Client struct {
-	timeout time.Duration
-	http    *http.Client
+	timeout  time.Duration
+	idHeader string
+	http     *http.Client
 }
 
 // New returns a client with the given settings.
@@ -77,7 +89,13 @@
 		dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: s.ProbeTime, Interval: s.ProbeTime, Count: 2}
 	}
 	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c, left: make(chan struct{})}, nil
+		},
 		DisableCompression:     true,
 		DisableKeepAlives:      s.IdleConnections == 0,
 		MaxIdleConnsPerHost:    s.IdleConnections,
@@ -85,7 +103,7 @@
 		IdleConnTimeout:        cmp.Or(s.IdleTime, time.Minute),
 		MaxResponseHeaderBytes: maxResponseHeader,
 	}
-	return &Client{timeout: timeout, http: &http.Client{
+	return &Client{timeout: timeout, idHeader: s.IDHeader, http: &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -117,18 +135,30 @@
 func (c *Client) Do(ctx context.Context, request *http.Request, b Bounds) (a Answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(b.Timeout, c.timeout)+b.Wait)
 	defer cancel()
-	var connected atomic.Bool
+	var connection atomic.Pointer[httptrace.GotConnInfo]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { connection.Store(&info) },
 	})
-	response, err := c.http.Do(request.WithContext(ctx))
+	request = request.Clone(ctx)
+	id := ""
+	if c.idHeader != "" {
+		id = fmt.Sprintf("%016x", rand.Uint64())
+		request.Header.Set(c.idHeader, id)
+	}
+	response, err := c.http.Do(request)
 	if err != nil {
-		if !connected.Load() {
+		if connection.Load() == nil {
 			err = errors.Mark(err, ErrNotSent)
 		}
 		return Answer{}, err
 	}
 	defer response.Body.Close()
+	if other := c.otherID(response.Header, id); other != "" {
+		if used, ok := connection.Load().Conn.(*conn); ok {
+			used.abandon(ctx, response)
+		}
+		return Answer{}, errors.Wrapf(ErrOtherCall, "ID %.32q, not %s", other, id)
+	}
 	limit := cmp.Or(b.Limit, defaultResponseLimit)
 	a = Answer{Status: response.StatusCode, Header: response.Header}
 	a.Body, err = io.ReadAll(io.LimitReader(response.Body, limit+1))
@@ -137,3 +167,41 @@
 	}
 	return a, err
 }
+
+// otherID returns an ID in the header of a response that is not that of the call, "" if there is none.
+func (c *Client) otherID(header http.Header, id string) string {
+	if c.idHeader == "" {
+		return ""
+	}
+	for _, echoed := range header.Values(c.idHeader) {
+		if echoed != id && echoed != "" {
+			return echoed
+		}
+	}
+	return ""
+}
+
+// conn is a connection of a Client.
+type conn struct {
+	net.Conn
+	// left is closed once net/http uses the connection no more.
+	left     chan struct{}
+	leftOnce sync.Once
+}
+
+// Close implements net.Conn for net/http, which gives a connection to no further call before it closes it.
+func (c *conn) Close() error {
+	c.leftOnce.Do(func() { close(c.left) })
+	return c.Conn.Close()
+}
+
+// abandon ends the connection on which a response has arrived, whose body is not read. It returns once no later call can get the connection,
+// or ctx is done. net/http has made the connection available to others already if the response has no body, and may have read more from it.
+func (c *conn) abandon(ctx context.Context, response *http.Response) {
+	_ = c.Conn.Close()
+	_ = response.Body.Close()
+	select {
+	case <-c.left:
+	case <-ctx.Done():
+	}
+}
