Take no joined or repeated responses of endpoints for whole ones

What callers saw from a stand-in that repeats and cuts its responses: the status of an earlier response with the header, seal and body of their own; bodies of the announced length that were the beginning of the response and then that of its copy; copies at the end of bodies without a length.

Cause: a late copy that breaks off in its status text or in a field before the ID is one head with the response behind it, which has the right ID. A response that breaks off in its body and is sent again has the rest of its length, or of a chunk, filled by the copy. Ruled out: whole late copies, which are skipped by their ID; copies of an earlier attempt, since a request is sent to each endpoint once.

Change: a head with a second status line in it, and a body with a copy of its own head in it, or that ends in one of which the rest follows, are ErrBroken. A copy with another head (such as another date) is not recognised.

--- a/internal/connection/endpoint/answer.go
+++ b/internal/connection/endpoint/answer.go
@@ -34,8 +34,14 @@
 // read implements io.Reader for Body.
 func (a *Answer) read(p []byte) (n int, err error) {
 	n, err = a.response.Body.Read(p)
+	if own, found := a.exchange.copies.scan(p[:n]); found {
+		return own, errors.Wrap(ErrBroken, "body has a copy of the response in it")
+	}
 	switch {
 	case errors.Is(err, io.EOF):
+		if a.exchange.endsInCopy() {
+			return n, errors.Wrap(ErrBroken, "body ends in a copy of the response")
+		}
 		if a.Unframed() {
 			if writeErr := a.exchange.writeLeft(); writeErr != nil {
 				return n, errors.Mark(writeErr, ErrBroken)
--- a/internal/connection/endpoint/conn.go
+++ b/internal/connection/endpoint/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -40,6 +41,8 @@
 	// all in short lines, which take up many times their length once they are parsed.
 	freeHeadBytes = 4 << 10
 	headMemory    = 10
+	// maxSeenHead is the length of the part of a head by which copies of its response are recognised.
+	maxSeenHead = 1 << 10
 )
 
 // Errors of reading a head.
@@ -58,14 +61,28 @@
 	// read is the number of bytes that were read while limited, memory what they take up.
 	read   int
 	memory *memory.Holder
+	// seen holds the first bytes, up to maxSeenHead, of all that arrived since the last call of see, and arrived their number.
+	seen    []byte
+	arrived int
+}
+
+// see starts to record what arrives, after the bytes that are buffered already.
+func (r *headLimiter) see(buffered []byte) {
+	r.seen, r.arrived = r.seen[:0], 0
+	r.record(buffered)
+}
+
+func (r *headLimiter) record(p []byte) {
+	r.arrived += len(p)
+	r.seen = append(r.seen, p[:min(len(p), maxSeenHead-len(r.seen))]...)
 }
 
 // limit allows n bytes from now on, and any number if n is negative.
 func (r *headLimiter) limit(n int) { r.limited, r.remaining = n >= 0, n }
 
-// reset releases the memory of the heads that were read.
+// reset releases the memory of the heads that were read. It ends the use of seen.
 func (r *headLimiter) reset() {
-	r.read = 0
+	r.read, r.seen = 0, nil
 	r.memory.Release()
 }
 
@@ -81,6 +98,7 @@
 	if !r.limited {
 		return n, err
 	}
+	r.record(p[:n])
 	r.remaining -= n
 	if r.read += n; r.read > freeHeadBytes && !r.memory.Grow(headMemory*(r.read-freeHeadBytes)) {
 		return 0, errNoHeadMemory
@@ -157,6 +175,8 @@
 	// written is closed when writing the request has ended; writeErr is valid then.
 	written  chan struct{}
 	writeErr error
+	// copies finds copies of the response in its body.
+	copies copyFinder
 }
 
 // send sends the request, or starts to send a long one. It returns ErrNotSent if no byte was written, as when ctx is already done.
@@ -222,7 +242,7 @@
 	request := &http.Request{Method: call.Method}
 	x.conn.limiter.limit(maxHeadBytes)
 	for range maxStrayResponses + 1 {
-		response, err := http.ReadResponse(x.conn.br, request)
+		response, err := x.readHead(request)
 		if err != nil {
 			return nil, errors.Mark(err, ErrBroken)
 		}
@@ -248,6 +268,23 @@
 	return nil, errors.Wrap(ErrBroken, "no response to this request among those that arrived")
 }
 
+// readHead reads the head of the next response.
+func (x *exchange) readHead(request *http.Request) (response *http.Response, err error) {
+	br, limiter := x.conn.br, x.conn.limiter
+	buffered, _ := br.Peek(br.Buffered())
+	limiter.see(buffered)
+	if response, err = http.ReadResponse(br, request); err != nil {
+		return nil, err
+	}
+	if isJoined(response) {
+		return nil, errors.New("head of the response has another status line in it")
+	}
+	head := limiter.seen[:min(len(limiter.seen), limiter.arrived-br.Buffered())]
+	// Of a copy in a chunk, the empty line may be taken for the end of the chunk.
+	x.copies = copyFinder{head: bytes.TrimSuffix(head, []byte("\r\n"))}
+	return response, nil
+}
+
 // writeLeft returns an error if the request could not be written, or is not written within maxWriteLeft. A reset is reported once, to a write
 // or a read: after a write that failed the connection reads as closed, as at the end of a body without a length.
 func (x *exchange) writeLeft() error {
