Send requests without an ID on connections of their own

What callers saw: a request without X-Request-Id got the late second answer to another one without it, of another caller; a request that must run once ran twice, since a late copy of a refusal was taken for its own; one that had run was said not to have run.

Cause: a response is tied to its request by the ID alone, and an absent ID equals an absent ID. Change: such a request is sent on a new connection, which carries no other; at the limit of connections it replaces the one that has been idle for longest. Its incarnation is asked for on another connection.

--- a/internal/connection/endpoint/conn.go
+++ b/internal/connection/endpoint/conn.go
@@ -121,6 +121,8 @@
 	// startedAt is when the incarnation at its other end started, zero if it does not state that; it is valid once identified is set.
 	startedAt  time.Time
 	identified bool
+	// alone is set if the connection carries a single call.
+	alone bool
 }
 
 func newConn(c net.Conn, budget *memory.Budget) *conn {
@@ -306,7 +308,7 @@
 	default:
 		return false
 	}
-	if !detached || !complete || x.writeErr != nil || response.Close || x.conn.br.Buffered() > 0 ||
+	if x.conn.alone || !detached || !complete || x.writeErr != nil || response.Close || x.conn.br.Buffered() > 0 ||
 		(response.ContentLength < 0 && len(response.TransferEncoding) == 0) {
 		return false
 	}
--- a/internal/connection/endpoint/doc.go
+++ b/internal/connection/endpoint/doc.go
@@ -7,7 +7,7 @@
 // A connection carries one request at a time. It is closed when bytes arrive that belong to no request, when a response was
 // truncated or not read to its end, when the connection has been idle for 500 ms less than the endpoint allows (4 s if the
 // endpoint states no limit), or when the endpoint requests it. Call.Matches recognises a late response to an earlier request,
-// which is skipped.
+// which is skipped; a call whose response it can't recognise has a connection of its own, see Call.Alone.
 //
 // An endpoint may also break a response off and send the next one, or the same one once more, on the same connection. A head with the status line
 // of another response in it and a body with a copy of its own head in it are ErrBroken. A copy with another head is not recognised.
--- a/internal/connection/endpoint/incarnation.go
+++ b/internal/connection/endpoint/incarnation.go
@@ -85,7 +85,7 @@
 		return nil
 	}
 	var startedAt time.Time
-	if p.closes(k) {
+	if c.alone || p.closes(k) {
 		startedAt, err = p.askElsewhere(ctx, t, k)
 	} else {
 		startedAt, err = p.ask(ctx, t, k, c)
--- a/internal/connection/endpoint/pool.go
+++ b/internal/connection/endpoint/pool.go
@@ -56,6 +56,8 @@
 	// idle for less than half of its idle limit, because the endpoint is unlikely to close such a connection just as the request
 	// arrives.
 	RecentConn bool
+	// Alone is set for a call whose response can't be told from those to other calls. It is sent on a new connection, which carries no other call.
+	Alone bool
 	// Incarnation is when the incarnation of the endpoint started for which the call is meant, zero for any. The call is sent only on a
 	// connection to that one; if Pool.Identity is set, an endpoint is asked on a connection that has not been confirmed yet.
 	Incarnation time.Time
@@ -154,7 +156,7 @@
 	defer func() { err = errors.Wrapf(err, "endpoint %s at %s", t.ID, t.Address) }()
 	k := key{id: t.ID, addr: t.Address}
 	for {
-		c, err := p.acquire(ctx, k, t.MaxConnections, call.RecentConn)
+		c, err := p.acquire(ctx, k, t.MaxConnections, call)
 		if err != nil {
 			return nil, err
 		}
@@ -189,10 +191,14 @@
 }
 
 // acquire returns an idle connection or opens a new one.
-func (p *Pool) acquire(ctx context.Context, k key, limit int, recentConn bool) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, k key, limit int, call *Call) (c *conn, err error) {
 	now := time.Now()
 	for {
-		c, err := p.takeIdleOrSlot(k, limit, now, recentConn)
+		if call.Alone {
+			err = p.takeNewSlot(k, limit)
+		} else {
+			c, err = p.takeIdleOrSlot(k, limit, now, call.RecentConn)
+		}
 		if err != nil {
 			return nil, errors.Mark(err, ErrNotSent)
 		}
@@ -204,7 +210,10 @@
 		}
 		p.release(k, c, false)
 	}
-	return p.dial(ctx, k)
+	if c, err = p.dial(ctx, k); err == nil {
+		c.alone = call.Alone
+	}
+	return c, err
 }
 
 // dial opens a connection, which has been counted. If it fails, the connection no longer counts.
@@ -264,6 +273,24 @@
 	return nil, nil
 }
 
+// takeNewSlot counts a connection that the caller must open. If limit is reached, the connection that has been idle for longest makes room;
+// without one, it returns ErrNoConnection.
+func (p *Pool) takeNewSlot(k key, limit int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.group(k)
+	if limit > 0 && g.open >= limit {
+		if len(g.idle) == 0 {
+			return ErrNoConnection
+		}
+		_ = g.idle[0].Close()
+		g.idle = slices.Delete(g.idle, 0, 1)
+		g.open--
+	}
+	g.open++
+	return nil
+}
+
 // takeSlot counts a connection that the caller must open.
 func (p *Pool) takeSlot(k key) {
 	p.mu.Lock()
--- a/internal/request/forward/request.go
+++ b/internal/request/forward/request.go
@@ -282,7 +282,7 @@
 	}
 	id := req.meta.ID
 	return &endpoint.Call{Method: req.incoming.Method, Target: req.incoming.Target, Host: req.incoming.Host, Header: req.handler.Codec.Outgoing(req.incoming.Header, o),
-		Body: req.incoming.Body, RecentConn: req.route.Repeat == site.Never,
+		Body: req.incoming.Body, RecentConn: req.route.Repeat == site.Never, Alone: id == "",
 		Matches: func(status int, header http.Header, first bool) bool {
 			s := req.handler.Codec.ParseAnswer(status, header)
 			// A refusal without an ID may be a late copy of one to an earlier request on the connection.
