Leave the empty line out of copied heads in chunked bodies only

What was seen: TestUnframedAnswers/body_like_another_answer failed in a run of the package with: a body without a length that begins with the lines of its own head and other ones after them was taken for one with a copy. Cause: the search for a copied head left its empty line out for all bodies, but only that of a copy in a chunk can be taken for the end of the chunk. Change: it is left out for chunked bodies only.

--- a/internal/connection/endpoint/conn.go
+++ b/internal/connection/endpoint/conn.go
@@ -282,8 +282,11 @@
 		return nil, errors.New("head of the response has another status line in it")
 	}
 	head := limiter.seen[:min(len(limiter.seen), limiter.arrived-br.Buffered())]
-	// Of a copy in a chunk, the empty line may be taken for the end of the chunk.
-	x.copies = copyFinder{head: bytes.TrimSuffix(head, []byte("\r\n"))}
+	if len(response.TransferEncoding) > 0 {
+		// Of a copy in a chunk, the empty line may be taken for the end of the chunk.
+		head = bytes.TrimSuffix(head, []byte("\r\n"))
+	}
+	x.copies = copyFinder{head: head}
 	return response, nil
 }
 
--- a/internal/connection/endpoint/copies.go
+++ b/internal/connection/endpoint/copies.go
@@ -13,7 +13,7 @@
 // copyFinder finds copies of a response in its own body. An endpoint may break a response off in the middle of its body and send it once more on
 // the same connection; the copy would then be taken for the rest of the body, as would one after a body without a length.
 type copyFinder struct {
-	// head is the head of the response as it arrived, without the empty line, or the beginning of it.
+	// head is the head of the response as it arrived, or the beginning of it. That of a chunked response lacks the empty line.
 	head []byte
 	// matched is the number of bytes of head with which the body ends so far.
 	matched int
