Take no response with an invalid field name from an endpoint

Callers saw: a 200 with the body and with a line such as "X-A b: 1" passed on; the sizes of chunks as a part of the body, which was cut to the length beside them ("Transfer-Encoding : chunked", "Content-Length: 15"); a 200 from a response that stated "Not-Run : 1" or another ID behind a blank; 504 at the deadline, or a stream broken off, where "Content-Length : 15" hid the end of a body that was there. Cause: net/textproto takes a blank in a field name and keeps the name as it is (canonicalMIMEHeaderKey), so that no look-up finds the field. A line that begins with whitespace is joined to the one before. RFC 9112, section 5.1, allows no whitespace between name and colon, and lets no proxy pass it on; section 5.2 lets a proxy refuse folded lines. It was taken for granted that the parser refuses invalid names, as it does with all control bytes but not with a blank. FuzzResponse had no such seed and looked at no name. Change: package http1 checks the names in a head as its bytes arrive, before the parser has the whole of it, and those of a trailer at the end of the body. In package endpoint this covers each head on a connection: final, interim and stray ones, and what an endpoint states of itself. Such a response is ErrBroken, as with an invalid status: the request may have run, the connection is closed, the endpoint counts as broken, and the request is sent elsewhere only where it may be repeated (else 502). What names and values the parser refuses already, it still refuses. Why this works: what the sender meant is unknown, so that no reading of the fields or of the body's end is safe; refusing the bytes leaves none to the parser. Nothing depends on which field it is.

--- a/internal/connection/endpoint/conn.go
+++ b/internal/connection/endpoint/conn.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"primrosecourse/internal/connection/http1"
 	"primrosecourse/pkg/memory"
 )
 
@@ -64,17 +65,22 @@
 	// seen holds the first bytes, up to maxSeenHead, of all that arrived since the last call of see, and arrived their number.
 	seen    []byte
 	arrived int
+	// head checks the field names in what is recorded.
+	head http1.Head
 }
 
-// see starts to record what arrives, after the bytes that are buffered already.
-func (r *headLimiter) see(buffered []byte) {
-	r.seen, r.arrived = r.seen[:0], 0
-	r.record(buffered)
+// see starts to record the next head from what arrives, after the bytes that are buffered already. It returns http1.ErrInvalidField if those have
+// an invalid field name in the head.
+func (r *headLimiter) see(buffered []byte) error {
+	r.seen, r.arrived, r.head = r.seen[:0], 0, http1.Head{}
+	return r.record(buffered)
 }
 
-func (r *headLimiter) record(p []byte) {
+func (r *headLimiter) record(p []byte) error {
 	r.arrived += len(p)
 	r.seen = append(r.seen, p[:min(len(p), maxSeenHead-len(r.seen))]...)
+	_, err := r.head.Check(p)
+	return err
 }
 
 // limit allows n bytes from now on, and any number if n is negative.
@@ -91,6 +97,12 @@
 	if r.limited && r.remaining == 0 {
 		return 0, errHeadTooLong
 	}
+	if r.limited {
+		// net/http's parser may drop the error of a look ahead.
+		if _, err := r.head.Check(nil); err != nil {
+			return 0, err
+		}
+	}
 	if r.limited && len(p) > r.remaining {
 		p = p[:r.remaining]
 	}
@@ -98,7 +110,9 @@
 	if !r.limited {
 		return n, err
 	}
-	r.record(p[:n])
+	if invalid := r.record(p[:n]); invalid != nil {
+		return 0, invalid
+	}
 	r.remaining -= n
 	if r.read += n; r.read > freeHeadBytes && !r.memory.Grow(headMemory*(r.read-freeHeadBytes)) {
 		return 0, errNoHeadMemory
@@ -274,7 +288,9 @@
 func (x *exchange) readHead(request *http.Request) (response *http.Response, err error) {
 	br, limiter := x.conn.br, x.conn.limiter
 	buffered, _ := br.Peek(br.Buffered())
-	limiter.see(buffered)
+	if err = limiter.see(buffered); err != nil {
+		return nil, err
+	}
 	if response, err = http.ReadResponse(br, request); err != nil {
 		return nil, err
 	}
@@ -287,6 +303,7 @@
 		head = bytes.TrimSuffix(head, []byte("\r\n"))
 	}
 	x.copies = copyFinder{head: head}
+	http1.CheckTrailer(response, x.conn)
 	return response, nil
 }
 
--- a/internal/connection/endpoint/doc.go
+++ b/internal/connection/endpoint/doc.go
@@ -12,6 +12,8 @@
 // An endpoint may also break a response off and send the next one, or the same one once more, on the same connection. A head with the status line
 // of another response in it and a body with a copy of its own head in it are ErrBroken. A copy with another head is not recognised.
 //
+// A head or a trailer with an invalid field name is ErrBroken, see package http1.
+//
 // An endpoint may start again under its ID and address. A call that is meant for one incarnation, by Call.Incarnation, is sent only on a connection
 // on which the endpoint has stated through Pool.Identity that it is that one. Pool.Running tells after an answer that ended with its
 // connection whether the endpoint still runs.
--- a/internal/connection/endpoint/fuzz_test.go
+++ b/internal/connection/endpoint/fuzz_test.go
@@ -10,13 +10,15 @@
 	"time"
 )
 
-// FuzzResponse guards against bytes from an endpoint that stop the gateway, never end, or are taken for the answer to another request.
+// FuzzResponse guards against bytes from an endpoint that stop the gateway, never end, or are taken for the answer to another request, and against
+// invalid field names.
 func FuzzResponse(f *testing.F) {
 	for _, raw := range []string{
 		formatResponse("1", "body"), formatResponse("9", "foreign") + formatResponse("1", "own"),
 		"HTTP/1.1 103 X\r\n\r\n" + formatResponse("1", "x"), "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nA: b\r\n\r\n",
 		"HTTP/1.0 200 OK\r\nId: 1\r\n\r\nabc", "HTTP/1.1 204 X\r\nId: 1\r\nContent-Length: 9\r\n\r\n", "\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: -1\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 3\r\n\r\nabc",
 	} {
 		f.Add(raw)
 	}
@@ -48,6 +50,11 @@
 		if response.Header.Get("Id") != "1" {
 			t.Fatalf("answer of %q", response.Header.Get("Id"))
 		}
+		for name := range response.Header {
+			if strings.ContainsAny(name, " \t") {
+				t.Fatalf("field %q", name)
+			}
+		}
 		_, err = io.Copy(io.Discard, response.Body)
 		if x.finish(response, err == nil) && err != nil {
 			t.Fatal("a connection with an incomplete answer is used again")
