Take no response with an invalid field name from servers, stores, services and engines

A reply of a plain service with a field "Content-Length : 4" that broke off was returned as whole; with "Transfer-Encoding : chunked" and a length, a part of the chunks was. A KV store's Put counted as done, a Get or a read of the platform's store came back with what such a head left of it, and calls on kept connections waited until their deadline for the end of a body that was there. Change: these clients use http1.Transport. Its connections check each head, interim ones included, before net/http's parser has the whole of it. A call that gets one ends as one whose response was lost (call: any error but ErrNotSent; service.ErrReplyLost, engine.ErrUnreachable, kvstore.ErrUnavailable, platform.ErrUncertain for a write), is not made again, and its connection is closed. Package platform is covered by call. Why this works: the bytes are refused by the same check as at endpoints, whatever a client does with the fields. What comes before the invalid line is passed on, since net/http repeats a read on a kept connection if an error precedes the first byte of the response. Not covered: the clients of the quick start's demonstration, of the stand-ins and of the tests.

--- a/internal/connection/call/client.go
+++ b/internal/connection/call/client.go
@@ -9,6 +9,8 @@
 // like the response to the next call. With Settings.IDHeader each call carries an ID of its own, which servers echo. A response with another ID
 // is ErrOtherCall, and its connection is closed. A response without an ID is taken for that to the call, since not every server echoes.
 //
+// A response with an invalid field name is http1.ErrInvalidField, and its connection is closed.
+//
 // The package contains no addresses or formats and does not interpret statuses. Requests of callers are sent to endpoints with
 // package endpoint instead, because their handling depends on each byte that was read.
 //
@@ -33,6 +35,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"primrosecourse/internal/connection/http1"
 )
 
 // Errors of Do. After any error but ErrNotSent it is unknown whether the call took effect.
@@ -104,7 +108,7 @@
 		MaxResponseHeaderBytes: maxResponseHeader,
 	}
 	return &Client{timeout: timeout, idHeader: s.IDHeader, http: &http.Client{
-		Transport:     transport,
+		Transport:     http1.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
@@ -154,8 +158,8 @@
 	}
 	defer response.Body.Close()
 	if other := c.otherID(response.Header, id); other != "" {
-		if used, ok := connection.Load().Conn.(*conn); ok {
-			used.abandon(ctx, response)
+		if used, ok := connection.Load().Conn.(*http1.Conn); ok {
+			used.Conn.(*conn).abandon(ctx, response)
 		}
 		return Answer{}, errors.Wrapf(ErrOtherCall, "ID %.32q, not %s", other, id)
 	}
--- a/internal/process/engine/client.go
+++ b/internal/process/engine/client.go
@@ -18,6 +18,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/dghubble/sling"
+
+	"primrosecourse/internal/connection/http1"
 )
 
 // The headers of a block in transfer.
@@ -43,12 +45,12 @@
 func New(addr netip.AddrPort) *Client {
 	return &Client{
 		base: "http://" + addr.String() + "/",
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: http1.NewTransport(&http.Transport{
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 			// An answer has nothing that ties it to its call: a second one on a connection would be taken for that to the next call.
 			DisableKeepAlives:  true,
 			DisableCompression: true,
-		}},
+		})},
 	}
 }
 
--- a/internal/process/explain/explain.go
+++ b/internal/process/explain/explain.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"primrosecourse/internal/connection/http1"
 )
 
 // Path is the path at which a gateway explains.
@@ -93,6 +95,8 @@
 	Waits      bool `json:",omitempty"`
 }
 
+var client = &http.Client{Transport: http1.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true})}
+
 // Ask asks the gateway with the given address for metrics.
 func Ask(ctx context.Context, gateway netip.AddrPort, q *Question) (x *Explanation, err error) {
 	defer func() { err = errors.Wrapf(err, "gateway %s", gateway) }()
@@ -104,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/kvstore/client.go
+++ b/internal/process/kvstore/client.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/dghubble/sling"
+
+	"primrosecourse/internal/connection/http1"
 )
 
 // The HTTP headers of a block.
@@ -34,7 +36,7 @@
 func New(addr netip.AddrPort) *Client {
 	return &Client{
 		base: sling.New().Base("http://" + addr.String()),
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}},
+		http: &http.Client{Transport: http1.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second})},
 	}
 }
 
--- a/internal/process/service/client.go
+++ b/internal/process/service/client.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"primrosecourse/internal/connection/endpoint"
+	"primrosecourse/internal/connection/http1"
 	"primrosecourse/pkg/wire"
 )
 
@@ -56,7 +57,8 @@
 func New(addr netip.AddrPort) *Client {
 	c := &Client{addr: addr}
 	c.http = &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true, DialContext: c.dial, MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true},
+		Transport: http1.NewTransport(&http.Transport{DisableKeepAlives: true, DialContext: c.dial, MaxResponseHeaderBytes: maxHeaderBytes,
+			DisableCompression: true}),
 		// Following a redirect would make a second call.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -72,8 +74,8 @@
 	defer func() { err = errors.Wrapf(err, "%s %s", call.Method, call.Path) }()
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*trackedConn); ok {
-			conn.sent.Store(&sent)
+		if conn, ok := info.Conn.(*http1.Conn); ok {
+			conn.Conn.(*trackedConn).sent.Store(&sent)
 		} else {
 			sent.Store(true)
 		}
