--- a/internal/connection/endpoint/fieldname_test.go
+++ b/internal/connection/endpoint/fieldname_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,19 +29,19 @@
 		"trailer":                  "HTTP/1.1 200 OK\r\nId: 1\r\n" + chunked + "X-A b: 1\r\n\r\n",
 		"trailer of a stray":       "HTTP/1.1 200 OK\r\nId: 9\r\n" + chunked + "X-A b: 1\r\n\r\n" + own,
 	} {
-		for pieces, size := range map[string]int{"": len(raw), ", one byte at a time": 1} {
-			t.Run(name+pieces, func(t *testing.T) {
+		for how, pieces := range map[string][]string{
+			"": {raw}, ", status line first": strings.SplitAfterN(raw, "\n", 2), ", one byte at a time": strings.Split(raw, ""),
+		} {
+			t.Run(name+how, func(t *testing.T) {
 				is := is.New(t)
 				closed := make(chan bool, 1)
 				s := startEndpoint(t, func(s *fakeEndpoint, _ int, c net.Conn, br *bufio.Reader) {
 					if _, ok := s.readRequest(br); !ok {
 						return
 					}
-					for i := 0; i < len(raw); i += size {
-						_, _ = io.WriteString(c, raw[i:i+size])
-						if size == 1 {
-							time.Sleep(20 * time.Microsecond)
-						}
+					for _, piece := range pieces {
+						_, _ = io.WriteString(c, piece)
+						time.Sleep(200 * time.Microsecond)
 					}
 					_ = c.SetReadDeadline(time.Now().Add(time.Second))
 					_, err := br.ReadByte()
