--- a/internal/connection/http1/head.go
+++ b/internal/connection/http1/head.go
@@ -42,7 +42,7 @@
 }
 
 // Check checks the bytes that follow those of the calls before. It returns the number n of bytes that belong to the head, which are fewer than
-// len(p) if the head ends in p. With ErrInvalidField, n bytes precede the first one that is not valid, or its line if that begins in p; each
+// len(p) if the head ends in p. With ErrInvalidField, n bytes of p precede the line that is not valid, 0 if it began in an earlier call. Each
 // later call returns this error.
 //
 // Lines end as for net/http, with CRLF or LF.
